--- /dev/null
+++ b/core/lease/fold.go
@@ -0,0 +1,47 @@
+// Package lease elects one control holder by the order of records in the
+// platform's log.
+//
+// The log promises no conditional append, so the order of records decides: the
+// first claim that names the last valid record of the present lease wins, and
+// its offset is the term. A renewal that lands after such a claim is void.
+package lease
+
+import mn "mustardnotch"
+
+// Fold returns the lease after the record r at offset off, and whether r was
+// valid. A record that concerns no lease leaves it as it is.
+func Fold(l mn.Lease, off mn.Offset, r *mn.Record) (mn.Lease, bool) {
+	switch {
+	case r.Claim != nil:
+		return foldClaim(l, off, r)
+	case r.Renewal != nil:
+		if !owns(l, r.Writer, r.Renewal.Term, r.Renewal.Incarnation) {
+			return l, false
+		}
+		l.Last = off
+		return l, true
+	case r.Release != nil:
+		if !owns(l, r.Writer, r.Release.Term, r.Release.Incarnation) {
+			return l, false
+		}
+		return mn.Lease{Last: off}, true
+	}
+	return l, true
+}
+
+func foldClaim(l mn.Lease, off mn.Offset, r *mn.Record) (mn.Lease, bool) {
+	if r.Claim.Replaces != l.Last || r.Claim.Span <= 0 {
+		return l, false
+	}
+	return mn.Lease{
+		Holder:      r.Writer,
+		Incarnation: r.Claim.Incarnation,
+		Term:        mn.Term(off),
+		Last:        off,
+		Span:        r.Claim.Span,
+	}, true
+}
+
+func owns(l mn.Lease, vm mn.VMID, term mn.Term, inc mn.Incarnation) bool {
+	return l.Term != 0 && l.Holder == vm && l.Term == term && l.Incarnation == inc
+}
--- /dev/null
+++ b/error.go
@@ -0,0 +1,97 @@
+package mustardnotch
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Outcome says what is known about the execution of a request.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun means that the request has not run and never will.
+	OutcomeNotRun
+	// OutcomeRan means that the request ran.
+	OutcomeRan
+)
+
+// String returns the outcome as callers see it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not run"
+	case OutcomeRan:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Error is an error with a numbered result code.
+type Error struct {
+	// Code is the numbered result code.
+	Code Code
+	// Outcome says whether the request that failed has run.
+	Outcome Outcome
+	// RetryAfter is how long a caller should wait before it tries again; 0
+	// means that a retry does not help.
+	RetryAfter Millis
+	// Detail says what was wrong in this case.
+	Detail string
+	// Cause is the error behind this one, or nil.
+	Cause error
+}
+
+// Errorf returns an Error with code, whose outcome is the code's default.
+func Errorf(code Code, format string, args ...any) *Error {
+	err := fmt.Errorf(format, args...)
+	return &Error{
+		Code:    code,
+		Outcome: code.Doc().Outcome,
+		Detail:  err.Error(),
+		Cause:   errors.Unwrap(err),
+	}
+}
+
+// WithOutcome returns a copy of e that carries outcome.
+func (e *Error) WithOutcome(outcome Outcome) *Error {
+	d := *e
+	d.Outcome = outcome
+	return &d
+}
+
+// WithRetry returns a copy of e that asks the caller to wait for span.
+func (e *Error) WithRetry(span Millis) *Error {
+	d := *e
+	d.RetryAfter = span
+	return &d
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s %s (%s): %s", e.Code, e.Code.Doc().Title, e.Outcome, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// CodeOf returns the result code of err, and [Internal] where it has none.
+func CodeOf(err error) Code {
+	return AsError(err).Code
+}
+
+// AsError returns the first Error in err's chain, or err wrapped as
+// [Internal] with an unknown outcome. It returns nil for nil.
+func AsError(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: Internal, Outcome: OutcomeUnknown, Detail: err.Error(), Cause: err}
+}
--- /dev/null
+++ b/member.go
@@ -0,0 +1,105 @@
+package mustardnotch
+
+// Role tells the system's processes apart.
+type Role string
+
+// Roles of the system's processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Member is one process of the system, as it joined the roster.
+type Member struct {
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Role        Role        `json:"role"`
+	// Addr is the ip:port on which the process serves its peers.
+	Addr       string     `json:"addr"`
+	DataCentre DataCentre `json:"data_centre"`
+	// Pool is the pool of an agent's endpoint, empty for an entry.
+	Pool PoolID `json:"pool,omitempty"`
+}
+
+// View is the state of the control stream as of Offset. A View is immutable:
+// each change makes a new one.
+type View struct {
+	// Offset is the last record that the view takes in.
+	Offset Offset
+	// Resources holds every declared resource.
+	Resources map[ResourceName]Versioned
+	// Keys finds a key by its hash.
+	Keys map[KeyHash]Key
+	// Roster holds the members by VM.
+	Roster map[VMID]Member
+	// Leaving holds the members that have announced that they leave.
+	Leaving map[VMID]Incarnation
+	// Holder is the control holder's lease as the log tells it.
+	Holder Lease
+}
+
+// Lease is the last valid claim of the control lease.
+type Lease struct {
+	Holder      VMID        `json:"holder"`
+	Incarnation Incarnation `json:"incarnation"`
+	Term        Term        `json:"term"`
+	// Last is the offset of the holder's last valid claim or renewal.
+	Last Offset `json:"last"`
+	// Span is how long the lease lasts from each renewal.
+	Span Millis `json:"span"`
+}
+
+// Customer finds a declared customer.
+func (v *View) Customer(id CustomerID) (Customer, bool) {
+	r, ok := v.Resources[ResourceName{KindCustomer, string(id)}]
+	if !ok {
+		return Customer{}, false
+	}
+	return *r.Resource.Customer, true
+}
+
+// Model finds a declared model.
+func (v *View) Model(id ModelID) (Model, bool) {
+	r, ok := v.Resources[ResourceName{KindModel, string(id)}]
+	if !ok {
+		return Model{}, false
+	}
+	return *r.Resource.Model, true
+}
+
+// Pool finds a declared pool.
+func (v *View) Pool(id PoolID) (Pool, bool) {
+	r, ok := v.Resources[ResourceName{KindPool, string(id)}]
+	if !ok {
+		return Pool{}, false
+	}
+	return *r.Resource.Pool, true
+}
+
+// Agents returns the agents of a pool that are not leaving, in no order.
+func (v *View) Agents(pool PoolID) []Member {
+	var agents []Member
+	for _, m := range v.Roster {
+		if m.Role != RoleAgent || m.Pool != pool || v.IsLeaving(m) {
+			continue
+		}
+		agents = append(agents, m)
+	}
+	return agents
+}
+
+// Entries returns the entries that are not leaving, in no order.
+func (v *View) Entries() []Member {
+	var entries []Member
+	for _, m := range v.Roster {
+		if m.Role == RoleEntry && !v.IsLeaving(m) {
+			entries = append(entries, m)
+		}
+	}
+	return entries
+}
+
+// IsLeaving says whether m has announced that it leaves.
+func (v *View) IsLeaving(m Member) bool {
+	return v.Leaving[m.VM] == m.Incarnation
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,152 @@
+package mustardnotch
+
+import "encoding/json"
+
+// RecordVersion is the version of log records that this release writes, and
+// the highest that it reads.
+const RecordVersion = 1
+
+// Record is one record of the control stream. Exactly one body is set.
+type Record struct {
+	Version int      `json:"version"`
+	ID      RecordID `json:"id"`
+	// Writer is the VM whose process appended the record.
+	Writer VMID `json:"writer"`
+
+	Claim    *Claim     `json:"claim,omitempty"`
+	Renewal  *Renewal   `json:"renewal,omitempty"`
+	Release  *Release   `json:"release,omitempty"`
+	Change   *Change    `json:"change,omitempty"`
+	Join     *Member    `json:"join,omitempty"`
+	Leave    *Departure `json:"leave,omitempty"`
+	Remove   *Removal   `json:"remove,omitempty"`
+	Snapshot *Snapshot  `json:"snapshot,omitempty"`
+	Intent   *Intent    `json:"intent,omitempty"`
+	Poison   *Poison    `json:"poison,omitempty"`
+	Share    *Share     `json:"share,omitempty"`
+}
+
+// Claim asks for the control lease. The first claim in log order that names
+// the last valid record of the present lease wins.
+type Claim struct {
+	Incarnation Incarnation `json:"incarnation"`
+	// Replaces is the offset of the last valid claim, renewal or release that
+	// the claimant has read, 0 if there has been none.
+	Replaces Offset `json:"replaces"`
+	Span     Millis `json:"span"`
+}
+
+// Renewal extends the control lease of Term.
+type Renewal struct {
+	Term        Term        `json:"term"`
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// Release gives the control lease of Term up at once.
+type Release struct {
+	Term        Term        `json:"term"`
+	Incarnation Incarnation `json:"incarnation"`
+}
+
+// Change sets or deletes resources, all of them or none.
+type Change struct {
+	Edits []Edit `json:"edits"`
+}
+
+// Edit is one part of a change. It applies only while the named resource is
+// at version Base.
+type Edit struct {
+	Name ResourceName `json:"name"`
+	// Base is the version that the edit was based on, 0 for a new resource.
+	Base Offset `json:"base"`
+	// Set is the resource's new state; nil deletes it.
+	Set *Resource `json:"set,omitempty"`
+}
+
+// Departure announces that a member leaves of its own accord. With Done unset
+// it only stops new work; with Done set the member has left the roster.
+type Departure struct {
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Done        bool        `json:"done,omitempty"`
+}
+
+// Removal is the holder's record that a member is gone. It is void unless
+// Term is the term of the lease at that point of the log.
+type Removal struct {
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Term        Term        `json:"term"`
+}
+
+// Snapshot is the state of the control stream as of offset AsOf, written well
+// before the records it covers expire.
+type Snapshot struct {
+	AsOf      Offset      `json:"as_of"`
+	Resources []Versioned `json:"resources,omitempty"`
+	Roster    []Member    `json:"roster,omitempty"`
+	Leaving   []Departure `json:"leaving,omitempty"`
+	Lease     Lease       `json:"lease"`
+	// Seen holds the ids of recent records, so that repeats stay dropped.
+	Seen []RecordID `json:"seen,omitempty"`
+	// Intents holds the last intent for each pool and data centre.
+	Intents []Intent `json:"intents,omitempty"`
+	Poisons []Poison `json:"poisons,omitempty"`
+	Shares  []Share  `json:"shares,omitempty"`
+}
+
+// Intent is the holder's record of how many endpoints of a pool it is about
+// to order from the platform in a data centre. It is void unless Term is the
+// term of the lease at that point of the log.
+type Intent struct {
+	Term       Term       `json:"term"`
+	Pool       PoolID     `json:"pool"`
+	DataCentre DataCentre `json:"data_centre"`
+	// Target is the absolute number of endpoints wanted.
+	Target int64 `json:"target"`
+}
+
+// Poison records that a request with Fingerprint crashed the endpoint on VM.
+type Poison struct {
+	Fingerprint string `json:"fingerprint"`
+	VM          VMID   `json:"vm"`
+	// Wall is when the crash was seen, in milliseconds since the Unix epoch.
+	Wall Millis `json:"wall"`
+}
+
+// Share moves part of a customer's rate from one entry's holding to another.
+type Share struct {
+	Customer CustomerID `json:"customer"`
+	// From and To are holders of a share; From is empty for the first division.
+	From        VMID        `json:"from,omitempty"`
+	To          VMID        `json:"to"`
+	Incarnation Incarnation `json:"incarnation"`
+	Term        Term        `json:"term"`
+}
+
+// EncodeRecord returns the bytes of r as they are appended to the log.
+func EncodeRecord(r *Record) ([]byte, error) {
+	return json.Marshal(r)
+}
+
+// DecodeRecord reads one record. A record of a later version gives an Error
+// with code [UnknownRecord].
+func DecodeRecord(data []byte) (*Record, error) {
+	var head struct {
+		Version int `json:"version"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return nil, Errorf(UnknownRecord, "log record is not JSON: %w", err)
+	}
+	if head.Version < 1 || head.Version > RecordVersion {
+		return nil, Errorf(UnknownRecord, "log record has version %d, this release reads 1 to %d", head.Version, RecordVersion)
+	}
+	r := &Record{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, Errorf(UnknownRecord, "log record of version %d: %w", head.Version, err)
+	}
+	if r.ID == "" {
+		return nil, Errorf(UnknownRecord, "log record of version %d has no id", head.Version)
+	}
+	return r, nil
+}
