Queue endpoint work by deficit round robin

Each customer has a FIFO of its own, served by deficit round robin with the token cost of jobs as their length, so that a flood only lengthens the queue of the customer that sends it. Jobs that can't be in time by the measured prefill and decode speeds are refused before they run.

--- /dev/null
+++ b/core/sched/grant.go
@@ -0,0 +1,85 @@
+package sched
+
+import mn "mustardnotch"
+
+// Grant is the right of one job to be at the endpoint. Its methods may be
+// called from one goroutine at a time.
+type Grant struct {
+	queue   *Queue
+	line    *line
+	job     Job
+	charged Cost
+	pace    float64
+	prompt  Tokens // prompt tokens not yet known to be prefilled
+	started mn.Millis
+	first   mn.Millis
+	ended   bool
+}
+
+// start counts w as running.
+func (q *Queue) start(l *line, w *waiter) *Grant {
+	g := &Grant{queue: q, line: l, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now()}
+	if service := q.speed.Service(w.job.Prompt, l.expected(w.job)); service > 0 {
+		g.pace = float64(w.cost) / service
+	}
+	l.grants++
+	q.running++
+	q.prefill += g.prompt
+	q.pace += g.pace
+	return g
+}
+
+// First tells that the endpoint returned the job's first token, having found
+// cached tokens of the prompt in its cache if that is known.
+func (g *Grant) First(cached Tokens) {
+	q := g.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if g.first != 0 || g.ended {
+		return
+	}
+	g.first = q.clock.Now()
+	q.prefill -= g.prompt
+	g.prompt = 0
+	q.speed.measurePrefill(g.job.Prompt-cached, g.first-g.started)
+}
+
+// Done tells that the job has left the endpoint with output tokens. Further
+// calls have no effect.
+func (g *Grant) Done(output Tokens) {
+	q := g.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
+	if g.first != 0 {
+		q.speed.measureDecode(output, q.clock.Now()-g.first)
+	}
+	q.prefill -= g.prompt
+	q.pace -= g.pace
+	q.running--
+	if q.running == 0 {
+		q.pace = 0 // drops what rounding left
+	}
+	g.settle(output)
+	q.forget(g.line)
+	q.dispatch()
+	q.closeIfIdle()
+}
+
+// settle returns what the job was charged beyond its true cost and learns
+// from its output.
+func (g *Grant) settle(output Tokens) {
+	l, q := g.line, g.queue
+	l.grants--
+	if len(l.waiters) > 0 {
+		l.deficit += g.charged - q.limits.cost(g.job.Prompt, output)
+	}
+	if g.job.Output > 0 {
+		ratio := min(float64(output)/float64(g.job.Output), 1)
+		l.ratio = average(l.ratio, ratio)
+		q.ratio = average(q.ratio, ratio)
+	}
+}
--- /dev/null
+++ b/core/sched/job.go
@@ -0,0 +1,69 @@
+package sched
+
+import mn "mustardnotch"
+
+// Tokens counts tokens of a model's vocabulary.
+type Tokens int64
+
+// Cost is an amount of endpoint work. One unit is the work of prefilling one
+// prompt token.
+type Cost float64
+
+// Job is one request that waits for the endpoint.
+type Job struct {
+	Customer mn.CustomerID
+	// Weight is the customer's share of a crowded endpoint; 0 means 1.
+	Weight float64
+	// Prompt is how many prompt tokens have to be prefilled.
+	Prompt Tokens
+	// Output bounds the tokens to generate.
+	Output Tokens
+	// Deadline is the instant on the queue's clock by which the job has to be
+	// done; 0 for none.
+	Deadline mn.Millis
+}
+
+// Limits bounds a queue.
+type Limits struct {
+	// Running is how many jobs are at the endpoint at once.
+	Running int
+	// PerCustomer is how many jobs of one customer may wait.
+	PerCustomer int
+	// Queued is how many jobs may wait in all.
+	Queued int
+	// Quantum is what a customer of weight 1 earns in each round.
+	Quantum Cost
+	// OutputCost is the cost of generating one token.
+	OutputCost Cost
+}
+
+// DefaultLimits suits a model engine that batches 32 requests.
+func DefaultLimits() Limits {
+	return Limits{Running: 32, PerCustomer: 256, Queued: 1024, Quantum: 512, OutputCost: 4}
+}
+
+func (l Limits) cost(prompt, output Tokens) Cost {
+	return Cost(prompt) + Cost(output)*l.OutputCost + 1
+}
+
+func (j Job) weight() Cost {
+	if j.Weight <= 0 {
+		return 1
+	}
+	return Cost(j.Weight)
+}
+
+// Stats is a queue's state at one instant.
+type Stats struct {
+	Running int
+	Waiting int
+	// QueuedTokens counts prompt tokens that wait to be handed to the endpoint.
+	QueuedTokens Tokens
+	// PrefillTokens counts prompt tokens handed over whose prefill hasn't ended.
+	PrefillTokens Tokens
+	// Refused counts jobs refused because of their deadline.
+	Refused int64
+	// Overloaded counts jobs refused because a queue was full.
+	Overloaded int64
+	Speed      Speed
+}
--- /dev/null
+++ b/core/sched/queue_test.go
@@ -0,0 +1,212 @@
+package sched
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+)
+
+// granted returns the waiters of ws that were granted and are not ended.
+func granted(ws []*waiter) []*waiter {
+	var out []*waiter
+	for _, w := range ws {
+		if w.grant != nil && !w.grant.ended {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// TestFairToTheClosedForm floods the queue from one customer and holds the
+// service of customers with work queued against the bound of deficit round
+// robin. FIFO order over the same jobs breaks the bound.
+func TestFairToTheClosedForm(t *testing.T) {
+	const largest = 900
+	limits := Limits{Running: 1, PerCustomer: 10000, Queued: 10000, Quantum: 256, OutputCost: 4}
+	weights := map[mn.CustomerID]float64{"flood": 1, "large": 2, "small": 1}
+	sends := map[mn.CustomerID]int{"flood": 2000, "large": 400, "small": 400}
+	random := rand.New(rand.NewPCG(1, 2))
+	q := New(mn.NewManualClock(1), limits)
+	var waiters []*waiter
+	for _, c := range []mn.CustomerID{"flood", "large", "small"} {
+		for range sends[c] {
+			w, err := q.enqueue(Job{Customer: c, Weight: weights[c], Prompt: Tokens(random.IntN(largest))})
+			require.NoError(t, err)
+			waiters = append(waiters, w)
+		}
+	}
+	require.Greater(t, unfairness(waiters[1:], weights), 256.0+largest, "FIFO should break the bound")
+
+	first := granted(waiters)[0]
+	first.grant.Done(0)
+	var order []*waiter
+	for range 700 {
+		now := granted(waiters)
+		require.Len(t, now, 1)
+		order = append(order, now[0])
+		now[0].grant.Done(0)
+	}
+	require.LessOrEqual(t, unfairness(order, weights), 256.0+2*largest)
+}
+
+// unfairness is the largest difference of weighted service between customers
+// that served in that order.
+func unfairness(order []*waiter, weights map[mn.CustomerID]float64) float64 {
+	service := make(map[mn.CustomerID]float64)
+	for c := range weights {
+		service[c] = 0
+	}
+	worst := 0.0
+	for _, w := range order[:700] {
+		service[w.job.Customer] += float64(w.cost) / weights[w.job.Customer]
+		low, high := service["flood"], service["flood"]
+		for _, s := range service {
+			low, high = min(low, s), max(high, s)
+		}
+		worst = max(worst, high-low)
+	}
+	return worst
+}
+
+// TestEarlyRefusalIsTrue runs one server whose speed is known and works out
+// when each refused job would have ended: always past its deadline.
+func TestEarlyRefusalIsTrue(t *testing.T) {
+	clock := mn.NewManualClock(1000)
+	limits := Limits{Running: 1, PerCustomer: 1000, Queued: 1000, Quantum: 512, OutputCost: 1}
+	q := New(clock, limits)
+	q.speed = Speed{PrefillMillis: 1, DecodeMillis: 1}
+	random := rand.New(rand.NewPCG(3, 4))
+	var waiters []*waiter
+	var ends mn.Millis // of the job at the server
+	refused, late, done := 0, 0, 0
+	for clock.Now() < 200_000 {
+		if now := granted(waiters); len(now) == 1 && clock.Now() >= ends {
+			w := now[0]
+			w.grant.First(0)
+			w.grant.Done(0)
+			if clock.Now() > w.job.Deadline {
+				late++
+			}
+			done++
+			if next := granted(waiters); len(next) == 1 {
+				ends = clock.Now() + mn.Millis(next[0].job.Prompt)
+			}
+		}
+		if random.IntN(100) == 0 {
+			job := Job{Customer: "a", Prompt: Tokens(64 + random.IntN(200)), Deadline: clock.Now() + 500}
+			idle := q.running == 0
+			finish := max(ends, clock.Now()) + mn.Millis(q.queued) + mn.Millis(job.Prompt)
+			w, err := q.enqueue(job)
+			if err != nil {
+				require.Equal(t, mn.DeadlineTooShort, mn.CodeOf(err))
+				require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+				require.Greater(t, finish, job.Deadline, "refused a job that would have been in time")
+				refused++
+			} else {
+				waiters = append(waiters, w)
+				if idle {
+					ends = clock.Now() + mn.Millis(job.Prompt)
+				}
+			}
+		}
+		clock.Advance(1)
+	}
+	require.Greater(t, refused, 100)
+	require.Greater(t, done, 1000)
+	require.Less(t, float64(late), 0.35*float64(done))
+}
+
+// TestInvariants drives a queue with arbitrary arrivals, ends and departures.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := mn.NewManualClock(1)
+		limits := Limits{
+			Running:     rapid.IntRange(1, 4).Draw(t, "running"),
+			PerCustomer: rapid.IntRange(0, 5).Draw(t, "per_customer"),
+			Queued:      rapid.IntRange(1, 9).Draw(t, "queued"),
+			Quantum:     10, OutputCost: 2,
+		}
+		q := New(clock, limits)
+		var waiters []*waiter
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				job := Job{
+					Customer: mn.CustomerID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")),
+					Weight:   rapid.SampledFrom([]float64{0, 0.01, 1, 7}).Draw(t, "weight"),
+					Prompt:   Tokens(rapid.IntRange(0, 2000).Draw(t, "prompt")),
+					Output:   Tokens(rapid.IntRange(0, 100).Draw(t, "output")),
+					Deadline: rapid.SampledFrom([]mn.Millis{0, 50, 5000}).Draw(t, "deadline"),
+				}
+				if w, err := q.enqueue(job); err == nil {
+					waiters = append(waiters, w)
+				} else {
+					require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if now := granted(waiters); len(now) > 0 {
+					w := rapid.SampledFrom(now).Draw(t, "job")
+					w.grant.First(0)
+					clock.Advance(mn.Millis(rapid.IntRange(0, 30).Draw(t, "took")))
+					w.grant.Done(w.job.Output / 2)
+				}
+			},
+			"abandon": func(t *rapid.T) {
+				if len(waiters) > 0 {
+					q.abandon(rapid.SampledFrom(waiters).Draw(t, "job"), context.Canceled)
+				}
+			},
+			"": func(t *rapid.T) { checkInvariants(t, q, waiters) },
+		})
+	})
+}
+
+func checkInvariants(t *rapid.T, q *Queue, waiters []*waiter) {
+	undecided, prompt, backlog := 0, Tokens(0), Cost(0)
+	last := make(map[mn.CustomerID]bool)
+	for _, w := range waiters {
+		select {
+		case <-w.decided:
+			require.True(t, (w.grant == nil) != (w.err == nil))
+			if w.grant != nil {
+				require.False(t, last[w.job.Customer], "a job overtook another of its customer")
+			}
+		default:
+			undecided++
+			prompt += w.job.Prompt
+			backlog += w.cost
+			last[w.job.Customer] = true
+		}
+	}
+	require.Equal(t, len(granted(waiters)), q.running)
+	require.LessOrEqual(t, q.running, q.limits.Running)
+	require.Equal(t, undecided, q.waiting)
+	require.LessOrEqual(t, q.waiting, q.limits.Queued)
+	require.Equal(t, prompt, q.queued)
+	require.InDelta(t, float64(backlog), float64(q.backlog), 1e-3)
+	require.True(t, q.waiting == 0 || q.running == q.limits.Running, "work waits while the endpoint has room")
+	require.LessOrEqual(t, len(q.lines), undecided+q.running)
+}
+
+func TestAcquireCancelAndDrain(t *testing.T) {
+	q := New(mn.NewManualClock(1), Limits{Running: 1, PerCustomer: 1, Queued: 1, Quantum: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	g, err := q.Acquire(ctx, Job{Customer: "a"})
+	require.NoError(t, err)
+	cancel()
+	_, err = q.Acquire(ctx, Job{Customer: "a"})
+	require.Equal(t, mn.Cancelled, mn.CodeOf(err))
+	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+	require.ErrorIs(t, q.Drain(ctx), context.Canceled)
+	_, err = q.Acquire(context.Background(), Job{Customer: "b"})
+	require.Equal(t, mn.Draining, mn.CodeOf(err))
+	g.Done(0)
+	g.Done(0)
+	require.NoError(t, q.Drain(context.Background()))
+	require.Empty(t, q.lines)
+}
