--- /dev/null
+++ b/cmd/fakes/main.go
@@ -0,0 +1,87 @@
+// Command fakes runs the stand-ins for the parties that mustardnotch talks to,
+// and the demo.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := app().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "fakes:", err)
+		os.Exit(1)
+	}
+}
+
+func app() *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Usage: "`ADDR` to serve on", Required: true}
+	return &cli.Command{
+		Name:  "fakes",
+		Usage: "stand-ins for the platform, a model engine and a plain service",
+		Commands: []*cli.Command{
+			{
+				Name:  "platform",
+				Usage: "serve the platform's interfaces",
+				Flags: []cli.Flag{listen},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return serve(ctx, c.String("listen"), fakes.NewPlatform(mn.NewSystemClock()).Handler())
+				},
+			},
+			{
+				Name:  "engine",
+				Usage: "serve a model engine",
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "model", Value: "taalpers"},
+					&cli.StringFlag{Name: "version", Value: "1"},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					e := fakes.NewEngine(mn.NewSystemClock(), mn.ModelID(c.String("model")), c.String("version"))
+					return serve(ctx, c.String("listen"), e.Handler())
+				},
+			},
+			{
+				Name:   "plain",
+				Usage:  "serve a plain service",
+				Flags:  []cli.Flag{listen, &cli.StringFlag{Name: "runs", Usage: "append runs to `FILE`"}},
+				Action: runPlain,
+			},
+		},
+	}
+}
+
+func runPlain(ctx context.Context, c *cli.Command) error {
+	var file *os.File
+	if name := c.String("runs"); name != "" {
+		f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		file = f
+	}
+	return serve(ctx, c.String("listen"), fakes.NewPlain(mn.NewSystemClock(), file).Handler())
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	srv := &http.Server{Addr: addr, Handler: h}
+	stopped := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stopped()
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/cmd/mustardnotch/main.go
+++ b/cmd/mustardnotch/main.go
@@ -2,4 +2,12 @@
 // callers' commands.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"mustardnotch/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args))
+}
--- /dev/null
+++ b/cmds/call.go
@@ -0,0 +1,79 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+)
+
+func callCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "call",
+		Usage: "send one request as a caller",
+		Description: example("mustardnotch call --entry http://127.0.0.1:7001 --key KEY --model taalpers --prompt 'check spec 12'") +
+			"\n   mustardnotch call --entry http://127.0.0.1:7001 --key KEY --pool orderbalie --path book --body 'reel 7'",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entry", Usage: "base `URL` of an entry", Required: true},
+			&cli.StringFlag{Name: "key", Usage: "the caller's `KEY`", Sources: cli.EnvVars("MUSTARDNOTCH_KEY")},
+			&cli.StringFlag{Name: "model", Usage: "generate with this `MODEL`"},
+			&cli.StringFlag{Name: "prompt", Usage: "prompt `TEXT`"},
+			&cli.Int64Flag{Name: "max_tokens", Usage: "at most `N` tokens"},
+			&cli.StringFlag{Name: "pool", Usage: "call a plain service of this `POOL`"},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the call"},
+			&cli.StringFlag{Name: "body", Usage: "`BODY` of the call"},
+			&cli.StringFlag{Name: "idempotency_key", Usage: "`UUIDv7` that is the same for all retries; made up if empty"},
+			&cli.DurationFlag{Name: "deadline", Usage: "`TIME` within which the answer is wanted"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client := caller.NewClient(c.String("entry"), c.String("key"))
+			switch {
+			case c.String("model") != "" && c.String("pool") == "":
+				return generate(ctx, c, client)
+			case c.String("pool") != "" && c.String("model") == "":
+				return callPlain(ctx, c, client)
+			}
+			return fmt.Errorf("want exactly one of --model and --pool")
+		},
+	}
+}
+
+func generate(ctx context.Context, c *cli.Command, client *caller.Client) error {
+	w := c.Root().Writer
+	return client.Generate(ctx, &apipb.GenerateRequest{
+		Model:      c.String("model"),
+		Prompt:     c.String("prompt"),
+		MaxTokens:  c.Int64("max_tokens"),
+		DeadlineMs: c.Duration("deadline").Milliseconds(),
+	}, func(chunk *apipb.GenerateChunk) error {
+		if e := chunk.End; e != nil {
+			_, err := fmt.Fprintf(w, "\nprompt_tokens=%d output_tokens=%d\n", e.PromptTokens, e.OutputTokens)
+			return err
+		}
+		_, err := fmt.Fprint(w, chunk.Text)
+		return err
+	})
+}
+
+func callPlain(ctx context.Context, c *cli.Command, client *caller.Client) error {
+	key := c.String("idempotency_key")
+	if key == "" {
+		key = string(mn.NewRequestID())
+	}
+	resp, err := client.Call(ctx, &apipb.CallRequest{
+		Pool:           c.String("pool"),
+		Path:           c.String("path"),
+		Body:           []byte(c.String("body")),
+		IdempotencyKey: key,
+		DeadlineMs:     c.Duration("deadline").Milliseconds(),
+	})
+	if err != nil {
+		return fmt.Errorf("idempotency key %s: %w", key, err)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%s\nrequest=%s idempotency_key=%s\n", resp.Body, resp.RequestId, key)
+	return err
+}
--- /dev/null
+++ b/cmds/cmds.go
@@ -0,0 +1,84 @@
+// Package cmds is the command line of mustardnotch.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+)
+
+// Exit codes of every command.
+const (
+	// ExitOK means that the command did what it was asked to.
+	ExitOK = 0
+	// ExitFailed means that it failed with a result code.
+	ExitFailed = 1
+	// ExitUsage means that its arguments or settings were wrong.
+	ExitUsage = 2
+	// ExitUnknown means that it is unknown whether a request ran.
+	ExitUnknown = 3
+)
+
+// Main runs the command that args name and returns the exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	app := New(os.Stdout, os.Stderr)
+	err := app.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "mustardnotch:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var e *mn.Error
+	if !errors.As(err, &e) {
+		return ExitUsage
+	}
+	switch {
+	case e.Code == mn.BadSetting || e.Code == mn.BadResource:
+		return ExitUsage
+	case e.Outcome == mn.OutcomeUnknown:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// New returns the command line, which prints to out and errs.
+func New(out, errs io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:           "mustardnotch",
+		Usage:          "serve models and plain services to customers that share a limited fleet",
+		Writer:         out,
+		ErrWriter:      errs,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			entryCommand(),
+			agentCommand(),
+			callCommand(),
+			checkCommand(),
+			explainCommand(),
+		},
+	}
+}
+
+// newLog returns a logger of one key=value line for each event.
+func newLog(w io.Writer) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return l
+}
+
+func example(s string) string { return "Example:\n   " + s }
--- /dev/null
+++ b/cmds/daemon.go
@@ -0,0 +1,97 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+	"mustardnotch/node"
+	"mustardnotch/setup"
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "INI `FILE` with the process's settings", Required: true}
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "entry",
+		Usage:       "run the process of an entry VM",
+		Description: example("mustardnotch entry --settings entry-1.ini"),
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := setup.Load(c.String("settings"), mn.RoleEntry)
+			if err != nil {
+				return err
+			}
+			e, err := node.NewEntry(ctx, s, newLog(c.Root().ErrWriter))
+			if err != nil {
+				return err
+			}
+			return e.Run(ctx)
+		},
+	}
+}
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "agent",
+		Usage:       "run the process beside an endpoint",
+		Description: example("mustardnotch agent --settings taalpers-1.ini"),
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := setup.Load(c.String("settings"), mn.RoleAgent)
+			if err != nil {
+				return err
+			}
+			a, err := node.NewAgent(ctx, s, newLog(c.Root().ErrWriter))
+			if err != nil {
+				return err
+			}
+			return a.Run(ctx)
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check settings files, each alone and all together",
+		ArgsUsage:   "ROLE:FILE...",
+		Description: example("mustardnotch check entry:entry-1.ini entry:entry-2.ini agent:taalpers-1.ini"),
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.NArg() == 0 {
+				return fmt.Errorf("want at least one ROLE:FILE")
+			}
+			return check(c)
+		},
+	}
+}
+
+func check(c *cli.Command) error {
+	var all []*setup.Settings
+	var faults []string
+	for _, a := range c.Args().Slice() {
+		role, file, ok := strings.Cut(a, ":")
+		if !ok || role != string(mn.RoleEntry) && role != string(mn.RoleAgent) {
+			return fmt.Errorf("argument %q: want entry:FILE or agent:FILE", a)
+		}
+		s, err := setup.Load(file, mn.Role(role))
+		if err != nil {
+			faults = append(faults, mn.AsError(err).Detail)
+			continue
+		}
+		all = append(all, s)
+	}
+	if err := setup.Clashes(all); err != nil {
+		faults = append(faults, mn.AsError(err).Detail)
+	}
+	if len(faults) > 0 {
+		return mn.Errorf(mn.BadSetting, "%s", strings.Join(faults, "; "))
+	}
+	fmt.Fprintf(c.Root().Writer, "%d settings files are correct\n", len(all))
+	return nil
+}
--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,152 @@
+// Package agent is an entry's client of the agents beside endpoints.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"hash"
+	"io"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// silenceLimit is how long a stream may stay without a frame or heartbeat
+// before its connection counts as broken.
+const silenceLimit = 2 * mn.Second
+
+// Client sends requests to agents over pooled drpc connections.
+type Client struct {
+	conns *wire.Conns
+}
+
+// New returns a client that uses conns.
+func New(conns *wire.Conns) *Client {
+	return &Client{conns: conns}
+}
+
+// Submit hands r to the agent at addr and passes the frames of its answer on,
+// without heartbeats. It returns nil only after an end marker whose length and
+// digest match. An error has outcome "not run" only if the agent said so or no
+// connection was made.
+func (c *Client) Submit(ctx context.Context, addr string, r *meshpb.Request, sink func(*meshpb.Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn := c.conns.Get(ctx, addr)
+	defer conn.Close()
+	stream, err := meshpb.NewDRPCAgentClient(conn).Submit(ctx, r)
+	if err != nil {
+		return linkError(addr, err)
+	}
+	defer stream.Close()
+	var prefix string
+	var first int64
+	if r.Generation != nil {
+		prefix = r.Generation.Prefix
+		first = r.Generation.PrefixSequence
+	}
+	return receive(ctx, cancel, addr, stream, newChecker(prefix, first), sink)
+}
+
+// frameReceiver is the part of a drpc stream that receive needs.
+type frameReceiver interface {
+	Recv() (*meshpb.Frame, error)
+}
+
+var errSilent = errors.New("no frame or heartbeat within the limit")
+
+func receive(ctx context.Context, cancel context.CancelCauseFunc, addr string, in frameReceiver, k *checker, sink func(*meshpb.Frame) error) error {
+	watchdog := time.AfterFunc(silenceLimit.Duration(), func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	for {
+		f, err := in.Recv()
+		if err != nil {
+			return recvError(ctx, addr, err)
+		}
+		watchdog.Reset(silenceLimit.Duration())
+		if f.Failure != nil {
+			return wire.ErrorOf(f.Failure)
+		}
+		if f.Sequence == 0 && f.End == nil {
+			continue
+		}
+		if err := k.take(f); err != nil {
+			return err
+		}
+		if err := sink(f); err != nil {
+			return err
+		}
+		if f.End != nil {
+			return nil
+		}
+	}
+}
+
+func recvError(ctx context.Context, addr string, err error) error {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return linkError(addr, errSilent)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return mn.Errorf(mn.DeadlineExceeded, "waiting for the agent at %s: %w", addr, err)
+	}
+	if ctx.Err() != nil {
+		return mn.Errorf(mn.Cancelled, "waiting for the agent at %s: %w", addr, err)
+	}
+	if errors.Is(err, io.EOF) {
+		return mn.Errorf(mn.Truncated, "agent at %s ended the stream without an end marker", addr)
+	}
+	return linkError(addr, err)
+}
+
+// linkError wraps a failure of the connection to an agent.
+func linkError(addr string, err error) error {
+	if wire.NeverSent(err) {
+		return mn.Errorf(mn.NoEndpoint, "agent at %s: %w", addr, err)
+	}
+	return mn.Errorf(mn.OutcomeNotKnown, "agent at %s: %w", addr, err)
+}
+
+// checker verifies that the frames of an answer are whole and in order.
+type checker struct {
+	sequence int64
+	length   int64
+	sum      hash.Hash
+}
+
+func newChecker(prefix string, sequence int64) *checker {
+	k := &checker{sequence: sequence, sum: sha256.New()}
+	k.add([]byte(prefix))
+	return k
+}
+
+func (k *checker) add(b []byte) {
+	k.sum.Write(b)
+	k.length += int64(len(b))
+}
+
+func (k *checker) take(f *meshpb.Frame) error {
+	if f.End != nil {
+		return k.finish(f.End)
+	}
+	if f.Sequence != k.sequence+1 {
+		return mn.Errorf(mn.Truncated, "frame %d after frame %d", f.Sequence, k.sequence)
+	}
+	k.sequence = f.Sequence
+	k.add([]byte(f.Text))
+	k.add(f.Body)
+	return nil
+}
+
+func (k *checker) finish(e *meshpb.End) error {
+	if e.Length != k.length {
+		return mn.Errorf(mn.Truncated, "answer has %d bytes, its end marker says %d", k.length, e.Length)
+	}
+	if !bytes.Equal(e.Digest, k.sum.Sum(nil)) {
+		return mn.Errorf(mn.Truncated, "answer's digest differs from its end marker's")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,160 @@
+// Package caller is the entry's side of its connections to callers: the
+// Connect service Serving, and a client of it.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	mn "mustardnotch"
+	"mustardnotch/core/spans"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/gen/meshpb"
+)
+
+// Agents hands requests to agents.
+type Agents interface {
+	// Submit runs a request at the agent at addr and passes its frames on.
+	Submit(ctx context.Context, addr string, r *meshpb.Request, sink func(*meshpb.Frame) error) error
+}
+
+// Config has what a server depends on.
+type Config struct {
+	VM       mn.VMID
+	Clock    mn.Clock
+	Views    mn.Views
+	Currency mn.Currency
+	Limiter  mn.Limiter
+	Router   mn.Router
+	Recorder mn.Recorder
+	Agents   Agents
+	Tracer   trace.Tracer
+	Log      *logrus.Entry
+	// MaxBody bounds a request's size in bytes.
+	MaxBody int64
+	// Drain says whether the entry is leaving.
+	Draining func() bool
+}
+
+// Server implements the Connect service Serving.
+type Server struct {
+	Config
+}
+
+// New returns a server with the given dependencies.
+func New(c Config) *Server {
+	return &Server{Config: c}
+}
+
+// Handler returns the path and the HTTP handler of the service.
+func (s *Server) Handler() (string, http.Handler) {
+	return apipb.NewServingHandler(s, connect.WithReadMaxBytes(int(s.MaxBody)))
+}
+
+// Generate implements the service.
+func (s *Server) Generate(ctx context.Context, req *connect.Request[apipb.GenerateRequest], out *connect.ServerStream[apipb.GenerateChunk]) error {
+	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.generate")
+	defer span.End()
+	err := s.generate(ctx, req, out)
+	if err != nil {
+		spans.Fail(span, err)
+	}
+	return ToConnect(err)
+}
+
+// Call implements the service.
+func (s *Server) Call(ctx context.Context, req *connect.Request[apipb.CallRequest]) (*connect.Response[apipb.CallResponse], error) {
+	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.call")
+	defer span.End()
+	resp, err := s.call(ctx, req)
+	if err != nil {
+		spans.Fail(span, err)
+		return nil, ToConnect(err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Resume implements the service.
+func (s *Server) Resume(context.Context, *connect.Request[apipb.ResumeRequest], *connect.ServerStream[apipb.GenerateChunk]) error {
+	return ToConnect(mn.Errorf(mn.UnknownRequest, "this entry holds no generations"))
+}
+
+func remote(ctx context.Context, h http.Header) context.Context {
+	return propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// identity is who sent a request, as far as its key tells.
+type identity struct {
+	customer mn.Customer
+	hash     mn.KeyHash
+}
+
+// identify finds the customer whose key came with the request. Without a key
+// it is the zero identity, which is good only on open routes.
+func (s *Server) identify(h http.Header, open bool) (identity, error) {
+	if s.Draining() {
+		return identity{}, mn.Errorf(mn.Draining, "entry %s is leaving", s.VM)
+	}
+	if err := s.Currency.Current(); err != nil {
+		return identity{}, err
+	}
+	auth := h.Get("Authorization")
+	if auth == "" && open {
+		return identity{}, nil
+	}
+	key, ok := strings.CutPrefix(auth, "Bearer ")
+	if !ok || key == "" {
+		return identity{}, mn.Errorf(mn.Unauthenticated, "header authorization: want \"Bearer KEY\"")
+	}
+	v := s.Views.View()
+	k, ok := v.Keys[mn.HashKey(key)]
+	if !ok {
+		return identity{}, mn.Errorf(mn.Unauthenticated, "no such key")
+	}
+	if k.Withdrawn {
+		return identity{}, mn.Errorf(mn.KeyWithdrawn, "key %q", k.Name).WithOutcome(mn.OutcomeNotRun)
+	}
+	c, ok := v.Customer(k.Customer)
+	if !ok {
+		return identity{}, mn.Errorf(mn.Unauthenticated, "customer %q of key %q is not declared", k.Customer, k.Name)
+	}
+	return identity{customer: c, hash: k.Hash}, nil
+}
+
+// poolOf finds the pool that serves a model.
+func poolOf(v *mn.View, model mn.ModelID) (mn.Pool, bool) {
+	for _, r := range v.Resources {
+		p := r.Resource.Pool
+		if p != nil && p.Kind == mn.PoolModel && p.Model == model {
+			return *p, true
+		}
+	}
+	return mn.Pool{}, false
+}
+
+func (s *Server) deadline(ms int64) mn.Millis {
+	if ms <= 0 {
+		return 0
+	}
+	return s.Clock.Now() + mn.Millis(ms)
+}
+
+func withDeadline(ctx context.Context, ms int64) (context.Context, context.CancelFunc) {
+	if ms <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, mn.Millis(ms).Duration())
+}
+
+func checkDeadline(ms int64) error {
+	if ms < 0 || mn.Millis(ms) > 24*mn.Hour {
+		return mn.Errorf(mn.BadRequest, "deadline_ms %d: want 0 to %d", ms, int64(24*mn.Hour))
+	}
+	return nil
+}
--- /dev/null
+++ b/io/caller/client.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/wire"
+)
+
+// Client calls the service Serving of one entry.
+type Client struct {
+	rpc apipb.ServingClient
+	key string
+}
+
+// NewClient returns a client of the entry at base, a URL without a path. It
+// presents key, unless that is empty.
+func NewClient(base, key string) *Client {
+	return NewClientHTTP(wire.NewHTTPClient(), base, key)
+}
+
+// NewClientHTTP is like [NewClient] with an HTTP client of the caller's own.
+func NewClientHTTP(h *http.Client, base, key string) *Client {
+	return &Client{rpc: apipb.NewServingClient(h, base), key: key}
+}
+
+// Call runs one call of a plain service.
+func (c *Client) Call(ctx context.Context, m *apipb.CallRequest) (*apipb.CallResponse, error) {
+	req := connect.NewRequest(m)
+	c.sign(req.Header())
+	resp, err := c.rpc.Call(ctx, req)
+	if err != nil {
+		return nil, FromConnect(err)
+	}
+	return resp.Msg, nil
+}
+
+// Generate streams a generation into sink. It returns nil only after an end
+// marker whose length and digest match what sink got.
+func (c *Client) Generate(ctx context.Context, m *apipb.GenerateRequest, sink func(*apipb.GenerateChunk) error) error {
+	req := connect.NewRequest(m)
+	c.sign(req.Header())
+	stream, err := c.rpc.Generate(ctx, req)
+	if err != nil {
+		return FromConnect(err)
+	}
+	defer stream.Close()
+	sum := sha256.New()
+	var length, sequence int64
+	for stream.Receive() {
+		chunk := stream.Msg()
+		sum.Write([]byte(chunk.Text))
+		length += int64(len(chunk.Text))
+		if e := chunk.End; e != nil {
+			if e.Length != length || !bytes.Equal(e.Digest, sum.Sum(nil)) {
+				return mn.Errorf(mn.Truncated, "answer of %d bytes differs from its end marker", length)
+			}
+			return sink(chunk)
+		}
+		if chunk.Sequence != sequence+1 {
+			return mn.Errorf(mn.Truncated, "chunk %d after chunk %d", chunk.Sequence, sequence)
+		}
+		sequence = chunk.Sequence
+		if err := sink(chunk); err != nil {
+			return err
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return FromConnect(err)
+	}
+	return mn.Errorf(mn.Truncated, "stream ended without an end marker")
+}
+
+func (c *Client) sign(h http.Header) {
+	if c.key != "" {
+		h.Set("Authorization", "Bearer "+c.key)
+	}
+}
--- /dev/null
+++ b/io/engine/engine.go
@@ -0,0 +1,107 @@
+// Package engine is the client of the model engine beside an agent.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	mn "mustardnotch"
+	"mustardnotch/io/wire"
+)
+
+const callTimeout = 2 * mn.Second
+
+// Client talks to a model engine over HTTP. It implements [mn.Engine].
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the engine at base, a URL without a path.
+func New(base string) *Client {
+	return &Client{base: base, http: wire.NewHTTPClient()}
+}
+
+// Generate implements [mn.Engine]. Its error has outcome "not run" only if no
+// byte of the request left the agent or the engine refused it whole.
+func (c *Client) Generate(ctx context.Context, g mn.Generation, emit func(mn.Piece) error) error {
+	body, err := json.Marshal(g)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/generate", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return wire.EndpointError(err)
+	}
+	defer resp.Body.Close()
+	if err := wire.CheckStatus(resp); err != nil {
+		return wire.EndpointError(err)
+	}
+	return readPieces(json.NewDecoder(resp.Body), emit)
+}
+
+// readPieces passes pieces on until the last; a stream that ends before it is
+// truncated.
+func readPieces(d *json.Decoder, emit func(mn.Piece) error) error {
+	for {
+		var p mn.Piece
+		err := d.Decode(&p)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return mn.Errorf(mn.Truncated, "engine ended the stream before the last piece")
+		}
+		if err != nil {
+			return mn.Errorf(mn.EndpointFailed, "read from engine: %w", err)
+		}
+		if err := emit(p); err != nil {
+			return err
+		}
+		if p.Last {
+			return nil
+		}
+	}
+}
+
+// Load implements [mn.Engine].
+func (c *Client) Load(ctx context.Context) (mn.EngineLoad, error) {
+	var l mn.EngineLoad
+	err := c.call(ctx, http.MethodGet, "/load", nil, &l)
+	return l, err
+}
+
+// State implements [mn.Engine].
+func (c *Client) State(ctx context.Context) (mn.EngineState, error) {
+	var s mn.EngineState
+	err := c.call(ctx, http.MethodGet, "/state", nil, &s)
+	return s, err
+}
+
+// Order implements [mn.Engine].
+func (c *Client) Order(ctx context.Context, o mn.EngineOrder) error {
+	return c.call(ctx, http.MethodPost, "/order", o, nil)
+}
+
+// CacheEvents implements [mn.Engine].
+func (c *Client) CacheEvents(ctx context.Context, after int64) ([]mn.CacheEvent, error) {
+	var events []mn.CacheEvent
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/cache_events?after=%d", after), nil, &events)
+	return events, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	if err := wire.JSON(ctx, c.http, method, c.base+path, in, out); err != nil {
+		return wire.EndpointError(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/plain/plain.go
@@ -0,0 +1,61 @@
+// Package plain is the client of the plain service beside an agent.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	mn "mustardnotch"
+	"mustardnotch/io/wire"
+)
+
+// maxAnswer bounds an answer's body in bytes.
+const maxAnswer = 16 << 20
+
+// Client talks to a plain service over HTTP. It implements [mn.PlainService].
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the service at base, a URL without a path.
+func New(base string) *Client {
+	return &Client{base: base, http: wire.NewHTTPClient()}
+}
+
+// Call implements [mn.PlainService]. It sends the request's id and the
+// customer's name, never a caller's key. The id goes in X-Request-Id, since
+// net/http repeats a request with an Idempotency-Key header by itself.
+func (c *Client) Call(ctx context.Context, call mn.PlainCall) ([]byte, error) {
+	body := io.NopCloser(bytes.NewReader(call.Body))
+	path := "/" + strings.TrimPrefix(call.Path, "/")
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, body)
+	if err != nil {
+		return nil, mn.Errorf(mn.BadRequest, "path %q: %w", call.Path, err)
+	}
+	req.ContentLength = int64(len(call.Body))
+	if len(call.Body) == 0 {
+		req.Body = http.NoBody
+	}
+	req.Header.Set("X-Request-Id", string(call.ID))
+	req.Header.Set("X-Customer", string(call.Customer))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, wire.EndpointError(err)
+	}
+	defer resp.Body.Close()
+	if err := wire.CheckStatus(resp); err != nil {
+		return nil, wire.EndpointError(err)
+	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return nil, mn.Errorf(mn.EndpointFailed, "read answer: %w", err)
+	}
+	if len(answer) > maxAnswer {
+		return nil, mn.Errorf(mn.EndpointFailed, "answer exceeds %d bytes", maxAnswer).WithOutcome(mn.OutcomeRan)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/io/wire/drpc.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+)
+
+const (
+	maxMessage     = 64 << 20
+	idleExpiration = 30_000 * mn.Millisecond
+	idlePerPeer    = 256
+)
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+		SoftCancel: true,
+	}
+}
+
+// Conns pools drpc connections by address. One call uses one connection.
+type Conns struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewConns returns an empty pool.
+func NewConns() *Conns {
+	return &Conns{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleExpiration.Duration(),
+		KeyCapacity: idlePerPeer,
+	})}
+}
+
+// Get returns a connection to addr that dials when it is first used.
+func (c *Conns) Get(ctx context.Context, addr string) drpcpool.Conn {
+	return c.pool.Get(ctx, addr, dial)
+}
+
+// Close closes all idle connections.
+func (c *Conns) Close() error { return c.pool.Close() }
+
+func dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Serve serves h on l until ctx is done.
+func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+}
+
+// FailureOf returns err as it crosses between processes, nil for nil.
+func FailureOf(err error) *meshpb.Failure {
+	if err == nil {
+		return nil
+	}
+	e := mn.AsError(err)
+	return &meshpb.Failure{
+		Code:         int32(e.Code),
+		Outcome:      int32(e.Outcome),
+		RetryAfterMs: int64(e.RetryAfter),
+		Detail:       e.Detail,
+	}
+}
+
+// ErrorOf returns the error that f carries, nil for nil.
+func ErrorOf(f *meshpb.Failure) error {
+	if f == nil {
+		return nil
+	}
+	return &mn.Error{
+		Code:       mn.Code(f.Code),
+		Outcome:    mn.Outcome(f.Outcome),
+		RetryAfter: mn.Millis(f.RetryAfterMs),
+		Detail:     f.Detail,
+	}
+}
--- /dev/null
+++ b/io/wire/http.go
@@ -0,0 +1,108 @@
+// Package wire holds what connections to several peers share: JSON over HTTP
+// with size limits, drpc options, and failures as they cross between processes.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	mn "mustardnotch"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	maxIdlePerHost   = 256
+	maxErrorBody     = 4 << 10
+	maxResponseBytes = 64 << 20
+)
+
+// NewHTTPClient returns a client for one peer. It follows no redirects and
+// takes no proxy from the environment.
+func NewHTTPClient() *http.Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     90 * time.Second,
+	}
+	return &http.Client{
+		Transport: t,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// JSON sends in as JSON, or no body if in is nil, and decodes the answer into
+// out unless that is nil. A status other than 200 is a [StatusError].
+func JSON(ctx context.Context, c *http.Client, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := CheckStatus(resp); err != nil {
+		return err
+	}
+	if out == nil {
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out)
+}
+
+// StatusError is an HTTP answer with a status other than 200.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Body)
+}
+
+// CheckStatus returns a [StatusError] unless the answer's status is 200.
+func CheckStatus(resp *http.Response) error {
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	return &StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(body))}
+}
+
+// NeverSent says whether err shows that not one byte of a request left the
+// process, because no connection was made.
+func NeverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// PlatformError wraps err of a call to the platform, whose effect is unknown.
+func PlatformError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return mn.Errorf(mn.PlatformUnavailable, "%w", err)
+}
--- /dev/null
+++ b/node/agent.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/engine"
+	"mustardnotch/io/entry"
+	"mustardnotch/io/plain"
+	"mustardnotch/io/wire"
+	"mustardnotch/setup"
+)
+
+// Agent is the process beside one endpoint.
+type Agent struct {
+	*base
+	server *entry.Server
+}
+
+// NewAgent returns an agent with settings s that logs to log.
+func NewAgent(ctx context.Context, s *setup.Settings, log *logrus.Logger) (*Agent, error) {
+	b, err := newBase(ctx, s, mn.RoleAgent, log)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{base: b}
+	a.server = entry.New(a.serverConfig())
+	return a, nil
+}
+
+func (a *Agent) serverConfig() entry.Config {
+	c := entry.Config{
+		VM:          a.self.VM,
+		Incarnation: a.self.Incarnation,
+		Pool:        a.self.Pool,
+		Clock:       a.clock,
+		Views:       a.fold,
+		Currency:    alwaysCurrent{},
+		Scheduler:   unscheduled{},
+		Recorder:    unrecorded{},
+		Tracer:      a.tracer,
+		Log:         a.log,
+	}
+	if a.settings.Kind == mn.PoolModel {
+		c.Engine = engine.New(a.settings.Endpoint)
+	} else {
+		c.Plain = plain.New(a.settings.Endpoint)
+	}
+	return c
+}
+
+// Run serves until ctx is done, then leaves gracefully: it stops new work,
+// lets open requests end, and returns nil.
+func (a *Agent) Run(ctx context.Context) error {
+	ls, err := listenAll(a.settings.Peers, a.settings.Debug)
+	if err != nil {
+		return err
+	}
+	mux := drpcmux.New()
+	if err := meshpb.DRPCRegisterAgent(mux, a.server); err != nil {
+		return err
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	g.Go(func() error { return wire.Serve(run, ls[0], mux) })
+	serveHTTP(run, g, ls[1], a.debugHandler())
+	g.Go(func() error { return a.follow(run) })
+	g.Go(func() error {
+		if err := a.join(run); err != nil {
+			return err
+		}
+		a.ready.Store(true)
+		a.log.WithField("event", "ready").WithField("peers", a.settings.Peers).Info()
+		return nil
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.leave(run)
+		case <-run.Done():
+		}
+		stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// leave takes the agent out of service without cutting a request.
+func (a *Agent) leave(ctx context.Context) {
+	a.leaving.Store(true)
+	a.log.WithField("event", "leaving").Info()
+	a.depart(ctx, false)
+	drain, cancel := context.WithTimeout(ctx, a.settings.Drain.Duration())
+	defer cancel()
+	if err := a.server.Drain(drain); err != nil {
+		a.log.WithField("event", "drain_incomplete").Warn(err)
+	}
+	a.depart(ctx, true)
+	a.log.WithField("event", "left").Info()
+	_ = a.spans.Close(drain)
+	_ = a.conns.Close()
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+	"mustardnotch/io/agent"
+	"mustardnotch/io/caller"
+	"mustardnotch/setup"
+)
+
+// Entry is the process on an entry VM.
+type Entry struct {
+	*base
+	callers *http.Server
+}
+
+// NewEntry returns an entry with settings s that logs to log.
+func NewEntry(ctx context.Context, s *setup.Settings, log *logrus.Logger) (*Entry, error) {
+	b, err := newBase(ctx, s, mn.RoleEntry, log)
+	if err != nil {
+		return nil, err
+	}
+	return &Entry{base: b}, nil
+}
+
+// Run serves until ctx is done, then leaves gracefully: it stops new work,
+// lets open requests end, and returns nil.
+func (e *Entry) Run(ctx context.Context) error {
+	s := e.settings
+	ls, err := listenAll(s.Callers, s.Operators, s.Peers, s.Debug)
+	if err != nil {
+		return err
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+
+	mux := http.NewServeMux()
+	mux.Handle(e.serving().Handler())
+	e.callers = serveHTTP(run, g, ls[0], mux)
+	serveHTTP(run, g, ls[3], e.debugHandler())
+	g.Go(func() error { return e.follow(run) })
+	g.Go(func() error {
+		if err := e.join(run); err != nil {
+			return err
+		}
+		e.ready.Store(true)
+		e.log.WithField("event", "ready").WithField("callers", s.Callers).Info()
+		return nil
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			e.leave(run)
+		case <-run.Done():
+		}
+		stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// leave takes the entry out of service without cutting a request.
+func (e *Entry) leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.log.WithField("event", "leaving").Info()
+	e.depart(ctx, false)
+	_ = e.clock.Sleep(ctx, grace)
+	drain, cancel := context.WithTimeout(ctx, e.settings.Drain.Duration())
+	defer cancel()
+	if err := e.callers.Shutdown(drain); err != nil {
+		e.log.WithField("event", "drain_incomplete").Warn(err)
+	}
+	e.depart(ctx, true)
+	e.log.WithField("event", "left").Info()
+	_ = e.spans.Close(drain)
+	_ = e.conns.Close()
+}
+
+func (e *Entry) serving() *caller.Server {
+	return caller.New(caller.Config{
+		VM:       e.self.VM,
+		Clock:    e.clock,
+		Views:    e.fold,
+		Currency: alwaysCurrent{},
+		Limiter:  unlimited{},
+		Router:   newRobin(e.fold),
+		Recorder: unrecorded{},
+		Agents:   agent.New(e.conns),
+		Tracer:   e.tracer,
+		Log:      e.log,
+		MaxBody:  e.settings.MaxBody,
+		Draining: func() bool { return false },
+	})
+}
--- /dev/null
+++ b/procs/cluster.go
@@ -0,0 +1,345 @@
+package procs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/io/caller"
+	"mustardnotch/io/plat"
+)
+
+// Ports that every process of a cluster uses on an address of its own.
+const (
+	reservePort   = 6999
+	callersPort   = 7001
+	operatorsPort = 7002
+	peersPort     = 7003
+	debugPort     = 7004
+	standInPort   = 7100
+)
+
+// OperatorToken is the operators' token of every cluster.
+const OperatorToken = "operators-token-of-tests"
+
+// startLimit bounds how long a process may take to become ready.
+const startLimit = 15 * mn.Second
+
+// Node is one VM: its process, and for an agent the endpoint's.
+type Node struct {
+	VM       mn.VM
+	IP       string
+	Proc     *Proc
+	Endpoint *Proc
+	// Runs is the file with a plain service's runs.
+	Runs string
+	// settings is the file with the process's settings.
+	settings string
+	kind     mn.PoolKind
+	model    mn.ModelID
+}
+
+// Callers returns the base URL for callers of an entry.
+func (n *Node) Callers() string { return fmt.Sprintf("http://%s:%d", n.IP, callersPort) }
+
+// Operators returns the base URL for operators of an entry.
+func (n *Node) Operators() string { return fmt.Sprintf("http://%s:%d", n.IP, operatorsPort) }
+
+// Debug returns the base URL of metrics and readiness.
+func (n *Node) Debug() string { return fmt.Sprintf("http://%s:%d", n.IP, debugPort) }
+
+// EndpointURL returns the base URL of the endpoint beside an agent.
+func (n *Node) EndpointURL() string { return fmt.Sprintf("http://%s:%d", n.IP, standInPort) }
+
+// Cluster is a set of processes on loopback addresses of its own.
+type Cluster struct {
+	// Bin has the programs mustardnotch and fakes.
+	Bin string
+	// Dir holds settings and output.
+	Dir string
+	// Platform is the platform's process.
+	Platform *Proc
+	Nodes    map[mn.VMID]*Node
+	// Extra is appended to the settings of every process started from now on.
+	Extra string
+
+	reserved net.Listener
+	subnet   string
+	hosts    int
+	vms      []mn.VM
+}
+
+// New returns a cluster with a running platform and nothing else. Its programs
+// come from bin; settings and output go to dir.
+func New(bin, dir string) (*Cluster, error) {
+	c := &Cluster{Bin: bin, Dir: dir, Nodes: map[mn.VMID]*Node{}}
+	if err := c.reserve(); err != nil {
+		return nil, err
+	}
+	p, err := start(dir, "platform", filepath.Join(bin, "fakes"), "platform", "--listen", c.platformAddr())
+	if err != nil {
+		return nil, err
+	}
+	c.Platform = p
+	return c, c.await("platform", c.PlatformURL()+"/vms", p)
+}
+
+// reserve takes a loopback subnet that no other cluster on the machine uses.
+func (c *Cluster) reserve() error {
+	for range 64 {
+		subnet := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", subnet, reservePort))
+		if err != nil {
+			continue
+		}
+		c.reserved = l
+		c.subnet = subnet
+		c.hosts = 1
+		return nil
+	}
+	return fmt.Errorf("no free loopback subnet found in 64 tries")
+}
+
+func (c *Cluster) nextIP() string {
+	c.hosts++
+	return fmt.Sprintf("%s.%d", c.subnet, c.hosts)
+}
+
+func (c *Cluster) platformAddr() string { return fmt.Sprintf("%s.1:%d", c.subnet, standInPort) }
+
+// PlatformURL returns the base URL of the platform.
+func (c *Cluster) PlatformURL() string { return "http://" + c.platformAddr() }
+
+// Log returns a client of the platform.
+func (c *Cluster) Log() *plat.Client { return plat.New(c.PlatformURL()) }
+
+// Close kills every process and waits for their ends.
+func (c *Cluster) Close() {
+	for _, n := range c.Nodes {
+		for _, p := range []*Proc{n.Proc, n.Endpoint} {
+			if p != nil {
+				p.Kill()
+			}
+		}
+	}
+	if c.Platform != nil {
+		c.Platform.Kill()
+	}
+	c.reserved.Close()
+}
+
+// AddEntry starts an entry and waits until it is ready.
+func (c *Cluster) AddEntry(name string, dc mn.DataCentre) (*Node, error) {
+	ip := c.nextIP()
+	n := &Node{
+		IP: ip,
+		VM: mn.VM{ID: mn.VMID(name), State: mn.VMLive, Role: mn.RoleEntry, Addr: fmt.Sprintf("%s:%d", ip, peersPort), DataCentre: dc},
+	}
+	settings := c.common(n) + fmt.Sprintf("callers = %s:%d\noperators = %s:%d\n[operators]\ntoken = %s\n",
+		ip, callersPort, ip, operatorsPort, OperatorToken)
+	return n, c.launch(n, settings)
+}
+
+// AddModel starts a model engine with its agent and waits until it is ready.
+func (c *Cluster) AddModel(name string, dc mn.DataCentre, pool mn.PoolID, model mn.ModelID) (*Node, error) {
+	return c.addEndpoint(&Node{kind: mn.PoolModel, model: model}, name, dc, pool)
+}
+
+// AddPlain starts a plain service with its agent and waits until it is ready.
+func (c *Cluster) AddPlain(name string, dc mn.DataCentre, pool mn.PoolID) (*Node, error) {
+	return c.addEndpoint(&Node{kind: mn.PoolPlain}, name, dc, pool)
+}
+
+func (c *Cluster) addEndpoint(n *Node, name string, dc mn.DataCentre, pool mn.PoolID) (*Node, error) {
+	n.IP = c.nextIP()
+	n.VM = mn.VM{ID: mn.VMID(name), State: mn.VMLive, Role: mn.RoleAgent, Addr: fmt.Sprintf("%s:%d", n.IP, peersPort), DataCentre: dc, Pool: pool}
+	n.Runs = filepath.Join(c.Dir, name+".runs")
+	if err := c.StartEndpoint(n); err != nil {
+		return n, err
+	}
+	settings := c.common(n) + fmt.Sprintf("[endpoint]\npool = %s\nkind = %s\nurl = %s\n", pool, n.kind, n.EndpointURL())
+	return n, c.launch(n, settings)
+}
+
+// StartEndpoint starts the endpoint of n, again after it ended.
+func (c *Cluster) StartEndpoint(n *Node) error {
+	args := []string{"plain", "--runs", n.Runs}
+	if n.kind == mn.PoolModel {
+		args = []string{"engine", "--model", string(n.model)}
+	}
+	args = append(args, "--listen", fmt.Sprintf("%s:%d", n.IP, standInPort))
+	p, err := start(c.Dir, string(n.VM.ID)+"-endpoint", filepath.Join(c.Bin, "fakes"), args...)
+	if err != nil {
+		return err
+	}
+	n.Endpoint = p
+	return c.await(p.Name, n.EndpointURL(), p)
+}
+
+func (c *Cluster) common(n *Node) string {
+	s := fmt.Sprintf("[process]\nvm = %s\ndata_centre = %s\n[platform]\nurl = %s\n", n.VM.ID, n.VM.DataCentre, c.PlatformURL())
+	s += c.Extra
+	var entries string
+	for _, v := range c.vms {
+		if v.Role == mn.RoleEntry {
+			entries += v.Addr + ","
+		}
+	}
+	if entries != "" {
+		s += "[peers]\nentries = " + entries + "\n"
+	}
+	return s + fmt.Sprintf("[listen]\npeers = %s:%d\ndebug = %s:%d\n", n.IP, peersPort, n.IP, debugPort)
+}
+
+func (c *Cluster) launch(n *Node, settings string) error {
+	c.Nodes[n.VM.ID] = n
+	n.settings = filepath.Join(c.Dir, string(n.VM.ID)+".ini")
+	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
+		return err
+	}
+	c.vms = append(c.vms, n.VM)
+	if err := c.PutVMs(c.vms); err != nil {
+		return err
+	}
+	return c.Restart(n)
+}
+
+// Restart starts the process of n, again after it ended, and waits until it
+// is ready.
+func (c *Cluster) Restart(n *Node) error {
+	if err := c.StartOnly(n); err != nil {
+		return err
+	}
+	return c.await(n.Proc.Name, n.Debug()+"/ready", n.Proc)
+}
+
+// StartOnly starts the process of n without waiting for it.
+func (c *Cluster) StartOnly(n *Node) error {
+	p, err := start(c.Dir, string(n.VM.ID), filepath.Join(c.Bin, "mustardnotch"), string(n.VM.Role), "--settings", n.settings)
+	if err != nil {
+		return err
+	}
+	n.Proc = p
+	return nil
+}
+
+// VMs returns the platform's list of VMs as the cluster has set it.
+func (c *Cluster) VMs() []mn.VM { return append([]mn.VM(nil), c.vms...) }
+
+// RemoveVM takes a VM off the platform's list.
+func (c *Cluster) RemoveVM(id mn.VMID) error {
+	var rest []mn.VM
+	for _, v := range c.vms {
+		if v.ID != id {
+			rest = append(rest, v)
+		}
+	}
+	c.vms = rest
+	return c.PutVMs(rest)
+}
+
+// PutVMs sets the platform's list of VMs.
+func (c *Cluster) PutVMs(vms []mn.VM) error {
+	data, err := json.Marshal(vms)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, c.PlatformURL()+"/admin/vms", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return send(req, nil)
+}
+
+// Fault switches a fault of the stand-in at base.
+func (c *Cluster) Fault(base, name string, value int64) error {
+	q := url.Values{"name": {name}, "value": {fmt.Sprint(value)}}
+	req, err := http.NewRequest(http.MethodPost, base+"/fault?"+q.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	return send(req, nil)
+}
+
+// Fetch decodes the JSON at u into v.
+func Fetch(u string, v any) error {
+	req, err := http.NewRequest(http.MethodGet, u, nil)
+	if err != nil {
+		return err
+	}
+	return send(req, v)
+}
+
+func send(req *http.Request, v any) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", req.URL, resp.StatusCode, body)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(body, v)
+}
+
+// await waits until u answers, with status 200 where it ends in /ready.
+func (c *Cluster) await(name, u string, p *Proc) error {
+	limit := time.Now().Add(startLimit.Duration())
+	for time.Now().Before(limit) {
+		if !p.Running() {
+			return fmt.Errorf("%s ended: %s", name, p.Tail(2000))
+		}
+		resp, err := http.Get(u)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusServiceUnavailable {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%s is not ready after %d ms: %s", name, startLimit, p.Tail(2000))
+}
+
+// Declare appends a change that sets new resources.
+func (c *Cluster) Declare(ctx context.Context, resources ...mn.Resource) (mn.Offset, error) {
+	change := &mn.Change{}
+	for _, r := range resources {
+		change.Edits = append(change.Edits, mn.Edit{Name: r.Name(), Set: &r})
+	}
+	return c.Append(ctx, &mn.Record{Change: change})
+}
+
+// Append appends a record to the control stream as VM "operator".
+func (c *Cluster) Append(ctx context.Context, r *mn.Record) (mn.Offset, error) {
+	r.Version = mn.RecordVersion
+	r.ID = mn.NewRecordID()
+	r.Writer = "operator"
+	data, err := mn.EncodeRecord(r)
+	if err != nil {
+		return 0, err
+	}
+	return c.Log().Append(ctx, mn.ControlStream, data)
+}
+
+// Caller returns a client of entry n that presents key.
+func (c *Cluster) Caller(n *Node, key string) *caller.Client {
+	return caller.NewClient(n.Callers(), key)
+}
--- /dev/null
+++ b/procs/main_test.go
@@ -0,0 +1,105 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/procs"
+)
+
+// binDir holds the programs under test, built once.
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "procs")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	out, err := exec.Command("go", "build", "-o", dir+"/", "mustardnotch/cmd/...").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v: %s\n", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Keys of the two customers of every cluster that newCluster makes.
+const (
+	voeringKey   = "key-of-voering-with-some-length"
+	birligiKey   = "key-of-birligi-with-some-length"
+	withdrawnKey = "key-that-was-withdrawn-earlier"
+)
+
+// newCluster starts a platform and entries, declares two customers with a key
+// each, a model pool "taalpers" and a plain pool "orderbalie" whose calls may
+// not be repeated, and ends everything with the test.
+func newCluster(t *testing.T, entries, models, plains int) *procs.Cluster {
+	t.Helper()
+	c, err := procs.New(binDir, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		c.Close()
+		if t.Failed() {
+			for _, n := range c.Nodes {
+				t.Logf("%s: %s", n.VM.ID, n.Proc.Tail(3000))
+			}
+		}
+	})
+	_, err = c.Declare(t.Context(),
+		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 1000, Burst: 1000}},
+		mn.Resource{Customer: &mn.Customer{ID: "birligi", Rate: 1000, Burst: 1000}},
+		mn.Resource{Key: &mn.Key{Name: "voering-1", Hash: mn.HashKey(voeringKey), Customer: "voering"}},
+		mn.Resource{Key: &mn.Key{Name: "birligi-1", Hash: mn.HashKey(birligiKey), Customer: "birligi"}},
+		mn.Resource{Key: &mn.Key{Name: "old", Hash: mn.HashKey(withdrawnKey), Customer: "voering", Withdrawn: true}},
+		mn.Resource{Model: &mn.Model{ID: "taalpers", Version: "1", MaxTokens: 4096}},
+		mn.Resource{Pool: &mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers"}},
+		mn.Resource{Pool: &mn.Pool{ID: "orderbalie", Kind: mn.PoolPlain}},
+	)
+	require.NoError(t, err)
+	dcs := []mn.DataCentre{"tiel-a", "tiel-b", "culemborg", "geldermalsen"}
+	for i := range entries {
+		_, err := c.AddEntry(fmt.Sprintf("entry-%d", i+1), dcs[i%len(dcs)])
+		require.NoError(t, err)
+	}
+	for i := range models {
+		_, err := c.AddModel(fmt.Sprintf("taalpers-%d", i+1), dcs[i%len(dcs)], "taalpers", "taalpers")
+		require.NoError(t, err)
+	}
+	for i := range plains {
+		_, err := c.AddPlain(fmt.Sprintf("orderbalie-%d", i+1), dcs[i%len(dcs)], "orderbalie")
+		require.NoError(t, err)
+	}
+	return c
+}
+
+// eventually retries f until it returns nil or limit has passed.
+func eventually(t *testing.T, limit mn.Millis, f func(ctx context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit.Duration())
+	defer cancel()
+	for {
+		err := f(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			require.NoError(t, err, "after %d ms", limit)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/procs/proc.go
@@ -0,0 +1,110 @@
+// Package procs starts the system and its stand-ins as separate processes on
+// loopback addresses, for the demo, for measurements and for tests of failures.
+package procs
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	mn "mustardnotch"
+)
+
+// Proc is one running process.
+type Proc struct {
+	Name string
+	// Log is the file that has its output.
+	Log string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	mu   sync.Mutex
+	err  error
+}
+
+// start runs the program bin with args and sends its output to dir/name.log.
+func start(dir, name, bin string, args ...string) (*Proc, error) {
+	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	p.cmd = exec.Command(bin, args...)
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go p.reap()
+	return p, nil
+}
+
+func (p *Proc) reap() {
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	close(p.done)
+}
+
+// PID returns the process's id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Running says whether the process has not ended yet.
+func (p *Proc) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Wait waits for the process to end and returns its exit code.
+func (p *Proc) Wait(limit mn.Millis) (int, error) {
+	select {
+	case <-p.done:
+	case <-time.After(limit.Duration()):
+		return 0, fmt.Errorf("%s is still running after %d ms", p.Name, limit)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var exit *exec.ExitError
+	if p.err != nil && !errors.As(p.err, &exit) {
+		return 0, p.err
+	}
+	return p.cmd.ProcessState.ExitCode(), nil
+}
+
+// Kill ends the process at once, paused or not, and waits for that.
+func (p *Proc) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Pause stops the process from running until Resume.
+func (p *Proc) Pause() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process run on.
+func (p *Proc) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to leave gracefully.
+func (p *Proc) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Tail returns the last n bytes of the process's output.
+func (p *Proc) Tail(n int) string {
+	b, err := os.ReadFile(p.Log)
+	if err != nil {
+		return err.Error()
+	}
+	if len(b) > n {
+		b = b[len(b)-n:]
+	}
+	return string(b)
+}
--- /dev/null
+++ b/setup/setup.go
@@ -0,0 +1,353 @@
+// Package setup reads and checks the INI settings of the system's processes.
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	mn "mustardnotch"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	File string
+
+	VM         mn.VMID
+	DataCentre mn.DataCentre
+
+	// Callers, Operators, Peers and Debug are listening addresses, ip:port.
+	Callers   string
+	Operators string
+	Peers     string
+	Debug     string
+
+	// Platform is the base URL of the platform's service.
+	Platform string
+	// Entries are peer addresses of entries to ask first.
+	Entries []string
+
+	// Pool, Kind and Endpoint describe the endpoint beside an agent.
+	Pool     mn.PoolID
+	Kind     mn.PoolKind
+	Endpoint string
+
+	// OperatorToken is what operators present as a bearer token.
+	OperatorToken string
+
+	// TraceExporter is "none", "file" or "otlp"; TraceTarget its file or URL.
+	TraceExporter string
+	TraceTarget   string
+
+	// Drain bounds how long a stopping process waits for open requests.
+	Drain mn.Millis
+	// Lease is the span of the control lease.
+	Lease mn.Millis
+	// Router is "cost" or, as a baseline, "round_robin".
+	Router string
+	// MaxBody bounds a request's body in bytes.
+	MaxBody int64
+}
+
+// field describes one name of the settings file.
+type field struct {
+	section, name string
+	roles         []mn.Role
+	required      bool
+	fallback      string
+	want          string
+	set           func(s *Settings, value string) error
+}
+
+var both = []mn.Role{mn.RoleEntry, mn.RoleAgent}
+var entryOnly = []mn.Role{mn.RoleEntry}
+var agentOnly = []mn.Role{mn.RoleAgent}
+
+const (
+	wantAddr = "an IP address and port such as 10.0.0.1:7001"
+	wantURL  = "a URL such as http://10.0.0.1:7100"
+	wantName = "a name of letters, digits, '.', '_' and '-'"
+	wantSpan = "a time such as 1500ms or 30s"
+)
+
+var fields = []field{
+	{"process", "vm", both, true, "", wantName, func(s *Settings, v string) error { s.VM = mn.VMID(v); return checkName(v) }},
+	{"process", "data_centre", both, true, "", wantName, func(s *Settings, v string) error { s.DataCentre = mn.DataCentre(v); return checkName(v) }},
+	{"process", "drain", both, false, "30s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Drain) }},
+	{"listen", "callers", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Callers = v; return checkAddr(v) }},
+	{"listen", "operators", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Operators = v; return checkAddr(v) }},
+	{"listen", "peers", both, true, "", wantAddr, func(s *Settings, v string) error { s.Peers = v; return checkAddr(v) }},
+	{"listen", "debug", both, true, "", wantAddr, func(s *Settings, v string) error { s.Debug = v; return checkAddr(v) }},
+	{"listen", "max_body", entryOnly, false, "4194304", "a number of bytes from 1 to 1073741824", func(s *Settings, v string) error { return parseCount(v, 1, 1<<30, &s.MaxBody) }},
+	{"platform", "url", both, true, "", wantURL, func(s *Settings, v string) error { s.Platform = v; return checkURL(v) }},
+	{"peers", "entries", both, false, "", "IP addresses and ports, separated by commas", parseEntries},
+	{"endpoint", "pool", agentOnly, true, "", wantName, func(s *Settings, v string) error { s.Pool = mn.PoolID(v); return checkName(v) }},
+	{"endpoint", "kind", agentOnly, true, "", "model or plain", func(s *Settings, v string) error {
+		s.Kind = mn.PoolKind(v)
+		return checkOneOf(v, string(mn.PoolModel), string(mn.PoolPlain))
+	}},
+	{"endpoint", "url", agentOnly, true, "", wantURL, func(s *Settings, v string) error { s.Endpoint = v; return checkURL(v) }},
+	{"operators", "token", entryOnly, true, "", "a token of at least 16 characters", parseToken},
+	{"control", "lease", entryOnly, false, "3s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Lease) }},
+	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
+		s.Router = v
+		return checkOneOf(v, "cost", "round_robin")
+	}},
+	{"trace", "exporter", both, false, "none", "none, file or otlp", func(s *Settings, v string) error {
+		s.TraceExporter = v
+		return checkOneOf(v, "none", "file", "otlp")
+	}},
+	{"trace", "target", both, false, "", "a file name, or a URL for otlp", func(s *Settings, v string) error { s.TraceTarget = v; return nil }},
+}
+
+// Load reads the settings of a process of role from the file at path. Its
+// error joins every fault found, each naming file, section and name.
+func Load(path string, role mn.Role) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, AllowShadows: true}, path)
+	if err != nil {
+		return nil, mn.Errorf(mn.BadSetting, "%s: %w", path, err)
+	}
+	return parse(path, f, role)
+}
+
+// Parse reads settings from data; path only names them in errors.
+func Parse(path string, data []byte, role mn.Role) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, data)
+	if err != nil {
+		return nil, mn.Errorf(mn.BadSetting, "%s: %w", path, err)
+	}
+	return parse(path, f, role)
+}
+
+func parse(path string, f *ini.File, role mn.Role) (*Settings, error) {
+	s := &Settings{File: path}
+	faults := unknownNames(path, f, role)
+	for _, d := range fields {
+		if !hasRole(d.roles, role) {
+			continue
+		}
+		if err := setField(s, f, d); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: [%s] %s: %v", path, d.section, d.name, err))
+		}
+	}
+	faults = append(faults, s.clashes()...)
+	if s.TraceExporter != "none" && s.TraceTarget == "" {
+		faults = append(faults, fmt.Sprintf("%s: [trace] target: missing, exporter %q needs one", path, s.TraceExporter))
+	}
+	if len(faults) > 0 {
+		return nil, mn.Errorf(mn.BadSetting, "%s", strings.Join(faults, "; "))
+	}
+	return s, nil
+}
+
+func setField(s *Settings, f *ini.File, d field) error {
+	k, err := f.Section(d.section).GetKey(d.name)
+	if err != nil {
+		if d.required {
+			return fmt.Errorf("missing, want %s", d.want)
+		}
+		if d.fallback == "" {
+			return nil
+		}
+		return d.set(s, d.fallback)
+	}
+	if len(k.ValueWithShadows()) > 1 {
+		return fmt.Errorf("given %d times, want it once", len(k.ValueWithShadows()))
+	}
+	if err := d.set(s, k.Value()); err != nil {
+		return fmt.Errorf("%q: %w, want %s", k.Value(), err, d.want)
+	}
+	return nil
+}
+
+func unknownNames(path string, f *ini.File, role mn.Role) []string {
+	known := map[string]bool{}
+	sections := map[string]bool{}
+	for _, d := range fields {
+		if hasRole(d.roles, role) {
+			known[d.section+"."+d.name] = true
+			sections[d.section] = true
+		}
+	}
+	var faults []string
+	for _, s := range f.Sections() {
+		if s.Name() == ini.DefaultSection {
+			for _, k := range s.Keys() {
+				faults = append(faults, fmt.Sprintf("%s: %s: stands before the first section", path, k.Name()))
+			}
+			continue
+		}
+		if !sections[s.Name()] {
+			faults = append(faults, fmt.Sprintf("%s: [%s]: unknown section for %s, want one of %s", path, s.Name(), role, names(sections)))
+			continue
+		}
+		for _, k := range s.Keys() {
+			if !known[s.Name()+"."+k.Name()] {
+				faults = append(faults, fmt.Sprintf("%s: [%s] %s: unknown name", path, s.Name(), k.Name()))
+			}
+		}
+	}
+	return faults
+}
+
+func names(set map[string]bool) string {
+	var out []string
+	for n := range set {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
+
+// addresses returns the listening addresses by the name that set them.
+func (s *Settings) addresses() [][2]string {
+	all := [][2]string{{"callers", s.Callers}, {"operators", s.Operators}, {"peers", s.Peers}, {"debug", s.Debug}}
+	var set [][2]string
+	for _, a := range all {
+		if a[1] != "" {
+			set = append(set, a)
+		}
+	}
+	return set
+}
+
+func (s *Settings) clashes() []string {
+	var faults []string
+	used := map[string]string{}
+	for _, a := range s.addresses() {
+		if other, ok := used[a[1]]; ok {
+			faults = append(faults, fmt.Sprintf("%s: [listen] %s: address %s is also that of %s", s.File, a[0], a[1], other))
+		}
+		used[a[1]] = a[0]
+	}
+	return faults
+}
+
+// Clashes returns an error for two of several processes that share a VM name
+// or a listening address.
+func Clashes(all []*Settings) error {
+	var faults []string
+	addrs := map[string]string{}
+	vms := map[mn.VMID]string{}
+	for _, s := range all {
+		if other, ok := vms[s.VM]; ok {
+			faults = append(faults, fmt.Sprintf("%s: [process] vm: %s is also that of %s", s.File, s.VM, other))
+		}
+		vms[s.VM] = s.File
+		for _, a := range s.addresses() {
+			if other, ok := addrs[a[1]]; ok {
+				faults = append(faults, fmt.Sprintf("%s: [listen] %s: address %s is also used by %s", s.File, a[0], a[1], other))
+			}
+			addrs[a[1]] = s.File
+		}
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return mn.Errorf(mn.BadSetting, "%s", strings.Join(faults, "; "))
+}
+
+func hasRole(roles []mn.Role, role mn.Role) bool {
+	for _, r := range roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+func checkName(v string) error {
+	if v == "" || len(v) > 64 {
+		return fmt.Errorf("has %d characters, may have 1 to 64", len(v))
+	}
+	for _, c := range v {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && !(c >= '0' && c <= '9') && !strings.ContainsRune("._-", c) {
+			return fmt.Errorf("character %q is not allowed", c)
+		}
+	}
+	return nil
+}
+
+func checkAddr(v string) error {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return err
+	}
+	if a.Port() == 0 {
+		return fmt.Errorf("port is 0")
+	}
+	return nil
+}
+
+func checkURL(v string) error {
+	u, err := url.Parse(v)
+	if err != nil {
+		return err
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		return fmt.Errorf("scheme is %q", u.Scheme)
+	}
+	return checkAddr(u.Host)
+}
+
+func checkOneOf(v string, allowed ...string) error {
+	for _, a := range allowed {
+		if v == a {
+			return nil
+		}
+	}
+	return fmt.Errorf("not one of %s", strings.Join(allowed, ", "))
+}
+
+func parseSpan(v string, into *mn.Millis) error {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return fmt.Errorf("not a time with a unit")
+	}
+	if d < time.Millisecond {
+		return fmt.Errorf("shorter than 1ms")
+	}
+	*into = mn.MillisOf(d)
+	return nil
+}
+
+func parseCount(v string, low, high int64, into *int64) error {
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		return fmt.Errorf("not a whole number")
+	}
+	if n < low || n > high {
+		return fmt.Errorf("not between %d and %d", low, high)
+	}
+	*into = n
+	return nil
+}
+
+func parseToken(s *Settings, v string) error {
+	if len(v) < 16 {
+		return fmt.Errorf("has %d characters", len(v))
+	}
+	s.OperatorToken = v
+	return nil
+}
+
+func parseEntries(s *Settings, v string) error {
+	for _, a := range strings.Split(v, ",") {
+		a = strings.TrimSpace(a)
+		if a == "" {
+			continue
+		}
+		if err := checkAddr(a); err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, a)
+	}
+	return nil
+}
