Choose agents by expected time under lagging reports

An entry estimates for each agent the wait, prefill and decode from the last load report less the work done since plus its own requests since, and weighs the prompt prefix an engine likely caches in the same milliseconds. So that many entries with the same stale reports don't pick the same agent, each compares a random few, fewer the more entries there are.

--- /dev/null
+++ b/core/route/example_test.go
@@ -0,0 +1,18 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+	"mustardnotch/core/route"
+)
+
+func Example() {
+	fold := conf.New()
+	table := route.New(mn.NewSystemClock(), fold, route.DefaultSettings("tiel-a"))
+	_, _, err := table.Route(context.Background(), mn.Work{Pool: "taalpers", Prompt: "check"})
+	fmt.Println(mn.CodeOf(err) == mn.NoEndpoint)
+	// Output: true
+}
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,258 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+// fixedView is a view that tests replace.
+type fixedView struct{ view *mn.View }
+
+func (f *fixedView) View() *mn.View           { return f.view }
+func (f *fixedView) Changed() <-chan struct{} { return nil }
+
+func roster(entries, agents int) *fixedView {
+	v := &mn.View{Roster: make(map[mn.VMID]mn.Member)}
+	for i := range entries {
+		vm := mn.VMID(fmt.Sprintf("entry-%d", i))
+		v.Roster[vm] = mn.Member{VM: vm, Role: mn.RoleEntry, DataCentre: "a"}
+	}
+	for i := range agents {
+		vm := mn.VMID(fmt.Sprintf("agent-%02d", i))
+		v.Roster[vm] = mn.Member{VM: vm, Role: mn.RoleAgent, Pool: "p", DataCentre: "a", Incarnation: "1"}
+	}
+	return &fixedView{v}
+}
+
+// server is an engine that prefills 10 prompt tokens a millisecond in order of
+// arrival and caches the last prompts' prefixes.
+type server struct {
+	free   float64 // when its work is done
+	cache  []string
+	events []Event
+	open   []flying
+}
+
+type flying struct {
+	ends float64
+	done func(error)
+}
+
+const serverPace = 10.0
+
+func (s *server) run(now float64, prompt, prefix string, done func(error)) (latency float64) {
+	tokens := float64(len(prompt)) / bytesPerToken
+	if s.hit(prefix) {
+		tokens -= float64(len(prefix)) / bytesPerToken
+	}
+	s.free = max(s.free, now) + tokens/serverPace
+	s.open = append(s.open, flying{s.free, done})
+	return s.free - now
+}
+
+// hit says whether the prefix is cached, and puts it into the cache.
+func (s *server) hit(prefix string) bool {
+	for i, p := range s.cache {
+		if p == prefix {
+			s.cache = append(append(s.cache[:i:i], s.cache[i+1:]...), prefix)
+			return true
+		}
+	}
+	s.cache = append(s.cache, prefix)
+	if len(s.cache) > 3 {
+		for _, b := range Blocks(s.cache[0]) {
+			s.events = append(s.events, Event{Block: b, Evicted: true})
+		}
+		s.cache = s.cache[1:]
+	}
+	return false
+}
+
+func (s *server) report(now float64) Report {
+	left := max(s.free-now, 0)
+	return Report{Age: 300, PrefillTokens: left * serverPace, PrefillMillis: 1 / serverPace, DecodeMillis: 1, Limit: 1e6, Running: float64(len(s.open))}
+}
+
+// scenario is a stream of prompts from several entries to nine agents.
+type scenario struct {
+	entries  int
+	prefixes int // shared prefixes of 4000 tokens
+	hot      float64
+	load     float64 // with nothing cached, as a part of the capacity
+}
+
+// latencies returns the sorted latencies in ms with tables of that policy, or
+// with the naive choice of the least loaded report if policy is "".
+func (sc scenario) latencies(policy Policy, noAffinity bool) []float64 {
+	const agents = 9
+	random := rand.New(rand.NewPCG(7, 8))
+	clock := mn.NewManualClock(1000)
+	views := roster(sc.entries, agents)
+	servers := make([]*server, agents)
+	for i := range servers {
+		servers[i] = &server{}
+	}
+	var tables []*Table
+	for i := range sc.entries {
+		s := DefaultSettings("a")
+		s.Policy, s.NoAffinity, s.Seed = policy, noAffinity, uint64(i)
+		tables = append(tables, New(clock, views, s))
+	}
+	prefixes := make([]string, max(sc.prefixes, 1))
+	for i := range prefixes {
+		prefixes[i] = strings.Repeat(fmt.Sprintf("%08d", i), sc.prefixes*16000/8/max(sc.prefixes, 1))
+	}
+	var all []float64
+	pending := make([]Report, agents)
+	for now := 0.0; now < 120_000; now++ {
+		if int(now)%250 == 0 {
+			for i, s := range servers {
+				gap := random.IntN(10) == 0
+				for _, t := range tables {
+					t.Report(mn.VMID(fmt.Sprintf("agent-%02d", i)), pending[i], s.events, gap)
+				}
+				s.events = nil
+				pending[i] = s.report(now) // delivered one interval late
+			}
+		}
+		for _, s := range servers {
+			for len(s.open) > 0 && s.open[0].ends <= now {
+				s.open[0].done(nil)
+				s.open = s.open[1:]
+			}
+		}
+		tail := int(400 * math.Exp(random.NormFloat64())) // tokens of the prompt's own part
+		each := 660.0                                     // mean tokens without a prefix
+		if sc.prefixes > 0 {
+			each += 4000
+		}
+		if random.Float64() < sc.load*agents*serverPace/each {
+			prefix := prefixes[0]
+			if random.Float64() >= sc.hot {
+				prefix = prefixes[random.IntN(len(prefixes))]
+			}
+			w := mn.Work{Pool: "p", Prompt: prefix + strings.Repeat(fmt.Sprintf("%04x", random.IntN(65536)), tail)}
+			i, done := 0, func(error) {}
+			if policy == "" {
+				for j := range servers {
+					if pending[j].PrefillTokens < pending[i].PrefillTokens {
+						i = j
+					}
+				}
+			} else {
+				m, d, err := tables[random.IntN(len(tables))].Route(nil, w)
+				if err != nil {
+					panic(err)
+				}
+				fmt.Sscanf(string(m.VM), "agent-%d", &i)
+				done = d
+			}
+			all = append(all, servers[i].run(now, w.Prompt, prefix, done))
+		}
+		clock.Advance(1)
+	}
+	sort.Float64s(all)
+	return all
+}
+
+func quantile(sorted []float64, q float64) float64 { return sorted[int(q*float64(len(sorted)-1))] }
+
+// TestCostBeatsRoundRobin compares the 95th percentiles of latency under lagging
+// reports with round robin and with the least loaded report, with one entry
+// and with many that see the same reports.
+func TestCostBeatsRoundRobin(t *testing.T) {
+	for _, entries := range []int{1, 3, 30} {
+		sc := scenario{entries: entries, load: 0.8}
+		cost := quantile(sc.latencies(Cost, false), 0.95)
+		robin := quantile(sc.latencies(RoundRobin, false), 0.95)
+		naive := quantile(sc.latencies("", false), 0.95)
+		t.Logf("entries=%d p95_ms cost=%.0f round_robin=%.0f least_reported=%.0f", entries, cost, robin, naive)
+		require.Less(t, cost, 0.75*robin)
+		require.Less(t, cost, 0.5*naive)
+	}
+}
+
+// TestAffinityAgainstQueueing compares latencies with and without prefix
+// affinity where caches hold a part of the prefixes, and where most requests
+// share one prefix, which must not pile up at one agent.
+func TestAffinityAgainstQueueing(t *testing.T) {
+	spread := scenario{entries: 3, prefixes: 18, load: 0.7}
+	with, without := spread.latencies(Cost, false), spread.latencies(Cost, true)
+	t.Logf("18 prefixes: p50_ms affinity=%.0f none=%.0f p95_ms affinity=%.0f none=%.0f",
+		quantile(with, 0.5), quantile(without, 0.5), quantile(with, 0.95), quantile(without, 0.95))
+	require.Less(t, quantile(with, 0.5), 0.7*quantile(without, 0.5))
+	require.Less(t, quantile(with, 0.95), quantile(without, 0.95))
+
+	hot := scenario{entries: 3, prefixes: 6, hot: 0.9, load: 0.8}
+	with, without = hot.latencies(Cost, false), hot.latencies(Cost, true)
+	t.Logf("hot prefix: p95_ms affinity=%.0f none=%.0f", quantile(with, 0.95), quantile(without, 0.95))
+	require.Less(t, quantile(with, 0.95), 1.1*quantile(without, 0.95))
+}
+
+func TestAvoidsAgentsThatTakeNoWork(t *testing.T) {
+	clock := mn.NewManualClock(1000)
+	views := roster(1, 4)
+	table := New(clock, views, DefaultSettings("a"))
+	route := func(avoid ...mn.VMID) (mn.Member, func(error), error) {
+		return table.Route(t.Context(), mn.Work{Pool: "p", Prompt: "x", Avoid: avoid})
+	}
+	chosen := func() map[mn.VMID]int {
+		n := make(map[mn.VMID]int)
+		for range 200 {
+			m, done, err := route()
+			require.NoError(t, err)
+			done(nil)
+			n[m.VM]++
+		}
+		return n
+	}
+	require.Len(t, chosen(), 4)
+	table.Report("agent-00", Report{Unavailable: true}, nil, false)
+	table.Report("agent-01", Report{Role: mn.EnginePrefill}, nil, false)
+	table.Lost("agent-02")
+	require.Equal(t, map[mn.VMID]int{"agent-03": 200}, chosen())
+
+	m, done, err := route()
+	require.NoError(t, err)
+	require.EqualValues(t, "agent-03", m.VM)
+	done(mn.Errorf(mn.EndpointFailed, "crash"))
+	require.Len(t, chosen(), 2, "only doubtful agents are left, so they are tried")
+	_, _, err = route("agent-02", "agent-03")
+	require.Equal(t, mn.NoEndpoint, mn.CodeOf(err))
+	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+	clock.Advance(firstBackoff)
+	table.Report("agent-03", Report{}, nil, false)
+	require.Equal(t, map[mn.VMID]int{"agent-03": 200}, chosen())
+}
+
+func TestIndexIsBounded(t *testing.T) {
+	x := newIndex(10)
+	agents := make(map[mn.VMID]*agent)
+	for i := range 1000 {
+		vm := mn.VMID(fmt.Sprint(i % 20))
+		agents[vm] = newAgent(mn.Member{VM: vm}, 0)
+		x.add(Block(i%30), holder{vm: vm})
+	}
+	require.Len(t, x.blocks, 10)
+	require.Equal(t, 10, x.recent.Len())
+	for _, e := range x.blocks {
+		require.LessOrEqual(t, len(e.Value.(*holding).holders), holdersPerBlock)
+	}
+	prompt := strings.Repeat("0123456789abcdef", 64)
+	for _, b := range Blocks(prompt) {
+		x.add(b, holder{vm: "1"})
+	}
+	require.Equal(t, 256.0, x.held(Blocks(prompt), agents)["1"])
+	agents["1"].epoch = 1
+	require.Equal(t, 128.0, x.held(Blocks(prompt), agents)["1"], "after a gap a claim counts half")
+	agents["1"].born = 1
+	require.Empty(t, x.held(Blocks(prompt), agents), "a new process has an empty cache")
+}
