Add a stand-in engine that batches continuously

Steps with prefill chunks and decode, a prefix cache with late and lossy events, KV export and import, lagging load reports, role changes and version loads that take seconds, fencing, and fault switches.

--- a/endpoint.go
+++ b/endpoint.go
@@ -25,6 +25,9 @@
 	Priority  Priority `json:"priority,omitempty"`
 	// KVHandle names a KV cache to import instead of a prefill.
 	KVHandle string `json:"kv_handle,omitempty"`
+	// PrefillOnly ends the generation after the prefill, with an exported KV
+	// cache in place of output.
+	PrefillOnly bool `json:"prefill_only,omitempty"`
 }
 
 // Piece is one step of a generation's output.
--- /dev/null
+++ b/fakes/batch/engine.go
@@ -0,0 +1,194 @@
+package batch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	mn "mustardnotch"
+	"mustardnotch/core/route"
+	"mustardnotch/fakes"
+)
+
+// Micros is a span of time in microseconds.
+type Micros int64
+
+// Costs says how fast an engine is and how its reports lag.
+type Costs struct {
+	// Step, Prefill and Decode make up the time of a step.
+	Step    Micros
+	Prefill Micros
+	Decode  Micros
+	// Chunk bounds the prompt tokens prefilled in one step.
+	Chunk int64
+	// Batch bounds the requests in a step.
+	Batch int
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int64
+	// Import is the time to import the KV cache of one token.
+	Import Micros
+	// LoadLag and EventLag are the ages of load reports and cache events.
+	LoadLag  mn.Millis
+	EventLag mn.Millis
+	// EventLoss is the part of cache events that is lost.
+	EventLoss float64
+	// RoleChange and VersionLoad are how long such an order takes.
+	RoleChange  mn.Millis
+	VersionLoad mn.Millis
+	// Fencing says that orders of older terms are refused.
+	Fencing bool
+}
+
+// DefaultCosts returns the costs of a small engine: 10,000 prompt tokens a
+// second alone, and 400 output tokens a second at a full batch.
+func DefaultCosts() Costs {
+	return Costs{
+		Step: 20_000, Prefill: 100, Decode: 1_250, Chunk: 512, Batch: 16,
+		CacheTokens: 32_768, Import: 10,
+		LoadLag: 300, EventLag: 500, EventLoss: 0.02,
+		RoleChange: 4 * mn.Second, VersionLoad: 5 * mn.Second,
+	}
+}
+
+// Counters counts what an engine has done.
+type Counters struct {
+	PrefillTokens int64     `json:"prefill_tokens"`
+	CachedTokens  int64     `json:"cached_tokens"`
+	OutputTokens  int64     `json:"output_tokens"`
+	RoleChanges   int64     `json:"role_changes"`
+	Imports       int64     `json:"imports"`
+	BusyMillis    mn.Millis `json:"busy_ms"`
+	UpMillis      mn.Millis `json:"up_ms"`
+}
+
+// Engine is a stand-in for a model engine. It implements [mn.Engine].
+type Engine struct {
+	Faults *fakes.Faults
+	clock  mn.Clock
+	costs  Costs
+	base   string // its own URL, for KV handles
+	http   *http.Client
+
+	mu       sync.Mutex
+	wake     chan struct{}
+	waiting  []*request // by priority, then arrival
+	batch    []*request
+	cache    *cache
+	exports  map[string]int64 // tokens of exported KV caches by request
+	exported []string
+	state    mn.EngineState
+	history  []loadAt
+	counters Counters
+	begun    mn.Millis
+}
+
+// New returns an engine that has loaded a version of model. KV handles start
+// with base, the URL it is served at.
+func New(clock mn.Clock, costs Costs, model mn.ModelID, version, base string) *Engine {
+	return &Engine{
+		Faults:  fakes.NewFaults(fakes.CrashToken, fakes.CutToken, Silent, SlowPercent),
+		clock:   clock,
+		costs:   costs,
+		base:    base,
+		http:    &http.Client{},
+		wake:    make(chan struct{}, 1),
+		cache:   newCache(costs.CacheTokens/route.BlockTokens, costs.EventLoss),
+		exports: make(map[string]int64),
+		state:   mn.EngineState{Role: mn.EngineMixed, Model: model, Version: version},
+		begun:   clock.Now(),
+	}
+}
+
+// SetRole gives the engine a role at once, before it serves.
+func (e *Engine) SetRole(r mn.EngineRole) { e.state.Role = r }
+
+// Run steps while there is work, until ctx is done.
+func (e *Engine) Run(ctx context.Context) error {
+	due := Micros(e.clock.Now()) * 1000
+	for {
+		e.mu.Lock()
+		took := e.plan()
+		e.mu.Unlock()
+		if took == 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-e.wake:
+			}
+			due = Micros(e.clock.Now()) * 1000
+			continue
+		}
+		due += took * (100 + Micros(e.Faults.Get(SlowPercent))) / 100
+		if pause := mn.Millis(due/1000) - e.clock.Now(); pause > 0 {
+			if e.clock.Sleep(ctx, pause) != nil {
+				return nil
+			}
+		}
+		e.mu.Lock()
+		e.finish()
+		e.counters.BusyMillis += mn.Millis(took / 1000)
+		e.note()
+		e.mu.Unlock()
+	}
+}
+
+// Load implements [mn.Engine]. The report is as old as the costs say.
+func (e *Engine) Load(context.Context) (mn.EngineLoad, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note()
+	limit := e.clock.Now() - e.costs.LoadLag
+	load := mn.EngineLoad{Role: e.state.Role}
+	keep := 0
+	for i, h := range e.history {
+		if h.at > limit {
+			break
+		}
+		load = h.load
+		keep = i
+	}
+	e.history = e.history[keep:]
+	return load, nil
+}
+
+// State implements [mn.Engine].
+func (e *Engine) State(context.Context) (mn.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+// CacheEvents implements [mn.Engine].
+func (e *Engine) CacheEvents(_ context.Context, after int64) ([]mn.CacheEvent, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.since(after, e.clock.Now()-e.costs.EventLag), nil
+}
+
+// Counters returns what the engine has done so far.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counters
+	c.UpMillis = e.clock.Now() - e.begun
+	return c
+}
+
+// loadAt is a load report and the instant it tells of.
+type loadAt struct {
+	at   mn.Millis
+	load mn.EngineLoad
+}
+
+// note keeps the present load for later reports.
+func (e *Engine) note() {
+	load := mn.EngineLoad{Running: int64(len(e.batch)), Waiting: int64(len(e.waiting)), Role: e.state.Role}
+	for _, r := range e.waiting {
+		load.PrefillTokens += r.prompt
+	}
+	for _, r := range e.batch {
+		load.PrefillTokens += r.prompt
+	}
+	load.KVUsed = float64(len(e.batch)) / float64(e.costs.Batch)
+	e.history = append(e.history, loadAt{e.clock.Now(), load})
+}
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -103,7 +103,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g mn.Generation) {
 	out := json.NewEncoder(w)
 	flush := http.NewResponseController(w)
-	crash, cut := e.once(CrashToken), e.once(CutToken)
+	crash, cut := e.Faults.Once(CrashToken), e.Faults.Once(CutToken)
 	for i := int64(len(g.Prefix)) / tokenWidth; i < g.MaxTokens; i++ {
 		if d := mn.Millis(e.Faults.Get(TokenMillis)); d > 0 {
 			if e.clock.Sleep(r.Context(), d) != nil {
@@ -123,15 +123,6 @@
 	_ = out.Encode(mn.Piece{PromptTokens: PromptTokens(g.Prompt), Last: true})
 }
 
-// once returns a switch's value and sets the switch to 0.
-func (e *Engine) once(name string) int64 {
-	v := e.Faults.Get(name)
-	if v > 0 {
-		_ = e.Faults.Set(name, 0)
-	}
-	return v
-}
-
 func (e *Engine) note(r *http.Request, body string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/fakes/faults.go
+++ b/fakes/faults.go
@@ -41,6 +41,15 @@
 	return true
 }
 
+// Once returns the value of a switch and sets the switch to 0.
+func (f *Faults) Once(name string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.values[name]
+	delete(f.values, name)
+	return v
+}
+
 // Set gives a switch a value. It fails for an unknown name.
 func (f *Faults) Set(name string, value int64) error {
 	f.mu.Lock()
