Queue at the agent, route at the entry by load reports

The agent puts core/sched in front of its endpoint and streams load reports; the entry follows them and routes by core/route; the setting routing.router chooses the policy. Prefill and decode can be split over two engines with KV hand-over.

--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -53,6 +53,7 @@
 					return serve(ctx, c.String("listen"), e.Handler())
 				},
 			},
+			batchCommand(listen),
 			{
 				Name:   "plain",
 				Usage:  "serve a plain service",
--- a/core/route/agent.go
+++ b/core/route/agent.go
@@ -32,6 +32,7 @@
 	about    mn.Millis // the instant the report tells of
 	heard    mn.Millis // the instant the report came in, 0 for none
 	lost     bool      // the stream of reports broke
+	fed      bool      // the table gets its reports
 	flights  map[*flight]struct{}
 	ended    int // own requests in the report that have ended since
 	born     int // the first epoch
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -128,7 +128,7 @@
 	defer t.mu.Unlock()
 	t.sync()
 	now := t.clock.Now()
-	choices := t.candidates(w, now, func(r mn.EngineRole) bool { return r != mn.EnginePrefill })
+	choices := t.candidates(w, now, generates)
 	if len(choices) == 0 {
 		return mn.Member{}, nil, mn.Errorf(mn.NoEndpoint, "pool %q has no agent that takes new work", w.Pool).WithRetry(mn.Second)
 	}
@@ -143,32 +143,6 @@
 	return a.member, t.launch(a, f, blocks), nil
 }
 
-// RoutePrefill chooses an agent to prefill the prompt of w before decode
-// generates, and returns false if decode had better do both.
-func (t *Table) RoutePrefill(_ context.Context, w mn.Work, decode mn.Member) (mn.Member, func(error), bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	d, ok := t.agents[decode.VM]
-	if !ok || d.report.Role == mn.EngineMixed {
-		return mn.Member{}, nil, false
-	}
-	choices := t.candidates(w, now, func(r mn.EngineRole) bool { return r == mn.EnginePrefill })
-	if len(choices) == 0 {
-		return mn.Member{}, nil, false
-	}
-	blocks := t.blocks(w)
-	f := t.flight(w, now)
-	f.output = 0
-	a := choices[0]
-	if t.settings.Policy == RoundRobin {
-		a = t.inTurn(w.Pool+"/prefill", choices)
-	} else {
-		a = t.best(choices, blocks, f, now)
-	}
-	return a.member, t.launch(a, f, blocks), true
-}
-
 // sync follows the roster of the latest view.
 func (t *Table) sync() {
 	v := t.views.View()
@@ -197,20 +171,29 @@
 	}
 }
 
-// candidates returns the agents that may take w. Those that fail or can't be
-// reached come in only if no other is left; those that drain, change or have
-// been tried never do.
+func generates(r mn.EngineRole) bool { return r != mn.EnginePrefill }
+
+func prefills(r mn.EngineRole) bool { return r == mn.EnginePrefill }
+
+// candidates returns the agents that may take w, if possible those whose
+// reports the table gets. Those that fail or can't be reached come in only if
+// no other is left; those that drain, change or have been tried never do.
 func (t *Table) candidates(w mn.Work, now mn.Millis, role func(mn.EngineRole) bool) []*agent {
-	var good, doubtful []*agent
+	var fed, good, doubtful []*agent
 	for _, a := range t.pools[w.Pool] {
 		switch {
 		case tried(w.Avoid, a.member.VM) || a.report.Unavailable && !a.unreachable(now) || !role(a.report.Role):
+		case a.usable(now) && a.fed:
+			fed = append(fed, a)
 		case a.usable(now):
 			good = append(good, a)
 		default:
 			doubtful = append(doubtful, a)
 		}
 	}
+	if len(fed) > 0 {
+		return fed
+	}
 	if len(good) > 0 {
 		return good
 	}
@@ -232,38 +215,32 @@
 }
 
 func (t *Table) blocks(w mn.Work) []Block {
-	if t.settings.NoAffinity || t.settings.Policy == RoundRobin {
+	if w.Prefilled || t.settings.NoAffinity || t.settings.Policy == RoundRobin {
 		return nil
 	}
 	return Blocks(w.Prompt)
 }
 
 func (t *Table) flight(w mn.Work, now mn.Millis) *flight {
-	return &flight{
+	f := &flight{
 		started: now,
 		prompt:  float64(len(w.Prompt)) / bytesPerToken,
 		output:  float64(w.MaxTokens) * outputRatio,
 	}
+	if w.Prefilled {
+		f.prompt = 0
+	}
+	return f
 }
 
 // best compares a random few of the choices and those that hold part of the
 // prompt, and sets f's prompt to what the chosen agent has to prefill.
 func (t *Table) best(choices []*agent, blocks []Block, f *flight, now mn.Millis) *agent {
 	held := t.index.held(blocks, t.agents)
-	type option struct {
-		a      *agent
-		millis float64
-		f      flight
-	}
 	var options []option
 	least := math.Inf(1)
 	for _, a := range t.sample(choices, held) {
-		o := option{a: a, f: *f}
-		o.f.prompt = max(f.prompt-held[a.member.VM], 0)
-		o.millis = a.expect(&o.f, now)
-		if a.member.DataCentre != t.settings.DataCentre {
-			o.millis += 2 * t.settings.DistanceMillis
-		}
+		o := t.option(a, f, held, now)
 		least = min(least, o.millis)
 		options = append(options, o)
 	}
@@ -282,6 +259,23 @@
 	return one.a
 }
 
+// option is an agent with the estimate for a request there.
+type option struct {
+	a      *agent
+	f      flight
+	millis float64
+}
+
+func (t *Table) option(a *agent, f *flight, held map[mn.VMID]float64, now mn.Millis) option {
+	o := option{a: a, f: *f}
+	o.f.prompt = max(f.prompt-held[a.member.VM], 0)
+	o.millis = a.expect(&o.f, now)
+	if a.member.DataCentre != t.settings.DataCentre {
+		o.millis += 2 * t.settings.DistanceMillis
+	}
+	return o
+}
+
 // sample returns the agents to compare: a part of all that shrinks with the
 // number of entries that choose at the same time, at least two, and every
 // agent that holds part of the prompt.
--- a/core/sched/example_test.go
+++ b/core/sched/example_test.go
@@ -15,9 +15,9 @@
 		fmt.Println(err)
 		return
 	}
-	grant.First(0)
+	grant.First()
 	fmt.Println("running:", queue.Stats().Running)
-	grant.Done(12)
+	grant.Done(900, 12)
 	fmt.Println("running:", queue.Stats().Running)
 	// Output:
 	// running: 1
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -29,9 +29,8 @@
 	return g
 }
 
-// First tells that the endpoint returned the job's first token, having found
-// cached tokens of the prompt in its cache if that is known.
-func (g *Grant) First(cached Tokens) {
+// First tells that the endpoint returned the job's first token.
+func (g *Grant) First() {
 	q := g.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -41,12 +40,11 @@
 	g.first = q.clock.Now()
 	q.prefill -= g.prompt
 	g.prompt = 0
-	q.speed.measurePrefill(g.job.Prompt-cached, g.first-g.started)
 }
 
-// Done tells that the job has left the endpoint with output tokens. Further
-// calls have no effect.
-func (g *Grant) Done(output Tokens) {
+// Done tells that the job has left the endpoint, which prefilled prompt tokens
+// and generated output tokens. Further calls have no effect.
+func (g *Grant) Done(prompt, output Tokens) {
 	q := g.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -55,6 +53,7 @@
 	}
 	g.ended = true
 	if g.first != 0 {
+		q.speed.measurePrefill(prompt, g.first-g.started)
 		q.speed.measureDecode(output, q.clock.Now()-g.first)
 	}
 	q.prefill -= g.prompt
@@ -63,7 +62,7 @@
 	if q.running == 0 {
 		q.pace = 0 // drops what rounding left
 	}
-	g.settle(output)
+	g.settle(prompt, output)
 	q.forget(g.line)
 	q.dispatch()
 	q.closeIfIdle()
@@ -71,11 +70,11 @@
 
 // settle returns what the job was charged beyond its true cost and learns
 // from its output.
-func (g *Grant) settle(output Tokens) {
+func (g *Grant) settle(prompt, output Tokens) {
 	l, q := g.line, g.queue
 	l.grants--
 	if len(l.waiters) > 0 {
-		l.deficit += g.charged - q.limits.cost(g.job.Prompt, output)
+		l.deficit += g.charged - q.limits.cost(prompt, output)
 	}
 	if g.job.Output > 0 {
 		ratio := min(float64(output)/float64(g.job.Output), 1)
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -61,6 +61,11 @@
 	QueuedTokens Tokens
 	// PrefillTokens counts prompt tokens handed over whose prefill hasn't ended.
 	PrefillTokens Tokens
+	// Backlog is the work that waits.
+	Backlog Cost
+	// Pace is the work that the running jobs get done in a millisecond, 0 while
+	// the endpoint's speed is not known.
+	Pace float64
 	// Refused counts jobs refused because of their deadline.
 	Refused int64
 	// Overloaded counts jobs refused because a queue was full.
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -107,6 +107,8 @@
 		Waiting:       q.waiting,
 		QueuedTokens:  q.queued,
 		PrefillTokens: q.prefill,
+		Backlog:       q.backlog,
+		Pace:          q.pace,
 		Refused:       q.refused,
 		Overloaded:    q.overflow,
 		Speed:         q.speed,
--- a/core/sched/queue_test.go
+++ b/core/sched/queue_test.go
@@ -43,13 +43,13 @@
 	require.Greater(t, unfairness(waiters[1:], weights), 256.0+largest, "FIFO should break the bound")
 
 	first := granted(waiters)[0]
-	first.grant.Done(0)
+	first.grant.Done(first.job.Prompt, 0)
 	var order []*waiter
 	for range 700 {
 		now := granted(waiters)
 		require.Len(t, now, 1)
 		order = append(order, now[0])
-		now[0].grant.Done(0)
+		now[0].grant.Done(now[0].job.Prompt, 0)
 	}
 	require.LessOrEqual(t, unfairness(order, weights), 256.0+2*largest)
 }
@@ -87,8 +87,8 @@
 	for clock.Now() < 200_000 {
 		if now := granted(waiters); len(now) == 1 && clock.Now() >= ends {
 			w := now[0]
-			w.grant.First(0)
-			w.grant.Done(0)
+			w.grant.First()
+			w.grant.Done(w.job.Prompt, 0)
 			if clock.Now() > w.job.Deadline {
 				late++
 			}
@@ -151,9 +151,9 @@
 			"end": func(t *rapid.T) {
 				if now := granted(waiters); len(now) > 0 {
 					w := rapid.SampledFrom(now).Draw(t, "job")
-					w.grant.First(0)
+					w.grant.First()
 					clock.Advance(mn.Millis(rapid.IntRange(0, 30).Draw(t, "took")))
-					w.grant.Done(w.job.Output / 2)
+					w.grant.Done(w.job.Prompt, w.job.Output/2)
 				}
 			},
 			"abandon": func(t *rapid.T) {
@@ -205,8 +205,8 @@
 	require.ErrorIs(t, q.Drain(ctx), context.Canceled)
 	_, err = q.Acquire(context.Background(), Job{Customer: "b"})
 	require.Equal(t, mn.Draining, mn.CodeOf(err))
-	g.Done(0)
-	g.Done(0)
+	g.Done(0, 0)
+	g.Done(0, 0)
 	require.NoError(t, q.Drain(context.Background()))
 	require.Empty(t, q.lines)
 }
--- /dev/null
+++ b/io/caller/prefill.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"context"
+
+	mn "mustardnotch"
+	"mustardnotch/core/spans"
+	"mustardnotch/gen/meshpb"
+)
+
+// prefill has an agent other than the one that generates prefill the prompt of
+// r, if the router finds that faster, and names the exported KV cache in r. A
+// failure costs only time: the agent that generates then prefills itself.
+func (s *Server) prefill(ctx context.Context, r *meshpb.Request) {
+	router, ok := s.Router.(mn.PrefillRouter)
+	if !ok {
+		return
+	}
+	m, done, ok := router.RoutePrefill(ctx, mn.Work{
+		ID:       mn.RequestID(r.Id),
+		Customer: mn.CustomerID(r.Customer),
+		Pool:     mn.PoolID(r.Pool),
+		Prompt:   r.Generation.Prompt,
+		Deadline: s.deadline(r.DeadlineMs),
+		Weight:   r.Weight,
+	})
+	if !ok {
+		return
+	}
+	ctx, span := s.Tracer.Start(ctx, "entry.prefill")
+	defer span.End()
+	p := &meshpb.Request{
+		Id:          string(mn.NewRequestID()),
+		Customer:    r.Customer,
+		Weight:      r.Weight,
+		KeyHash:     r.KeyHash,
+		Pool:        r.Pool,
+		DeadlineMs:  r.DeadlineMs,
+		Offset:      r.Offset,
+		Entry:       r.Entry,
+		Traceparent: spans.Inject(ctx),
+		Generation:  &meshpb.GenerationBody{Prompt: r.Generation.Prompt, Priority: r.Generation.Priority, PrefillOnly: true},
+	}
+	err := s.Agents.Submit(ctx, m.Addr, p, func(f *meshpb.Frame) error {
+		if f.KvHandle != "" {
+			r.Generation.KvHandle = f.KvHandle
+		}
+		return nil
+	})
+	done(err)
+	if err != nil {
+		spans.Fail(span, err)
+		s.Log.WithField("event", "prefill_failed").WithField("request", r.Id).WithField("vm", m.VM).Warn(err)
+	}
+}
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -33,6 +33,7 @@
 	}
 	r := s.request(id, pool.ID, m.DeadlineMs, v.Offset)
 	r.Generation = &meshpb.GenerationBody{Prompt: m.Prompt, MaxTokens: maxTokens}
+	s.prefill(ctx, r)
 	sink := func(vm mn.VMID, f *meshpb.Frame) error {
 		if f.End != nil {
 			s.record(r, f.End)
@@ -125,6 +126,7 @@
 	if g := r.Generation; g != nil {
 		work.Prompt = g.Prompt
 		work.MaxTokens = g.MaxTokens
+		work.Prefilled = g.KvHandle != ""
 	}
 	m, done, err := s.Router.Route(ctx, work)
 	if err != nil {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -31,6 +31,7 @@
 	Currency    mn.Currency
 	Scheduler   mn.Scheduler
 	Recorder    mn.Recorder
+	Loads       Loads
 	Tracer      trace.Tracer
 	Log         *logrus.Entry
 	// Engine or Plain is the endpoint, the other is nil.
@@ -172,6 +173,7 @@
 	if g := r.Generation; g != nil {
 		w.Prompt = g.Prompt
 		w.MaxTokens = g.MaxTokens
+		w.Prefilled = g.KvHandle != ""
 	}
 	return w
 }
@@ -197,6 +199,8 @@
 		MaxTokens: g.MaxTokens,
 		Priority:  mn.Priority(g.Priority),
 		KVHandle:  g.KvHandle,
+
+		PrefillOnly: g.PrefillOnly,
 	}, emit)
 	if err != nil {
 		return err
@@ -228,6 +232,9 @@
 func (s *Server) finish(r *meshpb.Request, out *sender, end *meshpb.End, sum *digest) error {
 	end.Length = sum.length
 	end.Digest = sum.hash.Sum(nil)
+	if r.Generation.GetPrefillOnly() {
+		return out.send(&meshpb.Frame{End: end}) // the agent that generates records it
+	}
 	s.Recorder.Record(mn.Served{
 		ID:           mn.RequestID(r.Id),
 		Customer:     mn.CustomerID(r.Customer),
--- /dev/null
+++ b/io/entry/load.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+)
+
+// Bounds of the span between load reports.
+const (
+	minLoadInterval = 50 * mn.Millisecond
+	maxLoadInterval = 5 * mn.Second
+)
+
+// Loads makes load reports.
+type Loads interface {
+	// LoadReport returns the present load with the cache events after event
+	// number after, and the number of the last event in it.
+	LoadReport(after int64) (*meshpb.LoadReport, int64)
+}
+
+// Load reports the endpoint's load, over and over until the stream ends.
+func (s *Server) Load(r *meshpb.LoadRequest, stream meshpb.DRPCAgent_LoadStream) error {
+	interval := min(max(mn.Millis(r.IntervalMs), minLoadInterval), maxLoadInterval)
+	var last int64
+	for {
+		report, next := s.Loads.LoadReport(last)
+		last = next
+		report.Draining = s.draining.Load()
+		report.Offset = int64(s.Views.View().Offset)
+		if err := stream.Send(report); err != nil {
+			return err
+		}
+		if err := s.Clock.Sleep(stream.Context(), interval); err != nil {
+			return nil
+		}
+	}
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -20,6 +20,7 @@
 type Agent struct {
 	*base
 	server *entry.Server
+	queue  *queued
 }
 
 // NewAgent returns an agent with settings s that logs to log.
@@ -41,16 +42,19 @@
 		Clock:       a.clock,
 		Views:       a.fold,
 		Currency:    alwaysCurrent{},
-		Scheduler:   unscheduled{},
 		Recorder:    unrecorded{},
 		Tracer:      a.tracer,
 		Log:         a.log,
 	}
 	if a.settings.Kind == mn.PoolModel {
-		c.Engine = engine.New(a.settings.Endpoint)
+		a.queue = newQueued(a.clock, engine.New(a.settings.Endpoint), a.settings.Running)
+		c.Engine = a.queue
 	} else {
+		a.queue = newQueued(a.clock, nil, a.settings.Running)
 		c.Plain = plain.New(a.settings.Endpoint)
 	}
+	c.Scheduler = a.queue
+	c.Loads = a.queue
 	return c
 }
 
@@ -71,6 +75,7 @@
 	g.Go(func() error { return wire.Serve(run, ls[0], mux) })
 	serveHTTP(run, g, ls[1], a.debugHandler())
 	g.Go(func() error { return a.follow(run) })
+	g.Go(func() error { return a.queue.poll(run) })
 	g.Go(func() error {
 		if err := a.join(run); err != nil {
 			return err
--- a/node/entry.go
+++ b/node/entry.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
+	"mustardnotch/core/route"
 	"mustardnotch/io/agent"
 	"mustardnotch/io/caller"
 	"mustardnotch/setup"
@@ -17,6 +18,8 @@
 type Entry struct {
 	*base
 	callers *http.Server
+	table   *route.Table
+	agents  *agent.Client
 }
 
 // NewEntry returns an entry with settings s that logs to log.
@@ -25,7 +28,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Entry{base: b}, nil
+	routing := route.DefaultSettings(s.DataCentre)
+	routing.Policy = route.Policy(s.Router)
+	return &Entry{
+		base:   b,
+		table:  route.New(b.clock, b.fold, routing),
+		agents: agent.New(b.conns),
+	}, nil
 }
 
 // Run serves until ctx is done, then leaves gracefully: it stops new work,
@@ -45,6 +54,7 @@
 	e.callers = serveHTTP(run, g, ls[0], mux)
 	serveHTTP(run, g, ls[3], e.debugHandler())
 	g.Go(func() error { return e.follow(run) })
+	g.Go(func() error { return newFeeds(e.base, e.table, e.agents).run(run) })
 	g.Go(func() error {
 		if err := e.join(run); err != nil {
 			return err
@@ -89,9 +99,9 @@
 		Views:    e.fold,
 		Currency: alwaysCurrent{},
 		Limiter:  unlimited{},
-		Router:   newRobin(e.fold),
+		Router:   e.table,
 		Recorder: unrecorded{},
-		Agents:   agent.New(e.conns),
+		Agents:   e.agents,
 		Tracer:   e.tracer,
 		Log:      e.log,
 		MaxBody:  e.settings.MaxBody,
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -47,6 +47,7 @@
 	settings string
 	kind     mn.PoolKind
 	model    mn.ModelID
+	engine   []string
 }
 
 // Callers returns the base URL for callers of an entry.
@@ -72,6 +73,11 @@
 	Nodes    map[mn.VMID]*Node
 	// Extra is appended to the settings of every process started from now on.
 	Extra string
+	// EngineArgs, if set, are the arguments of the program fakes for model
+	// engines started from now on, without model and address.
+	EngineArgs []string
+	// Running, if set, bounds the requests at endpoints added from now on.
+	Running int
 
 	reserved net.Listener
 	subnet   string
@@ -152,7 +158,11 @@
 
 // AddModel starts a model engine with its agent and waits until it is ready.
 func (c *Cluster) AddModel(name string, dc mn.DataCentre, pool mn.PoolID, model mn.ModelID) (*Node, error) {
-	return c.addEndpoint(&Node{kind: mn.PoolModel, model: model}, name, dc, pool)
+	engine := []string{"engine"}
+	if c.EngineArgs != nil {
+		engine = c.EngineArgs
+	}
+	return c.addEndpoint(&Node{kind: mn.PoolModel, model: model, engine: engine}, name, dc, pool)
 }
 
 // AddPlain starts a plain service with its agent and waits until it is ready.
@@ -168,6 +178,9 @@
 		return n, err
 	}
 	settings := c.common(n) + fmt.Sprintf("[endpoint]\npool = %s\nkind = %s\nurl = %s\n", pool, n.kind, n.EndpointURL())
+	if c.Running > 0 {
+		settings += fmt.Sprintf("running = %d\n", c.Running)
+	}
 	return n, c.launch(n, settings)
 }
 
@@ -175,7 +188,7 @@
 func (c *Cluster) StartEndpoint(n *Node) error {
 	args := []string{"plain", "--runs", n.Runs}
 	if n.kind == mn.PoolModel {
-		args = []string{"engine", "--model", string(n.model)}
+		args = append(append([]string{}, n.engine...), "--model", string(n.model))
 	}
 	args = append(args, "--listen", fmt.Sprintf("%s:%d", n.IP, standInPort))
 	p, err := start(c.Dir, string(n.VM.ID)+"-endpoint", filepath.Join(c.Bin, "fakes"), args...)
--- a/serve.go
+++ b/serve.go
@@ -12,6 +12,8 @@
 	// Prompt and MaxTokens are set for generations only.
 	Prompt    string
 	MaxTokens int64
+	// Prefilled says that the KV cache of the prompt can be imported.
+	Prefilled bool
 	// Weight is the customer's share of a crowded endpoint.
 	Weight float64
 	// Deadline is an instant on the process's own clock, 0 for none.
@@ -34,6 +36,16 @@
 	Route(ctx context.Context, w Work) (Member, func(error), error)
 }
 
+// PrefillRouter is a router that can have one agent prefill a prompt and
+// another generate from it.
+type PrefillRouter interface {
+	Router
+	// RoutePrefill returns an agent to prefill the prompt of w and a function
+	// to be called once with the result, or false if the agent that generates
+	// had better prefill too.
+	RoutePrefill(ctx context.Context, w Work) (Member, func(error), bool)
+}
+
 // Scheduler decides when a request may start at an endpoint.
 type Scheduler interface {
 	// Acquire waits for the request's turn and returns a function that gives
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -37,6 +37,8 @@
 	Pool     mn.PoolID
 	Kind     mn.PoolKind
 	Endpoint string
+	// Running bounds the requests at the endpoint at once.
+	Running int64
 
 	// OperatorToken is what operators present as a bearer token.
 	OperatorToken string
@@ -93,6 +95,7 @@
 		return checkOneOf(v, string(mn.PoolModel), string(mn.PoolPlain))
 	}},
 	{"endpoint", "url", agentOnly, true, "", wantURL, func(s *Settings, v string) error { s.Endpoint = v; return checkURL(v) }},
+	{"endpoint", "running", agentOnly, false, "32", "a number of requests from 1 to 4096", func(s *Settings, v string) error { return parseCount(v, 1, 4096, &s.Running) }},
 	{"operators", "token", entryOnly, true, "", "a token of at least 16 characters", parseToken},
 	{"control", "lease", entryOnly, false, "3s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Lease) }},
 	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
