--- /dev/null
+++ b/cmd/fakes/bench.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+	"mustardnotch/bench"
+	"mustardnotch/load"
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "run a workload against the real processes beside stand-ins",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs", Value: "bin"},
+			&cli.StringFlag{Name: "workload", Usage: "INI `FILE` of the workload", Required: true},
+			&cli.StringFlag{Name: "size", Usage: "deployment: voering or birligi", Value: "voering"},
+			&cli.StringFlag{Name: "router", Usage: "cost or round_robin", Value: "cost"},
+			&cli.IntFlag{Name: "prefill", Usage: "`N` engines prefill and the others decode; 0 for all mixed"},
+			&cli.IntFlag{Name: "engines", Usage: "`N` engines in place of the deployment's"},
+			&cli.BoolFlag{Name: "unqueued", Usage: "hand requests to engines at once"},
+			&cli.StringFlag{Name: "times", Usage: "let a customer send more, as in `CUSTOMER=5`"},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` in place of the file's"},
+			&cli.StringFlag{Name: "label", Usage: "`NAME` of the run"},
+			&cli.StringFlag{Name: "json", Usage: "write the report to `FILE`"},
+		},
+		Action: runBench,
+	}
+}
+
+func runBench(ctx context.Context, c *cli.Command) error {
+	s, err := load.Load(c.String("workload"))
+	if err != nil {
+		return err
+	}
+	if c.IsSet("seed") {
+		s.Seed = c.Uint64("seed")
+	}
+	if err := setTimes(s, c.String("times")); err != nil {
+		return err
+	}
+	size, ok := bench.Sizes[c.String("size")]
+	if !ok {
+		return fmt.Errorf("size %q: want voering or birligi", c.String("size"))
+	}
+	if c.IsSet("engines") {
+		size.Engines = c.Int("engines")
+	}
+	dir, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := bench.Run(ctx, bench.Config{
+		Bin:      c.String("bin"),
+		Dir:      dir,
+		Size:     size,
+		Router:   c.String("router"),
+		Prefill:  c.Int("prefill"),
+		Unqueued: c.Bool("unqueued"),
+	}, s)
+	if err != nil {
+		return err
+	}
+	r.Label = c.String("label")
+	if r.Label == "" {
+		r.Label = c.String("router")
+	}
+	if path := c.String("json"); path != "" {
+		if err := r.WriteJSON(path); err != nil {
+			return err
+		}
+	}
+	return r.WriteText(os.Stdout)
+}
+
+// setTimes lets a customer send several times its rate.
+func setTimes(s *load.Spec, text string) error {
+	if text == "" {
+		return nil
+	}
+	name, times, _ := strings.Cut(text, "=")
+	n, err := strconv.ParseFloat(times, 64)
+	if err != nil || n < 0 {
+		return fmt.Errorf("times %q: want CUSTOMER=NUMBER", text)
+	}
+	for i := range s.Customers {
+		if s.Customers[i].ID == mn.CustomerID(name) {
+			s.Customers[i].Times = n
+			return nil
+		}
+	}
+	return fmt.Errorf("times %q: the workload has no such customer", text)
+}
--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -54,6 +54,7 @@
 				},
 			},
 			batchCommand(listen),
+			benchCommand(),
 			{
 				Name:   "plain",
 				Usage:  "serve a plain service",
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -67,6 +67,7 @@
 			entryCommand(),
 			agentCommand(),
 			callCommand(),
+			loadCommand(),
 			checkCommand(),
 			explainCommand(),
 		},
--- /dev/null
+++ b/load/print.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	mn "mustardnotch"
+)
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "workload %s seed %d label %q: %d ms, %d unsent\n", r.File, r.Seed, r.Label, r.SpanMs, r.Unsent)
+	fmt.Fprintf(&b, "%-24s %7s %7s %7s %6s %6s %7s %7s %6s %9s %9s %9s %s\n", "group", "sent", "in_rate", "in_time",
+		"late", "failed", "refused", "served", "hits", "first_p50", "first_p95", "gap_p95", "codes")
+	groups := append([]*Group{r.All}, r.Customers...)
+	groups = append(append(groups, r.Phases...), r.Cells...)
+	for _, g := range groups {
+		fmt.Fprintf(&b, "%-24s %7d %7d %7d %6d %6d %7d %6.1f%% %5.1f%% %9.1f %9.1f %9.1f %s\n", g.Name, g.Sent, g.WithinRate, g.InTime,
+			g.Late, g.Failed, g.RefusedWithinRate, 100*g.Served, 100*g.PrefixHits,
+			g.FirstToken.Median, g.FirstToken.P95, g.Between.P95, codeList(g.Codes))
+	}
+	fmt.Fprintf(&b, "worst served: %s; engine seconds %.0f (busy %.0f); role changes %d; KV imports %d\n", r.Worst,
+		r.EngineSeconds, float64(r.Engines.BusyMillis)/1000, r.Engines.RoleChanges, r.Engines.Imports)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func codeList(codes map[string]int64) string {
+	var all []string
+	for c, n := range codes {
+		all = append(all, fmt.Sprintf("%s:%d", c, n))
+	}
+	sort.Strings(all)
+	return strings.Join(all, " ")
+}
+
+// WriteJSON writes the report to the file at path.
+func (r *Report) WriteJSON(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+// ReadJSON reads a report that [Report.WriteJSON] wrote.
+func ReadJSON(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, mn.Errorf(mn.BadSetting, "%w", err)
+	}
+	r := &Report{}
+	if err := json.Unmarshal(data, r); err != nil || r.All == nil {
+		return nil, mn.Errorf(mn.BadSetting, "%s: is not a report of a load run: %v", path, err)
+	}
+	return r, nil
+}
+
+// Compare writes the measures of a beside those of b, with the ratio of b to a.
+func Compare(w io.Writer, a, b *Report) error {
+	if a.File != b.File || a.Seed != b.Seed {
+		if _, err := fmt.Fprintf(w, "note: workloads differ: %s seed %d, %s seed %d\n", a.File, a.Seed, b.File, b.Seed); err != nil {
+			return err
+		}
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "%-40s %12s %12s %8s\n", "measure", a.Label, b.Label, "ratio")
+	line := func(name string, x, y float64) {
+		ratio := "-"
+		if x != 0 {
+			ratio = fmt.Sprintf("%.2f", y/x)
+		}
+		fmt.Fprintf(&out, "%-40s %12.2f %12.2f %8s\n", name, x, y, ratio)
+	}
+	line("goodput, answers/s", a.All.Goodput, b.All.Goodput)
+	line("worst-served customer, served %", 100*a.WorstServed().Served, 100*b.WorstServed().Served)
+	line("refused within rate", float64(a.All.RefusedWithinRate), float64(b.All.RefusedWithinRate))
+	line("first token p95, ms", a.All.FirstToken.P95, b.All.FirstToken.P95)
+	line("between tokens p95, ms", a.All.Between.P95, b.All.Between.P95)
+	line("prefix hits, %", 100*a.All.PrefixHits, 100*b.All.PrefixHits)
+	line("engine seconds", a.EngineSeconds, b.EngineSeconds)
+	line("engine busy seconds", float64(a.Engines.BusyMillis)/1000, float64(b.Engines.BusyMillis)/1000)
+	line("role changes", float64(a.Engines.RoleChanges), float64(b.Engines.RoleChanges))
+	pairs(a.Customers, b.Customers, "customer", line)
+	pairs(a.Phases, b.Phases, "phase", line)
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+func pairs(a, b []*Group, what string, line func(string, float64, float64)) {
+	for _, x := range a {
+		for _, y := range b {
+			if x.Name == y.Name {
+				line(what+" "+x.Name+", goodput/s", x.Goodput, y.Goodput)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,220 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	mn "mustardnotch"
+)
+
+// Histograms record microseconds up to two minutes, to three digits.
+const (
+	maxMicros = 120_000_000
+	digits    = 3
+)
+
+// Times are quantiles of a time in milliseconds.
+type Times struct {
+	Count  int64   `json:"count"`
+	Mean   float64 `json:"mean_ms"`
+	Median float64 `json:"p50_ms"`
+	P95    float64 `json:"p95_ms"`
+	P99    float64 `json:"p99_ms"`
+	Max    float64 `json:"max_ms"`
+}
+
+// Group counts the requests of one customer, one phase, or all.
+type Group struct {
+	Name string `json:"name"`
+	Sent int64  `json:"sent"`
+	// WithinRate counts those that the customer's rate and burst allow for.
+	WithinRate int64 `json:"within_rate"`
+	// InTime counts whole answers within the deadline.
+	InTime int64 `json:"in_time"`
+	Late   int64 `json:"late"`
+	Failed int64 `json:"failed"`
+	// RefusedWithinRate counts refusals of requests within the rate.
+	RefusedWithinRate int64 `json:"refused_within_rate"`
+	// Codes counts failures by result code.
+	Codes map[string]int64 `json:"codes,omitempty"`
+	// Goodput is InTime a second, Served InTime as a part of WithinRate.
+	Goodput float64 `json:"goodput_per_s"`
+	Served  float64 `json:"served"`
+	// Tokens counts output tokens of answers in time.
+	Tokens int64 `json:"tokens_in_time"`
+	// PrefixHits is the part of prompt tokens that engines had cached.
+	PrefixHits float64 `json:"prefix_hits"`
+	FirstToken Times   `json:"first_token"`
+	Between    Times   `json:"between_tokens"`
+
+	prompt, cached int64
+	first, between *hdrhistogram.Histogram
+}
+
+// Second counts the arrivals of one second of the run.
+type Second struct {
+	Sent   int64 `json:"sent"`
+	InTime int64 `json:"in_time"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	File string `json:"file"`
+	Seed uint64 `json:"seed"`
+	// Label names the run, for comparisons.
+	Label     string    `json:"label"`
+	SpanMs    mn.Millis `json:"span_ms"`
+	Unsent    int64     `json:"unsent"`
+	All       *Group    `json:"all"`
+	Worst     string    `json:"worst_served"`
+	Customers []*Group  `json:"customers"`
+	Phases    []*Group  `json:"phases"`
+	Cells     []*Group  `json:"customer_phases"`
+	Seconds   []Second  `json:"seconds"`
+	// EngineSeconds is the time that engines were up during the run.
+	EngineSeconds float64  `json:"engine_seconds"`
+	Engines       Counters `json:"engines"`
+
+	mu   sync.Mutex
+	spec *Spec
+}
+
+func newGroup(name string) *Group {
+	return &Group{
+		Name:    name,
+		Codes:   make(map[string]int64),
+		first:   hdrhistogram.New(1, maxMicros, digits),
+		between: hdrhistogram.New(1, maxMicros, digits),
+	}
+}
+
+func newReport(s *Spec) *Report {
+	r := &Report{File: s.File, Seed: s.Seed, All: newGroup("all"), spec: s}
+	r.Seconds = make([]Second, (s.Span()+mn.Second-1)/mn.Second)
+	for _, c := range s.Customers {
+		r.Customers = append(r.Customers, newGroup(string(c.ID)))
+	}
+	for _, p := range s.Phases {
+		r.Phases = append(r.Phases, newGroup(p.Name))
+		for _, c := range s.Customers {
+			r.Cells = append(r.Cells, newGroup(string(c.ID)+"/"+p.Name))
+		}
+	}
+	return r
+}
+
+func (r *Report) groups(a Arrival) []*Group {
+	return []*Group{r.All, r.Customers[a.Customer], r.Phases[a.Phase], r.Cells[a.Phase*len(r.Customers)+a.Customer]}
+}
+
+func (r *Report) unsent(Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Unsent++
+}
+
+func (r *Report) add(a Arrival, res Result) {
+	inTime := res.Err == nil && res.Total <= r.spec.Kinds[a.Kind].Deadline.Duration()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	second := &r.Seconds[a.At/mn.Second]
+	second.Sent++
+	if inTime {
+		second.InTime++
+	}
+	for _, g := range r.groups(a) {
+		g.add(a, res, inTime)
+	}
+}
+
+func (g *Group) add(a Arrival, res Result, inTime bool) {
+	g.Sent++
+	if a.WithinRate {
+		g.WithinRate++
+	}
+	switch {
+	case inTime:
+		g.InTime++
+		g.Tokens += res.OutputTokens
+	case res.Err == nil:
+		g.Late++
+	default:
+		g.Failed++
+		code := mn.CodeOf(res.Err)
+		g.Codes[code.String()]++
+		if a.WithinRate && refusal(res.Err) {
+			g.RefusedWithinRate++
+		}
+	}
+	g.prompt += res.PromptTokens
+	g.cached += res.CachedTokens
+	if res.First > 0 {
+		record(g.first, res.First)
+	}
+	for _, gap := range res.Gaps {
+		record(g.between, gap)
+	}
+}
+
+// refusal says whether err says that the request was not run.
+func refusal(err error) bool { return mn.AsError(err).Outcome == mn.OutcomeNotRun }
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxMicros))
+}
+
+func (r *Report) finish(span mn.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.SpanMs = span
+	r.All.finish(r.spec.Span())
+	for _, g := range append(append([]*Group{}, r.Customers...), r.Cells...) {
+		g.finish(r.spec.Span())
+	}
+	for i, g := range r.Phases {
+		g.finish(r.spec.Phases[i].Span)
+	}
+	worst := r.Customers[0]
+	for _, g := range r.Customers {
+		if g.Served < worst.Served {
+			worst = g
+		}
+	}
+	r.Worst = worst.Name
+}
+
+func (g *Group) finish(span mn.Millis) {
+	g.Goodput = float64(g.InTime) * 1000 / float64(span)
+	if g.WithinRate > 0 {
+		g.Served = min(float64(g.InTime)/float64(g.WithinRate), 1)
+	}
+	if g.prompt > 0 {
+		g.PrefixHits = float64(g.cached) / float64(g.prompt)
+	}
+	g.FirstToken = timesOf(g.first)
+	g.Between = timesOf(g.between)
+}
+
+func timesOf(h *hdrhistogram.Histogram) Times {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Times{
+		Count:  h.TotalCount(),
+		Mean:   h.Mean() / 1000,
+		Median: ms(50),
+		P95:    ms(95),
+		P99:    ms(99),
+		Max:    float64(h.Max()) / 1000,
+	}
+}
+
+// WorstServed returns the group of the worst-served customer.
+func (r *Report) WorstServed() *Group {
+	for _, g := range r.Customers {
+		if g.Name == r.Worst {
+			return g
+		}
+	}
+	return r.All
+}
--- /dev/null
+++ b/load/watch.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	mn "mustardnotch"
+	"mustardnotch/io/wire"
+)
+
+// Counters counts what engines did during a run, as stand-ins report it at
+// /admin/counters.
+type Counters struct {
+	PrefillTokens int64     `json:"prefill_tokens"`
+	CachedTokens  int64     `json:"cached_tokens"`
+	OutputTokens  int64     `json:"output_tokens"`
+	RoleChanges   int64     `json:"role_changes"`
+	Imports       int64     `json:"imports"`
+	BusyMillis    mn.Millis `json:"busy_ms"`
+	UpMillis      mn.Millis `json:"up_ms"`
+}
+
+// Meter adds up the counters of the workload's stand-in engines.
+type Meter struct {
+	urls   []string
+	http   *http.Client
+	before []Counters
+}
+
+// NewMeter returns a meter that has read the counters once.
+func NewMeter(ctx context.Context, urls []string) *Meter {
+	m := &Meter{urls: urls, http: wire.NewHTTPClient()}
+	m.before = m.read(ctx)
+	return m
+}
+
+func (m *Meter) read(ctx context.Context) []Counters {
+	all := make([]Counters, len(m.urls))
+	var wg sync.WaitGroup
+	for i, u := range m.urls {
+		wg.Go(func() { _ = wire.JSON(ctx, m.http, http.MethodGet, u+"/admin/counters", nil, &all[i]) })
+	}
+	wg.Wait()
+	return all
+}
+
+// Finish puts what the engines did since [NewMeter] into r. An engine that
+// can't be read counts as nothing.
+func (m *Meter) Finish(ctx context.Context, r *Report) {
+	for i, c := range m.read(ctx) {
+		b := m.before[i]
+		if c.UpMillis < b.UpMillis {
+			b = Counters{} // the engine was replaced
+		}
+		r.Engines.PrefillTokens += c.PrefillTokens - b.PrefillTokens
+		r.Engines.CachedTokens += c.CachedTokens - b.CachedTokens
+		r.Engines.OutputTokens += c.OutputTokens - b.OutputTokens
+		r.Engines.RoleChanges += c.RoleChanges - b.RoleChanges
+		r.Engines.Imports += c.Imports - b.Imports
+		r.Engines.BusyMillis += c.BusyMillis - b.BusyMillis
+		r.Engines.UpMillis += c.UpMillis - b.UpMillis
+	}
+	r.EngineSeconds = float64(r.Engines.UpMillis) / float64(mn.Second)
+}
