Compress answers from 16 KiB on; add the gauge and the demo

Cause: a profile of the entry under 64 clients showed 22% of its processor time in gzip: Connect compresses every answer, however short, and each chunk of a stream by itself. Answers now compress from 16 KiB on.

Ruled out: turning compression off, since long answers to callers gain by it.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(GO) test -count=1 -timeout 480s $${skip:+-skip "$$skip"} ./...
 
 demo: build
-	$(BIN)/fakes demo --bin $(BIN)/mustardnotch
+	$(BIN)/fakes demo --bin $(BIN)
 
 lint:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt differs: $$out"; exit 1; fi
--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -14,7 +14,9 @@
 	"github.com/urfave/cli/v3"
 
 	mn "mustardnotch"
+	"mustardnotch/demo"
 	"mustardnotch/fakes"
+	"mustardnotch/gauge"
 )
 
 func main() {
@@ -30,7 +32,7 @@
 	listen := &cli.StringFlag{Name: "listen", Usage: "`ADDR` to serve on", Required: true}
 	return &cli.Command{
 		Name:  "fakes",
-		Usage: "stand-ins for the platform, a model engine and a plain service",
+		Usage: "stand-ins for the platform, a model engine and a plain service; the demo",
 		Commands: []*cli.Command{
 			{
 				Name:  "platform",
@@ -59,6 +61,31 @@
 				Flags:  []cli.Flag{listen, &cli.StringFlag{Name: "runs", Usage: "append runs to `FILE`"}},
 				Action: runPlain,
 			},
+			gaugeCommand(),
+			{
+				Name:  "demo",
+				Usage: "serve two requests through a small cluster and print what happened",
+				Flags: []cli.Flag{&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs", Value: "bin"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return demo.Run(ctx, c.String("bin"), os.Stdout)
+				},
+			},
+		},
+	}
+}
+
+func gaugeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gauge",
+		Usage: "measure what entry and agent add to a call",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs", Value: "bin"},
+			&cli.IntFlag{Name: "calls", Usage: "`N` calls in each part", Value: 20000},
+			&cli.IntFlag{Name: "clients", Usage: "`N` callers at once", Value: 64},
+			&cli.IntFlag{Name: "agents", Usage: "`N` plain services", Value: 4},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return gauge.Run(ctx, gauge.Options{Bin: c.String("bin"), Calls: c.Int("calls"), Clients: c.Int("clients"), Agents: c.Int("agents")}, os.Stdout)
 		},
 	}
 }
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,119 @@
+// Package demo sends a generation and a booking through a small cluster of
+// processes and prints what happened.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+	"mustardnotch/procs"
+)
+
+const key = "demo-key-of-voering"
+
+// stopLimit bounds how long a process may take to leave.
+const stopLimit = 20 * mn.Second
+
+// Run starts a platform, two entries, a model engine and a plain service with
+// the programs in bin, serves two requests, and ends them all.
+func Run(ctx context.Context, bin string, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "mustardnotch-demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := procs.New(bin, dir)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	spans := filepath.Join(dir, "spans.json")
+	c.Extra = "[trace]\nexporter = file\ntarget = " + spans + "\n"
+	if err := build(ctx, c, out); err != nil {
+		return err
+	}
+	if err := requests(ctx, c, out); err != nil {
+		return err
+	}
+	if err := stop(c, out); err != nil {
+		return err
+	}
+	return printHops(spans, out)
+}
+
+func build(ctx context.Context, c *procs.Cluster, out io.Writer) error {
+	_, err := c.Declare(ctx,
+		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 50, Burst: 100}},
+		mn.Resource{Key: &mn.Key{Name: "voering-1", Hash: mn.HashKey(key), Customer: "voering"}},
+		mn.Resource{Model: &mn.Model{ID: "taalpers", Version: "1", MaxTokens: 512}},
+		mn.Resource{Pool: &mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers", MinEndpoints: 1}},
+		mn.Resource{Pool: &mn.Pool{ID: "orderbalie", Kind: mn.PoolPlain, MinEndpoints: 1}},
+	)
+	if err != nil {
+		return err
+	}
+	adds := []func() (*procs.Node, error){
+		func() (*procs.Node, error) { return c.AddEntry("entry-1", "tiel-a") },
+		func() (*procs.Node, error) { return c.AddEntry("entry-2", "tiel-b") },
+		func() (*procs.Node, error) { return c.AddModel("taalpers-1", "tiel-a", "taalpers", "taalpers") },
+		func() (*procs.Node, error) { return c.AddPlain("orderbalie-1", "tiel-b", "orderbalie") },
+	}
+	for _, add := range adds {
+		n, err := add()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "started %s: vm=%s data_centre=%s pid=%d\n", n.VM.Role, n.VM.ID, n.VM.DataCentre, n.Proc.PID())
+	}
+	return nil
+}
+
+func requests(ctx context.Context, c *procs.Cluster, out io.Writer) error {
+	clients := []*caller.Client{c.Caller(c.Nodes["entry-1"], key), c.Caller(c.Nodes["entry-2"], key)}
+	var text strings.Builder
+	var chunks int
+	err := clients[0].Generate(ctx, &apipb.GenerateRequest{Model: "taalpers", Prompt: "check lining spec 12", MaxTokens: 12}, func(k *apipb.GenerateChunk) error {
+		text.WriteString(k.Text)
+		chunks++
+		if e := k.End; e != nil {
+			fmt.Fprintf(out, "generation through entry-1: %d chunks, prompt_tokens=%d output_tokens=%d: %s\n", chunks, e.PromptTokens, e.OutputTokens, text.String())
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("generation: %w", err)
+	}
+	booking := &apipb.CallRequest{Pool: "orderbalie", Path: "/book", Body: []byte("reel 7"), IdempotencyKey: string(mn.NewRequestID())}
+	resp, err := clients[1].Call(ctx, booking)
+	if err != nil {
+		return fmt.Errorf("booking: %w", err)
+	}
+	fmt.Fprintf(out, "booking through entry-2: request=%s answer=%q\n", resp.RequestId, resp.Body)
+	return nil
+}
+
+func stop(c *procs.Cluster, out io.Writer) error {
+	for _, id := range []mn.VMID{"entry-1", "entry-2", "taalpers-1", "orderbalie-1"} {
+		if err := c.Nodes[id].Proc.Terminate(); err != nil {
+			return err
+		}
+	}
+	for _, id := range []mn.VMID{"entry-1", "entry-2", "taalpers-1", "orderbalie-1"} {
+		code, err := c.Nodes[id].Proc.Wait(stopLimit)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "stopped vm=%s exit_code=%d\n", id, code)
+		if code != 0 {
+			return fmt.Errorf("%s ended with %d: %s", id, code, c.Nodes[id].Proc.Tail(2000))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gauge/gauge.go
@@ -0,0 +1,241 @@
+// Package gauge measures what entry and agent add to a request: delay,
+// processor time and memory, against calls of the same endpoint without them.
+package gauge
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+	"mustardnotch/io/wire"
+	"mustardnotch/procs"
+)
+
+const (
+	key = "gauge-key-of-voering"
+	// clockTicks is the kernel's number of processor ticks a second.
+	clockTicks = 100
+	// longestMicros is the longest delay that a histogram holds.
+	longestMicros = 60_000_000
+)
+
+// Options bound a run.
+type Options struct {
+	// Bin has the programs.
+	Bin string
+	// Calls is how many calls each part sends.
+	Calls int
+	// Clients is how many callers the throughput part runs at once.
+	Clients int
+	// Agents is how many plain services there are.
+	Agents int
+}
+
+// Run starts a cluster, measures, prints one line for each part to out, and
+// ends the cluster.
+func Run(ctx context.Context, o Options, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "mustardnotch-gauge")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := procs.New(o.Bin, dir)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	entry, agents, err := build(ctx, c, o.Agents)
+	if err != nil {
+		return err
+	}
+	if err := delays(ctx, o, entry, agents[0], out); err != nil {
+		return err
+	}
+	return throughput(ctx, o, entry, agents, out)
+}
+
+func build(ctx context.Context, c *procs.Cluster, n int) (*procs.Node, []*procs.Node, error) {
+	_, err := c.Declare(ctx,
+		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 1e6, Burst: 1e6}},
+		mn.Resource{Key: &mn.Key{Name: "voering-1", Hash: mn.HashKey(key), Customer: "voering"}},
+		mn.Resource{Pool: &mn.Pool{ID: "voorraad", Kind: mn.PoolPlain, Repeatable: true}},
+	)
+	if err != nil {
+		return nil, nil, err
+	}
+	entry, err := c.AddEntry("entry-1", "tiel-a")
+	if err != nil {
+		return nil, nil, err
+	}
+	var agents []*procs.Node
+	for i := range n {
+		a, err := c.AddPlain(fmt.Sprintf("voorraad-%d", i+1), "tiel-a", "voorraad")
+		if err != nil {
+			return nil, nil, err
+		}
+		agents = append(agents, a)
+	}
+	return entry, agents, settle(ctx, caller.NewClient(entry.Callers(), key))
+}
+
+// settle waits until the entry serves calls.
+func settle(ctx context.Context, c *caller.Client) error {
+	var err error
+	for range 200 {
+		if err = call(ctx, c); err == nil {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+func call(ctx context.Context, c *caller.Client) error {
+	_, err := c.Call(ctx, &apipb.CallRequest{Pool: "voorraad", Path: "/stock", Body: []byte("reel 7")})
+	return err
+}
+
+// direct calls the endpoint without entry and agent.
+func direct(ctx context.Context, h *http.Client, base string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/stock", bytes.NewReader([]byte("reel 7")))
+	if err != nil {
+		return err
+	}
+	resp, err := h.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// delays sends calls one after the other, each in turn direct and through the
+// system, so that both see the same machine.
+func delays(ctx context.Context, o Options, entry, agent *procs.Node, out io.Writer) error {
+	h := wire.NewHTTPClient()
+	c := caller.NewClient(entry.Callers(), key)
+	plain, whole := newHistogram(), newHistogram()
+	for range o.Calls {
+		if err := timed(plain, func() error { return direct(ctx, h, agent.EndpointURL()) }); err != nil {
+			return err
+		}
+		if err := timed(whole, func() error { return call(ctx, c) }); err != nil {
+			return err
+		}
+	}
+	for _, q := range []float64{50, 99} {
+		d, w := plain.ValueAtQuantile(q), whole.ValueAtQuantile(q)
+		fmt.Fprintf(out, "delay quantile=%g calls=%d direct_us=%d whole_us=%d added_us=%d\n", q, o.Calls, d, w, w-d)
+	}
+	return nil
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestMicros, 3) }
+
+func timed(h *hdrhistogram.Histogram, f func() error) error {
+	begun := time.Now()
+	if err := f(); err != nil {
+		return err
+	}
+	return h.RecordValue(max(1, time.Since(begun).Microseconds()))
+}
+
+func throughput(ctx context.Context, o Options, entry *procs.Node, agents []*procs.Node, out io.Writer) error {
+	before, err := cpu(entry.Proc)
+	if err != nil {
+		return err
+	}
+	agentBefore, err := cpu(agents[0].Proc)
+	if err != nil {
+		return err
+	}
+	var left, failed atomic.Int64
+	left.Store(int64(o.Calls))
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for range o.Clients {
+		wg.Go(func() {
+			c := caller.NewClient(entry.Callers(), key)
+			for left.Add(-1) >= 0 {
+				if call(ctx, c) != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	span := time.Since(begun)
+	after, err := cpu(entry.Proc)
+	if err != nil {
+		return err
+	}
+	agentAfter, err := cpu(agents[0].Proc)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "throughput calls=%d clients=%d agents=%d failed=%d a_second=%.0f entry_cpu_us_a_call=%.1f agent_cpu_us_a_call=%.1f\n",
+		o.Calls, o.Clients, len(agents), failed.Load(), float64(o.Calls)/span.Seconds(),
+		(after-before).Seconds()*1e6/float64(o.Calls),
+		(agentAfter-agentBefore).Seconds()*1e6/float64(o.Calls)*float64(len(agents)))
+	for _, n := range []*procs.Node{entry, agents[0]} {
+		rss, err := resident(n.Proc)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "memory vm=%s resident_mb=%.1f\n", n.VM.ID, float64(rss)/(1<<20))
+	}
+	return nil
+}
+
+// cpu returns the processor time that p has used.
+func cpu(p *procs.Proc) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0, fmt.Errorf("unexpected /proc stat of %s", p.Name)
+	}
+	user, err := strconv.ParseInt(f[11], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseInt(f[12], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(user+system) * time.Second / clockTicks, nil
+}
+
+// resident returns the resident memory of p in bytes.
+func resident(p *procs.Proc) (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	f := strings.Fields(string(b))
+	if len(f) < 2 {
+		return 0, fmt.Errorf("unexpected /proc statm of %s", p.Name)
+	}
+	pages, err := strconv.ParseInt(f[1], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return pages * int64(os.Getpagesize()), nil
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -18,6 +18,9 @@
 	"mustardnotch/gen/meshpb"
 )
 
+// compressMin is the size in bytes from which answers are compressed.
+const compressMin = 16 << 10
+
 // Agents hands requests to agents.
 type Agents interface {
 	// Submit runs a request at the agent at addr and passes its frames on.
@@ -54,7 +57,7 @@
 
 // Handler returns the path and the HTTP handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
-	return apipb.NewServingHandler(s, connect.WithReadMaxBytes(int(s.MaxBody)))
+	return apipb.NewServingHandler(s, connect.WithReadMaxBytes(int(s.MaxBody)), connect.WithCompressMinBytes(compressMin))
 }
 
 // Generate implements the service.
--- a/node/base.go
+++ b/node/base.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -170,10 +171,12 @@
 	return srv
 }
 
-// debugHandler serves metrics, readiness for the balancer, and liveness.
+// debugHandler serves metrics, profiles, readiness for the balancer, and liveness.
 func (b *base) debugHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, "live=true uptime_ms=%d\n", b.clock.Now()-b.begun)
 	})
