Let links between processes be cut, held and silenced

The harness puts a forwarder before each process's peer address and before its way to the platform. A cut link holds bytes and delivers them once restored, so that late delivery is tested too; a silenced one loses the bytes of the connections that are open while new ones work. Processes take an advertised address for that, and call their peers from their own address, so that a link can be cut for one peer alone.

--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -30,28 +31,36 @@
 
 // Conns pools drpc connections by address. One call uses one connection.
 type Conns struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	dialer net.Dialer
 }
 
-// NewConns returns an empty pool.
-func NewConns() *Conns {
-	return &Conns{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
-		Expiration:  idleExpiration.Duration(),
-		KeyCapacity: idlePerPeer,
-	})}
+// NewConns returns an empty pool. Connections come from the IP address of
+// local, the ip:port on which the process serves its peers; empty for any.
+func NewConns(local string) *Conns {
+	c := &Conns{
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiration.Duration(),
+			KeyCapacity: idlePerPeer,
+		}),
+		dialer: net.Dialer{Timeout: dialTimeout},
+	}
+	if a, err := netip.ParseAddrPort(local); err == nil && !a.Addr().IsUnspecified() {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
+	}
+	return c
 }
 
 // Get returns a connection to addr that dials when it is first used.
 func (c *Conns) Get(ctx context.Context, addr string) drpcpool.Conn {
-	return c.pool.Get(ctx, addr, dial)
+	return c.pool.Get(ctx, addr, c.dial)
 }
 
 // Close closes all idle connections.
 func (c *Conns) Close() error { return c.pool.Close() }
 
-func dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+func (c *Conns) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -27,6 +27,8 @@
 	peersPort     = 7003
 	debugPort     = 7004
 	standInPort   = 7100
+	peersLinkPort = 7013
+	platLinkPort  = 7110
 )
 
 // OperatorToken is the operators' token of every cluster.
@@ -43,6 +45,10 @@
 	Endpoint *Proc
 	// Runs is the file with a plain service's runs.
 	Runs string
+	// PeersLink carries what peers send to the process, PlatformLink what the
+	// process sends to the platform. Both are nil unless the cluster has links.
+	PeersLink    *Link
+	PlatformLink *Link
 	// settings is the file with the process's settings.
 	settings string
 	kind     mn.PoolKind
@@ -72,6 +78,9 @@
 	Nodes    map[mn.VMID]*Node
 	// Extra is appended to the settings of every process started from now on.
 	Extra string
+	// Links has every process started from now on reached by its peers, and
+	// reach the platform, over a link that can be cut.
+	Links bool
 
 	reserved net.Listener
 	subnet   string
@@ -131,6 +140,11 @@
 				p.Kill()
 			}
 		}
+		for _, l := range []*Link{n.PeersLink, n.PlatformLink} {
+			if l != nil {
+				l.Close()
+			}
+		}
 	}
 	if c.Platform != nil {
 		c.Platform.Kill()
@@ -145,6 +159,9 @@
 		IP: ip,
 		VM: mn.VM{ID: mn.VMID(name), State: mn.VMLive, Role: mn.RoleEntry, Addr: fmt.Sprintf("%s:%d", ip, peersPort), DataCentre: dc},
 	}
+	if err := c.addLinks(n); err != nil {
+		return n, err
+	}
 	settings := c.common(n) + fmt.Sprintf("callers = %s:%d\noperators = %s:%d\n[operators]\ntoken = %s\n",
 		ip, callersPort, ip, operatorsPort, OperatorToken)
 	return n, c.launch(n, settings)
@@ -167,6 +184,9 @@
 	if err := c.StartEndpoint(n); err != nil {
 		return n, err
 	}
+	if err := c.addLinks(n); err != nil {
+		return n, err
+	}
 	settings := c.common(n) + fmt.Sprintf("[endpoint]\npool = %s\nkind = %s\nurl = %s\n", pool, n.kind, n.EndpointURL())
 	return n, c.launch(n, settings)
 }
@@ -186,8 +206,25 @@
 	return c.await(p.Name, n.EndpointURL(), p)
 }
 
+func (c *Cluster) addLinks(n *Node) error {
+	if !c.Links {
+		return nil
+	}
+	n.VM.Addr = fmt.Sprintf("%s:%d", n.IP, peersLinkPort)
+	var err error
+	if n.PeersLink, err = newLink(n.VM.Addr, fmt.Sprintf("%s:%d", n.IP, peersPort)); err != nil {
+		return err
+	}
+	n.PlatformLink, err = newLink(fmt.Sprintf("%s:%d", n.IP, platLinkPort), c.platformAddr())
+	return err
+}
+
 func (c *Cluster) common(n *Node) string {
-	s := fmt.Sprintf("[process]\nvm = %s\ndata_centre = %s\n[platform]\nurl = %s\n", n.VM.ID, n.VM.DataCentre, c.PlatformURL())
+	platform := c.PlatformURL()
+	if n.PlatformLink != nil {
+		platform = fmt.Sprintf("http://%s:%d", n.IP, platLinkPort)
+	}
+	s := fmt.Sprintf("[process]\nvm = %s\ndata_centre = %s\n[platform]\nurl = %s\n", n.VM.ID, n.VM.DataCentre, platform)
 	s += c.Extra
 	var entries string
 	for _, v := range c.vms {
@@ -198,7 +235,7 @@
 	if entries != "" {
 		s += "[peers]\nentries = " + entries + "\n"
 	}
-	return s + fmt.Sprintf("[listen]\npeers = %s:%d\ndebug = %s:%d\n", n.IP, peersPort, n.IP, debugPort)
+	return s + fmt.Sprintf("[listen]\nadvertise = %s\npeers = %s:%d\ndebug = %s:%d\n", n.VM.Addr, n.IP, peersPort, n.IP, debugPort)
 }
 
 func (c *Cluster) launch(n *Node, settings string) error {
@@ -233,6 +270,28 @@
 	return nil
 }
 
+// Isolate cuts n off from its peers, in both directions, and from the platform.
+func (c *Cluster) Isolate(n *Node) {
+	n.PlatformLink.Cut()
+	n.PeersLink.Cut()
+	for _, o := range c.Nodes {
+		if o != n {
+			o.PeersLink.CutFrom(n.IP)
+		}
+	}
+}
+
+// Rejoin undoes Isolate.
+func (c *Cluster) Rejoin(n *Node) {
+	n.PlatformLink.Restore()
+	n.PeersLink.Restore()
+	for _, o := range c.Nodes {
+		if o != n {
+			o.PeersLink.RestoreFrom(n.IP)
+		}
+	}
+}
+
 // VMs returns the platform's list of VMs as the cluster has set it.
 func (c *Cluster) VMs() []mn.VM { return append([]mn.VM(nil), c.vms...) }
 
--- /dev/null
+++ b/procs/link.go
@@ -0,0 +1,181 @@
+package procs
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// bufferSize is the size in bytes of one read of a link.
+const bufferSize = 16 << 10
+
+// Link is a TCP forwarder between processes that can be cut. Bytes that reach
+// a cut link are held and delivered once it is restored, as by a network that
+// drops packets for a while.
+type Link struct {
+	target string
+	listen net.Listener
+
+	mu      sync.Mutex
+	cut     map[string]bool
+	changed chan struct{}
+	conns   map[*pipe]bool
+	closed  bool
+}
+
+// pipe is one forwarded connection.
+type pipe struct {
+	source   string
+	from, to net.Conn
+	// silent connections lose every byte and are never closed by the link.
+	silent bool
+}
+
+// allSources stands for connections from any address.
+const allSources = "*"
+
+// newLink forwards connections from addr to target.
+func newLink(addr, target string) (*Link, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	k := &Link{target: target, listen: l, cut: map[string]bool{}, changed: make(chan struct{}), conns: map[*pipe]bool{}}
+	go k.accept()
+	return k, nil
+}
+
+// Cut stops all bytes from now on.
+func (k *Link) Cut() { k.set(allSources, true) }
+
+// Restore lets held and new bytes through.
+func (k *Link) Restore() { k.set(allSources, false) }
+
+// CutFrom stops bytes of connections that come from the address ip.
+func (k *Link) CutFrom(ip string) { k.set(ip, true) }
+
+// RestoreFrom undoes CutFrom.
+func (k *Link) RestoreFrom(ip string) { k.set(ip, false) }
+
+func (k *Link) set(source string, cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut[source] = cut
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// Silence loses all further bytes of the connections that are open now, and
+// returns how many there are. New connections work.
+func (k *Link) Silence() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.conns {
+		p.silent = true
+	}
+	return len(k.conns)
+}
+
+// Close ends the link and all of its connections.
+func (k *Link) Close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	k.listen.Close()
+	for p := range k.conns {
+		p.from.Close()
+		p.to.Close()
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *Link) accept() {
+	for {
+		from, err := k.listen.Accept()
+		if err != nil {
+			return
+		}
+		go k.forward(from)
+	}
+}
+
+func (k *Link) forward(from net.Conn) {
+	source, _, _ := net.SplitHostPort(from.RemoteAddr().String())
+	probe := &pipe{source: source}
+	if k.wait(probe) != passing {
+		from.Close()
+		return
+	}
+	to, err := net.Dial("tcp", k.target)
+	if err != nil {
+		from.Close()
+		return
+	}
+	p := &pipe{source: source, from: from, to: to}
+	k.mu.Lock()
+	k.conns[p] = true
+	k.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { k.copy(p, to, from) })
+	wg.Go(func() { k.copy(p, from, to) })
+	wg.Wait()
+	k.mu.Lock()
+	delete(k.conns, p)
+	k.mu.Unlock()
+}
+
+// copy forwards one direction of p until it ends.
+func (k *Link) copy(p *pipe, dst, src net.Conn) {
+	buf := make([]byte, bufferSize)
+	for {
+		n, err := src.Read(buf)
+		switch k.wait(p) {
+		case losing:
+			if err != nil {
+				return
+			}
+			continue
+		case ended:
+			err = io.EOF
+		default:
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			dst.Close()
+			src.Close()
+			return
+		}
+	}
+}
+
+// passage says what becomes of bytes on a link.
+type passage int
+
+const (
+	passing passage = iota
+	losing
+	ended
+)
+
+// wait blocks while p's bytes are cut and says what becomes of them then.
+func (k *Link) wait(p *pipe) passage {
+	for {
+		k.mu.Lock()
+		closed, silent := k.closed, p.silent
+		cut := k.cut[allSources] || k.cut[p.source]
+		changed := k.changed
+		k.mu.Unlock()
+		switch {
+		case closed:
+			return ended
+		case silent:
+			return losing
+		case !cut:
+			return passing
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/procs/link_test.go
@@ -0,0 +1,44 @@
+package procs_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/procs"
+)
+
+// TestIsolateCutsAndRejoinDelivers checks the harness itself: an isolated agent
+// answers nobody, and works again once it has rejoined.
+func TestIsolateCutsAndRejoinDelivers(t *testing.T) {
+	t.Parallel()
+	c, err := procs.New(binDir, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	c.Links = true
+	declare(t, c)
+	entry, err := c.AddEntry("entry-1", "tiel-a")
+	require.NoError(t, err)
+	engine, err := c.AddModel("taalpers-1", "tiel-a", "taalpers", "taalpers")
+	require.NoError(t, err)
+	client := c.Caller(entry, voeringKey)
+	eventually(t, 6*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, client, "warm", 1)
+		return err
+	})
+
+	c.Isolate(engine)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	_, _, err = generate(ctx, client, "cut", 1)
+	require.Error(t, err)
+
+	c.Rejoin(engine)
+	eventually(t, 10*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, client, "again", 1)
+		return err
+	})
+}
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -59,17 +59,7 @@
 			}
 		}
 	})
-	_, err = c.Declare(t.Context(),
-		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 1000, Burst: 1000}},
-		mn.Resource{Customer: &mn.Customer{ID: "birligi", Rate: 1000, Burst: 1000}},
-		mn.Resource{Key: &mn.Key{Name: "voering-1", Hash: mn.HashKey(voeringKey), Customer: "voering"}},
-		mn.Resource{Key: &mn.Key{Name: "birligi-1", Hash: mn.HashKey(birligiKey), Customer: "birligi"}},
-		mn.Resource{Key: &mn.Key{Name: "old", Hash: mn.HashKey(withdrawnKey), Customer: "voering", Withdrawn: true}},
-		mn.Resource{Model: &mn.Model{ID: "taalpers", Version: "1", MaxTokens: 4096}},
-		mn.Resource{Pool: &mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers"}},
-		mn.Resource{Pool: &mn.Pool{ID: "orderbalie", Kind: mn.PoolPlain}},
-	)
-	require.NoError(t, err)
+	declare(t, c)
 	dcs := []mn.DataCentre{"tiel-a", "tiel-b", "culemborg", "geldermalsen"}
 	for i := range entries {
 		_, err := c.AddEntry(fmt.Sprintf("entry-%d", i+1), dcs[i%len(dcs)])
@@ -86,6 +76,22 @@
 	return c
 }
 
+// declare writes the resources that newCluster describes to the log.
+func declare(t *testing.T, c *procs.Cluster) {
+	t.Helper()
+	_, err := c.Declare(t.Context(),
+		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 1000, Burst: 1000}},
+		mn.Resource{Customer: &mn.Customer{ID: "birligi", Rate: 1000, Burst: 1000}},
+		mn.Resource{Key: &mn.Key{Name: "voering-1", Hash: mn.HashKey(voeringKey), Customer: "voering"}},
+		mn.Resource{Key: &mn.Key{Name: "birligi-1", Hash: mn.HashKey(birligiKey), Customer: "birligi"}},
+		mn.Resource{Key: &mn.Key{Name: "old", Hash: mn.HashKey(withdrawnKey), Customer: "voering", Withdrawn: true}},
+		mn.Resource{Model: &mn.Model{ID: "taalpers", Version: "1", MaxTokens: 4096}},
+		mn.Resource{Pool: &mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers"}},
+		mn.Resource{Pool: &mn.Pool{ID: "orderbalie", Kind: mn.PoolPlain}},
+	)
+	require.NoError(t, err)
+}
+
 // eventually retries f until it returns nil or limit has passed.
 func eventually(t *testing.T, limit mn.Millis, f func(ctx context.Context) error) {
 	t.Helper()
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -27,6 +27,9 @@
 	Operators string
 	Peers     string
 	Debug     string
+	// Advertise is the address at which peers reach the process; it is Peers
+	// unless a forwarder stands between.
+	Advertise string
 
 	// Platform is the base URL of the platform's service.
 	Platform string
@@ -83,6 +86,7 @@
 	{"listen", "callers", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Callers = v; return checkAddr(v) }},
 	{"listen", "operators", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Operators = v; return checkAddr(v) }},
 	{"listen", "peers", both, true, "", wantAddr, func(s *Settings, v string) error { s.Peers = v; return checkAddr(v) }},
+	{"listen", "advertise", both, false, "", wantAddr, func(s *Settings, v string) error { s.Advertise = v; return checkAddr(v) }},
 	{"listen", "debug", both, true, "", wantAddr, func(s *Settings, v string) error { s.Debug = v; return checkAddr(v) }},
 	{"listen", "max_body", entryOnly, false, "4194304", "a number of bytes from 1 to 1073741824", func(s *Settings, v string) error { return parseCount(v, 1, 1<<30, &s.MaxBody) }},
 	{"platform", "url", both, true, "", wantURL, func(s *Settings, v string) error { s.Platform = v; return checkURL(v) }},
@@ -136,6 +140,9 @@
 			faults = append(faults, fmt.Sprintf("%s: [%s] %s: %v", path, d.section, d.name, err))
 		}
 	}
+	if s.Advertise == "" {
+		s.Advertise = s.Peers
+	}
 	faults = append(faults, s.clashes()...)
 	if s.TraceExporter != "none" && s.TraceTarget == "" {
 		faults = append(faults, fmt.Sprintf("%s: [trace] target: missing, exporter %q needs one", path, s.TraceExporter))
