Add the fault matrix: every fault at every step against real processes

A cell is one step (of a generation, a booking, a change, an order, a report) with one fault or two, amid traffic through three entries.

Seen failing first: generation_middle+log_down on the thin path, which records no usage: "0 output and 0 prompt tokens are billed, callers got 379 and 665".

--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -62,6 +62,7 @@
 				Action: runPlain,
 			},
 			gaugeCommand(),
+			matrixCommand(),
 			{
 				Name:  "demo",
 				Usage: "serve two requests through a small cluster and print what happened",
--- /dev/null
+++ b/matrix/faults.go
@@ -0,0 +1,202 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/procs"
+)
+
+// pauseSpan is longer than every lease and timeout of the system's processes.
+const pauseSpan = 7 * mn.Second
+
+// faultSpan is how long a fault other than a pause lasts.
+const faultSpan = 2500 * mn.Millisecond
+
+// Fault is something that goes wrong in a scene, and how it is mended.
+type Fault struct {
+	Name string
+	// Planned says that the fault is a planned change, which cuts no request.
+	Planned bool
+	inject  func(s *scene) error
+	heal    func(s *scene) error
+	span    mn.Millis
+}
+
+// Faults returns every fault, in a fixed order.
+func Faults() []Fault {
+	faults := []Fault{
+		platformFault("log_down", fakes.LogDown, 1),
+		platformFault("log_slow", fakes.LogSlow, 1500),
+		platformFault("append_lost", fakes.AppendLost, 3),
+		platformFault("append_dropped", fakes.AppendDropped, 3),
+		platformFault("usage_lost", fakes.UsageLost, 2),
+		platformFault("platform_down", fakes.PlatformDown, 1),
+		{Name: "endpoint_killed", span: faultSpan, inject: killEndpoint, heal: startEndpoint},
+		{Name: "silent_agent", span: faultSpan, inject: func(s *scene) error {
+			s.agent.PeersLink.Silence()
+			return nil
+		}},
+		{Name: "holder_paused", span: pauseSpan, inject: pauseHolder, heal: resumeHolder},
+		{Name: "racing_operators", span: faultSpan, inject: raceOperators},
+		{Name: "key_withdrawn", span: faultSpan, inject: withdrawKey},
+		{Name: "poison", span: faultSpan, inject: sendPoison, heal: startEngines},
+		{Name: "entry_leaves", Planned: true, span: faultSpan, inject: func(s *scene) error { return s.entry.Proc.Terminate() }, heal: restart(entryOf)},
+		{Name: "agent_leaves", Planned: true, span: faultSpan, inject: func(s *scene) error { return s.agent.Proc.Terminate() }, heal: restart(agentOf)},
+		{Name: "version_change", Planned: true, span: faultSpan, inject: changeVersion},
+	}
+	for _, t := range []target{{"entry", entryOf}, {"agent", agentOf}} {
+		faults = append(faults, processFaults(t)...)
+	}
+	return faults
+}
+
+// target names the process that a fault hits.
+type target struct {
+	name string
+	node func(s *scene) *procs.Node
+}
+
+func entryOf(s *scene) *procs.Node { return s.entry }
+func agentOf(s *scene) *procs.Node { return s.agent }
+
+func processFaults(t target) []Fault {
+	return []Fault{
+		{
+			Name: t.name + "_killed", span: faultSpan,
+			inject: func(s *scene) error { t.node(s).Proc.Kill(); return nil },
+			heal:   restart(t.node),
+		},
+		{
+			Name: t.name + "_paused", span: pauseSpan,
+			inject: func(s *scene) error { return t.node(s).Proc.Pause() },
+			heal:   func(s *scene) error { return t.node(s).Proc.Resume() },
+		},
+		{
+			Name: t.name + "_cut", span: pauseSpan,
+			inject: func(s *scene) error { s.cluster.Isolate(t.node(s)); return nil },
+			heal:   func(s *scene) error { s.cluster.Rejoin(t.node(s)); return nil },
+		},
+	}
+}
+
+func platformFault(name, fault string, value int64) Fault {
+	return Fault{
+		Name: name, span: faultSpan,
+		inject: func(s *scene) error { return s.cluster.Fault(s.cluster.PlatformURL(), fault, value) },
+		heal:   func(s *scene) error { return s.cluster.Fault(s.cluster.PlatformURL(), fault, 0) },
+	}
+}
+
+// restart waits for a process that was stopped to end, and starts it again.
+func restart(node func(s *scene) *procs.Node) func(s *scene) error {
+	return func(s *scene) error {
+		n := node(s)
+		code, err := n.Proc.Wait(leaveLimit)
+		if err != nil {
+			return err
+		}
+		if code > 0 {
+			s.fail("planned stop", "%s left with exit code %d", n.VM.ID, code)
+		}
+		return s.cluster.StartOnly(n)
+	}
+}
+
+func killEndpoint(s *scene) error {
+	s.agent.Endpoint.Kill()
+	return nil
+}
+
+func startEndpoint(s *scene) error {
+	if s.agent.Endpoint.Running() {
+		return nil
+	}
+	return s.cluster.StartEndpoint(s.agent)
+}
+
+// startEngines starts every endpoint that has ended, as the platform would.
+func startEngines(s *scene) error {
+	for _, n := range s.cluster.Nodes {
+		if n.Endpoint == nil || n.Endpoint.Running() {
+			continue
+		}
+		if err := s.cluster.StartEndpoint(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pauseHolder(s *scene) error {
+	n, err := s.holder()
+	if err != nil || n == nil {
+		return err
+	}
+	s.paused = n
+	return n.Proc.Pause()
+}
+
+func resumeHolder(s *scene) error {
+	if s.paused == nil {
+		return nil
+	}
+	return s.paused.Proc.Resume()
+}
+
+// raceOperators has two operators set the same resource on the same base.
+func raceOperators(s *scene) error {
+	name := mn.ResourceName{Kind: mn.KindCustomer, Name: "birligi"}
+	base := s.resourceVersion(name)
+	for i := range 2 {
+		set := mn.Resource{Customer: &mn.Customer{ID: "birligi", Rate: 900 + float64(i), Burst: 1000}}
+		change := &mn.Change{Edits: []mn.Edit{{Name: name, Base: base, Set: &set}}}
+		if err := s.append(&mn.Record{Change: change}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// withdrawKey withdraws the second customer's key, which must not work any
+// more after withdrawLimit.
+func withdrawKey(s *scene) error {
+	name := mn.ResourceName{Kind: mn.KindKey, Name: "birligi-1"}
+	set := mn.Resource{Key: &mn.Key{Name: "birligi-1", Hash: mn.HashKey(otherKey), Customer: "birligi", Withdrawn: true}}
+	change := &mn.Change{Edits: []mn.Edit{{Name: name, Base: s.resourceVersion(name), Set: &set}}}
+	if err := s.append(&mn.Record{Change: change}); err != nil {
+		return err
+	}
+	s.withdrawn.Store(int64(s.clock.Now()))
+	return nil
+}
+
+// changeVersion has every engine load another version of its model.
+func changeVersion(s *scene) error {
+	name := mn.ResourceName{Kind: mn.KindModel, Name: modelName}
+	set := mn.Resource{Model: &mn.Model{ID: modelName, Version: "2", MaxTokens: 4096}}
+	change := &mn.Change{Edits: []mn.Edit{{Name: name, Base: s.resourceVersion(name), Set: &set}}}
+	return s.append(&mn.Record{Change: change})
+}
+
+// sendPoison sends a request that crashes every engine that runs it, again
+// and again, as its caller would.
+func sendPoison(s *scene) error {
+	s.poisoned = true
+	ctx, cancel := context.WithTimeout(s.ctx, faultSpan.Duration())
+	s.wg.Go(func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			prompt := fmt.Sprintf("poison %s %s", s.cell, fakes.PoisonPrompt)
+			_, _, err := s.generate(ctx, s.entry, mainKey, prompt, 4, nil)
+			if mn.CodeOf(err) == mn.Quarantined {
+				return
+			}
+			time.Sleep((100 * mn.Millisecond).Duration())
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/matrix/rules.go
@@ -0,0 +1,208 @@
+package matrix
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/procs"
+)
+
+// billLimit is how long usage may take to be reported once all is well.
+const billLimit = 15 * mn.Second
+
+// check looks at every rule once faults are mended and traffic has ended.
+func (s *scene) check() {
+	s.checkConfig()
+	s.checkBookings()
+	s.checkKeys()
+	s.checkFleet()
+	s.checkOrders()
+	s.checkUsage()
+}
+
+// checkConfig waits until every process has the log's head in force.
+func (s *scene) checkConfig() {
+	batch, err := s.cluster.Log().Read(s.ctx, mn.ControlStream, 1, 1, 0)
+	if err != nil {
+		s.fail("configuration", "log can't be read: %v", err)
+		return
+	}
+	begun := s.clock.Now()
+	for _, n := range s.cluster.Nodes {
+		for s.offset(n) < batch.Head {
+			if s.clock.Now() > begun+configLimit {
+				s.fail("configuration", "%s has offset %d in force, %d ms after the log had %d", n.VM.ID, s.offset(n), configLimit, batch.Head)
+				break
+			}
+			time.Sleep((50 * mn.Millisecond).Duration())
+		}
+	}
+}
+
+// offset returns the offset that a process has in force, 0 if unknown.
+func (s *scene) offset(n *procs.Node) mn.Offset {
+	resp, err := s.http.Get(n.Debug() + "/ready")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var ready, leaving bool
+	var off int64
+	if _, err := fmt.Fscanf(resp.Body, "ready=%t leaving=%t offset=%d", &ready, &leaving, &off); err != nil {
+		return 0
+	}
+	return mn.Offset(off)
+}
+
+// checkBookings compares what callers were told with what plain services ran.
+func (s *scene) checkBookings() {
+	runs := map[string]int{}
+	for _, n := range s.cluster.Nodes {
+		if n.VM.Pool != "orderbalie" {
+			continue
+		}
+		data, err := os.ReadFile(n.Runs)
+		if err != nil && !os.IsNotExist(err) {
+			s.fail("bookings", "%v", err)
+		}
+		for line := range strings.Lines(string(data)) {
+			f := strings.Split(strings.TrimSpace(line), "\t")
+			if len(f) != 4 {
+				continue
+			}
+			runs[strings.Trim(f[3], `"`)]++
+			if f[1] != "voering" {
+				s.fail("customer", "booking %s ran for %q", f[3], f[1])
+			}
+		}
+	}
+	for _, b := range s.bookings {
+		n := runs[b.body]
+		switch {
+		case n > 1:
+			s.fail("at most once", "booking %s ran %d times", b.key, n)
+		case b.done && n == 0:
+			s.fail("lost booking", "booking %s was answered done and never ran", b.key)
+		case !b.done && b.sure && n > 0:
+			s.fail("not run", "booking %s was refused as not run and ran", b.key)
+		}
+	}
+}
+
+// checkKeys searches all that endpoints received for callers' keys.
+func (s *scene) checkKeys() {
+	for _, n := range s.cluster.Nodes {
+		var seen string
+		switch {
+		case n.Endpoint == nil:
+			continue
+		case n.VM.Pool == modelName:
+			var all []string
+			if procs.Fetch(n.EndpointURL()+"/admin/seen", &all) != nil {
+				continue
+			}
+			seen = strings.Join(all, "\n")
+		default:
+			var all []fakes.Run
+			if procs.Fetch(n.EndpointURL()+"/admin/runs", &all) != nil {
+				continue
+			}
+			seen = fmt.Sprint(all)
+		}
+		for _, k := range []string{mainKey, otherKey, string(mn.HashKey(mainKey)), string(mn.HashKey(otherKey))} {
+			if strings.Contains(seen, k) {
+				s.fail("keys", "endpoint %s received a caller's key", n.VM.ID)
+			}
+		}
+	}
+}
+
+// checkFleet checks that the platform got no order of an older term after one
+// of a newer.
+func (s *scene) checkFleet() {
+	var orders []fakes.TimedOrder
+	if err := procs.Fetch(s.cluster.PlatformURL()+"/admin/orders", &orders); err != nil {
+		s.fail("fleet orders", "%v", err)
+		return
+	}
+	var newest mn.Term
+	for _, o := range orders {
+		if o.Term < newest {
+			s.fail("fleet orders", "an order of term %d took effect after one of term %d", o.Term, newest)
+		}
+		newest = max(newest, o.Term)
+	}
+}
+
+// checkOrders waits until engines have the declared version.
+func (s *scene) checkOrders() {
+	if !s.ordered {
+		return
+	}
+	begun := s.clock.Now()
+	for _, n := range s.cluster.Nodes {
+		if n.VM.Pool != modelName {
+			continue
+		}
+		for {
+			var state mn.EngineState
+			err := procs.Fetch(n.EndpointURL()+"/state", &state)
+			if err == nil && state.Version == "2" {
+				break
+			}
+			if s.clock.Now() > begun+orderLimit {
+				s.fail("orders", "engine %s has version %q, %d ms after version 2 was declared", n.VM.ID, state.Version, orderLimit)
+				break
+			}
+			time.Sleep((100 * mn.Millisecond).Duration())
+		}
+	}
+}
+
+// checkUsage waits until the sum of all reports is what callers got, and
+// checks that no window was reported with different figures.
+func (s *scene) checkUsage() {
+	begun := s.clock.Now()
+	var output, prompt int64
+	for {
+		var err error
+		if output, prompt, err = s.billed(); err != nil {
+			s.fail("usage", "%v", err)
+			return
+		}
+		if output >= s.answered["output"] || s.clock.Now() > begun+billLimit {
+			break
+		}
+		time.Sleep((200 * mn.Millisecond).Duration())
+	}
+	if output < s.answered["output"] || prompt < s.answered["prompt"] {
+		s.fail("usage", "%d output and %d prompt tokens are billed, callers got %d and %d", output, prompt, s.answered["output"], s.answered["prompt"])
+	}
+}
+
+// billed sums up the reports, each window once.
+func (s *scene) billed() (output, prompt int64, err error) {
+	var reports []fakes.TimedReport
+	if err := procs.Fetch(s.cluster.PlatformURL()+"/admin/usage", &reports); err != nil {
+		return 0, 0, err
+	}
+	seen := map[int64]bool{}
+	for _, r := range reports {
+		if r.Conflict {
+			return 0, 0, fmt.Errorf("window %d was reported with different figures", r.Window)
+		}
+		if seen[r.Window] {
+			continue
+		}
+		seen[r.Window] = true
+		for _, l := range r.Lines {
+			output += l.OutputTokens
+			prompt += l.PromptTokens
+		}
+	}
+	return output, prompt, nil
+}
