--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -6,6 +6,8 @@
 // queue. At most [Limits.Running] jobs are at the endpoint at once, queues are
 // bounded, and a job that can't be done before its deadline is refused before
 // it runs.
+// The number of jobs at the endpoint falls while jobs spend most of the time
+// they are allowed there, and grows again while they don't.
 //
 // Deficit round robin is due to Shreedhar and Varghese (1995). The service of
 // two customers that both have work queued differs, divided by their weights,
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -13,13 +13,18 @@
 	prompt  Tokens // prompt tokens not yet known to be prefilled
 	started mn.Millis
 	first   mn.Millis
+	allowed mn.Millis // from arrival to deadline, 0 without one
+	batch   int       // jobs at the endpoint when this one started
 	ended   bool
 }
 
 // start counts w as running.
 func (q *Queue) start(l *line, w *waiter) *Grant {
-	g := &Grant{queue: q, line: l, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now()}
-	if service := q.speed.Service(w.job.Prompt, l.expected(w.job)); service > 0 {
+	g := &Grant{queue: q, line: l, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now(), batch: q.running + 1}
+	if w.job.Deadline != 0 {
+		g.allowed = w.job.Deadline - w.arrived
+	}
+	if service := q.service(l, w.job); service > 0 {
 		g.pace = float64(w.cost) / service
 	}
 	l.grants++
@@ -52,10 +57,13 @@
 		return
 	}
 	g.ended = true
+	now := q.clock.Now()
 	if g.first != 0 {
-		q.speed.measurePrefill(prompt, g.first-g.started)
-		q.speed.measureDecode(output, q.clock.Now()-g.first)
+		batch := (g.batch + q.running) / 2
+		q.speeds.measurePrefill(batch, prompt, g.first-g.started)
+		q.speeds.measureDecode(batch, output, now-g.first)
 	}
+	q.limit.ended(g.started, g.allowed, now, q.waiting > 0)
 	q.prefill -= g.prompt
 	q.pace -= g.pace
 	q.running--
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -70,5 +70,8 @@
 	Refused int64
 	// Overloaded counts jobs refused because a queue was full.
 	Overloaded int64
-	Speed      Speed
+	// Limit is how many jobs may be at the endpoint now.
+	Limit int
+	// Speed is the speed at the present batch.
+	Speed Speed
 }
--- /dev/null
+++ b/core/sched/load_test.go
@@ -0,0 +1,136 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+// engine batches continuously: a step prefills up to 512 prompt tokens, adds a
+// token to each request that is prefilled, and takes 20 ms, 0.1 ms for each
+// prompt token, and 1.25 ms for each request that decodes.
+type engine struct {
+	clock *mn.ManualClock
+	due   float64
+	batch []*running
+}
+
+type running struct {
+	w      *waiter
+	prompt int
+	chunk  int
+	made   Tokens
+}
+
+// begin starts a step for the waiters that have been granted.
+func (e *engine) begin() {
+	took, left := 20.0, 512
+	for _, r := range e.batch {
+		r.chunk = min(r.prompt, left)
+		left -= r.chunk
+		took += 0.1 * float64(r.chunk)
+		if r.prompt == 0 {
+			took += 1.25
+		}
+	}
+	e.due += took
+}
+
+// finish ends the step and returns the waiters that are done.
+func (e *engine) finish() []*waiter {
+	var done []*waiter
+	rest := e.batch[:0]
+	for _, r := range e.batch {
+		r.prompt -= r.chunk
+		if r.prompt == 0 {
+			r.w.grant.First()
+			r.made++
+		}
+		if r.made == r.w.job.Output {
+			done = append(done, r.w)
+			continue
+		}
+		rest = append(rest, r)
+	}
+	e.batch = rest
+	return done
+}
+
+// overload sends 1 job a second of customer "quiet" and flood jobs a second of
+// customer "flood" to an engine, and returns the parts served in time from 10
+// to 60 seconds. An engine alone does about four of these jobs a second.
+func overload(flood float64, fair bool) (quiet, other, goodput float64) {
+	clock := mn.NewManualClock(1)
+	limits := DefaultLimits()
+	limits.Running = 16
+	if !fair {
+		limits.Running = 1000
+	}
+	q := New(clock, limits)
+	random := rand.New(rand.NewPCG(5, 6))
+	e := &engine{clock: clock}
+	var waiters []*waiter
+	sent, good := map[mn.CustomerID]float64{}, map[mn.CustomerID]float64{}
+	arrive := func(c mn.CustomerID) {
+		job := Job{Customer: c, Prompt: 1200, Output: 40, Deadline: clock.Now() + 3000}
+		if clock.Now() > 10_000 {
+			sent[c]++
+		}
+		if !fair {
+			job.Customer = "all"
+		}
+		if w, err := q.enqueue(job); err == nil {
+			w.job.Customer = c
+			waiters = append(waiters, w)
+		}
+	}
+	for clock.Now() < 60_000 {
+		if random.Float64() < 0.001 {
+			arrive("quiet")
+		}
+		if random.Float64() < flood/1000 {
+			arrive("flood")
+		}
+		if float64(clock.Now()) >= e.due {
+			for _, w := range e.finish() {
+				if clock.Now() > 10_000 && clock.Now() <= w.job.Deadline {
+					good[w.job.Customer]++
+				}
+				w.grant.Done(w.job.Prompt, w.job.Output)
+			}
+			waiting := waiters[:0]
+			for _, w := range waiters {
+				switch {
+				case w.grant != nil:
+					e.batch = append(e.batch, &running{w: w, prompt: int(w.job.Prompt)})
+				case w.err == nil:
+					waiting = append(waiting, w)
+				}
+			}
+			waiters = waiting
+			e.due = max(e.due, float64(clock.Now()))
+			if len(e.batch) > 0 {
+				e.begin()
+			}
+		}
+		clock.Advance(1)
+	}
+	return good["quiet"] / sent["quiet"], good["flood"] / sent["flood"], (good["quiet"] + good["flood"]) / 50
+}
+
+// TestFloodLowersNoOther compares a customer's service beside another that
+// sends far more than the engine can do with that beside one that doesn't.
+func TestFloodLowersNoOther(t *testing.T) {
+	alone, _, _ := overload(0.5, true)
+	quiet, flood, goodput := overload(15, true)
+	naive, _, naiveGoodput := overload(15, false)
+	t.Logf("quiet alone %.2f, flooded %.2f, unqueued %.2f; flood %.2f; goodput %.2f/s, unqueued %.2f/s", alone, quiet, naive, flood, goodput, naiveGoodput)
+	require.Greater(t, alone, 0.98)
+	require.Greater(t, quiet, 0.9)
+	require.Greater(t, goodput, 2.5)
+	require.Less(t, naive, 0.5)
+	require.Less(t, naiveGoodput, goodput)
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -9,9 +9,9 @@
 	mn "mustardnotch"
 )
 
-// refusalConfidence scales estimates of waiting and service before they are
-// held against a deadline, so that an estimate a little too high refuses
-// nothing that would have been in time.
+// refusalConfidence scales the estimates of waiting and service of a new job
+// before they are held against its deadline, so that an estimate a little too
+// high refuses nothing that would have been in time.
 const refusalConfidence = 0.8
 
 // Queue orders the jobs of one endpoint. It is safe for concurrent use.
@@ -23,13 +23,15 @@
 	lines    map[mn.CustomerID]*line
 	active   []*line // lines with waiting jobs, in round-robin order
 	cursor   int
+	rounds   Cost // rounds of quanta given out so far
 	running  int
 	waiting  int
 	queued   Tokens
 	prefill  Tokens
 	backlog  Cost
 	pace     float64 // cost per millisecond of the running jobs
-	speed    Speed
+	limit    limit
+	speeds   speeds
 	ratio    float64 // moving average of output generated to output allowed
 	draining bool
 	idle     chan struct{} // closed when draining and nothing is left
@@ -42,6 +44,8 @@
 	customer mn.CustomerID
 	weight   Cost
 	deficit  Cost
+	fresh    bool // first job after being idle: goes ahead of its deficit
+	left     Cost // the queue's rounds when the line last left the round
 	backlog  Cost
 	waiters  []*waiter
 	grants   int     // jobs at the endpoint
@@ -52,6 +56,7 @@
 type waiter struct {
 	job     Job
 	cost    Cost
+	arrived mn.Millis
 	decided chan struct{}
 	grant   *Grant
 	err     error
@@ -62,6 +67,7 @@
 	return &Queue{
 		clock:  clock,
 		limits: limits,
+		limit:  newLimit(limits.Running),
 		lines:  make(map[mn.CustomerID]*line),
 		idle:   make(chan struct{}),
 	}
@@ -111,7 +117,8 @@
 		Pace:          q.pace,
 		Refused:       q.refused,
 		Overloaded:    q.overflow,
-		Speed:         q.speed,
+		Limit:         q.limit.jobs(),
+		Speed:         q.speeds.at(q.running),
 	}
 }
 
@@ -126,9 +133,9 @@
 		q.forget(l)
 		return nil, err
 	}
-	w := &waiter{job: job, cost: q.limits.cost(job.Prompt, l.expected(job)), decided: make(chan struct{})}
+	w := &waiter{job: job, cost: q.limits.cost(job.Prompt, l.expected(job)), arrived: q.clock.Now(), decided: make(chan struct{})}
 	if len(l.waiters) == 0 {
-		q.active = append(q.active, l)
+		q.activate(l)
 	}
 	l.waiters = append(l.waiters, w)
 	l.backlog += w.cost
@@ -139,10 +146,29 @@
 	return w, nil
 }
 
+// activate takes l into the round. A line that owes nothing goes first, on
+// credit, so that a customer that sends little doesn't wait for one that sends
+// much. What it then owes is paid by rounds, also those that pass without it.
+func (q *Queue) activate(l *line) {
+	if l.deficit < 0 {
+		l.deficit = min(0, l.deficit+(q.rounds-l.left)*q.limits.Quantum*l.weight)
+	}
+	l.fresh = l.deficit >= 0
+	if !l.fresh {
+		q.active = append(q.active, l)
+		return
+	}
+	at := min(q.cursor, len(q.active))
+	for at < len(q.active) && q.active[at].fresh {
+		at++
+	}
+	q.active = append(q.active[:at:at], append([]*line{l}, q.active[at:]...)...)
+}
+
 // admit refuses a job that finds no room, or that can't be in time.
 func (q *Queue) admit(l *line, job Job) error {
 	full := q.waiting >= q.limits.Queued || len(l.waiters) >= q.limits.PerCustomer
-	if full && q.running >= q.limits.Running {
+	if full && q.running >= q.limit.jobs() {
 		q.overflow++
 		return mn.Errorf(mn.Overloaded, "%d jobs of customer %q and %d in all are waiting", len(l.waiters), job.Customer, q.waiting).
 			WithRetry(q.wait(l))
@@ -150,8 +176,7 @@
 	if job.Deadline == 0 {
 		return nil
 	}
-	wait := q.wait(l)
-	need := wait + q.service(l, job)
+	need := q.wait(l) + mn.Millis(refusalConfidence*q.service(l, job))
 	if left := job.Deadline - q.clock.Now(); need > left {
 		return q.refuse(job, need, left)
 	}
@@ -164,16 +189,17 @@
 		WithRetry(max(need-left, mn.Millisecond))
 }
 
-// service is a low estimate of the time that the endpoint takes over job.
-func (q *Queue) service(l *line, job Job) mn.Millis {
-	return mn.Millis(refusalConfidence * q.speed.Service(job.Prompt, l.expected(job)))
+// service estimates the milliseconds that the endpoint takes over job if it
+// starts now.
+func (q *Queue) service(l *line, job Job) float64 {
+	return q.speeds.at(min(q.running+1, q.limit.jobs())).Service(job.Prompt, l.expected(job))
 }
 
 // wait is a low estimate of how long a new job of l waits: until its
 // customer's own backlog is done at the customer's part of the pace, or until
 // everything is done, whichever comes first.
 func (q *Queue) wait(l *line) mn.Millis {
-	if q.running < q.limits.Running || q.pace <= 0 {
+	if q.running < q.limit.jobs() || q.pace <= 0 {
 		return 0
 	}
 	weights := l.weight
@@ -188,15 +214,15 @@
 
 // dispatch hands jobs to the endpoint while it has room.
 func (q *Queue) dispatch() {
-	for q.running < q.limits.Running {
+	for q.running < q.limit.jobs() {
 		l := q.next()
 		if l == nil {
 			return
 		}
 		w := q.pop(l)
-		if left := w.job.Deadline - q.clock.Now(); w.job.Deadline != 0 && q.service(l, w.job) > left {
+		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
-			w.err = q.refuse(w.job, q.service(l, w.job), left)
+			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
 		}
@@ -215,7 +241,7 @@
 		for range q.active {
 			q.cursor %= len(q.active)
 			l := q.active[q.cursor]
-			if l.deficit >= l.waiters[0].cost {
+			if l.fresh || l.deficit >= l.waiters[0].cost {
 				return l
 			}
 			q.cursor++
@@ -233,6 +259,7 @@
 		rounds = min(rounds, math.Ceil(float64(short/(q.limits.Quantum*l.weight))))
 	}
 	rounds = max(rounds, 1)
+	q.rounds += Cost(rounds)
 	for _, l := range q.active {
 		l.deficit += Cost(rounds) * q.limits.Quantum * l.weight
 	}
@@ -242,6 +269,7 @@
 	w := l.waiters[0]
 	l.waiters = l.waiters[1:]
 	l.deficit -= w.cost
+	l.fresh = false
 	q.uncount(l, w)
 	return w
 }
@@ -260,6 +288,8 @@
 		return
 	}
 	l.deficit = min(l.deficit, 0)
+	l.fresh = false
+	l.left = q.rounds
 	for i, other := range q.active {
 		if other != l {
 			continue
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -22,15 +22,39 @@
 	return float64(prompt)*s.PrefillMillis + float64(output)*s.DecodeMillis
 }
 
-func (s *Speed) measurePrefill(prompt Tokens, took mn.Millis) {
+// speeds holds the speeds measured with each number of jobs at the endpoint: one
+// that batches gets slower for each job as the batch grows.
+type speeds [64]Speed
+
+func bucket(running int) int { return min(max(running, 1), len(speeds{})) - 1 }
+
+// at returns the speed for a batch of so many jobs. What was not measured with
+// such batches is taken from the next smaller ones that tell it, so that it is
+// no slower than it truly is; 0 if there are none.
+func (s *speeds) at(running int) Speed {
+	var v Speed
+	for b := bucket(running); b >= 0; b-- {
+		if v.PrefillMillis == 0 {
+			v.PrefillMillis = s[b].PrefillMillis
+		}
+		if v.DecodeMillis == 0 {
+			v.DecodeMillis = s[b].DecodeMillis
+		}
+	}
+	return v
+}
+
+func (s *speeds) measurePrefill(running int, prompt Tokens, took mn.Millis) {
 	if prompt >= minMeasuredPrompt {
-		s.PrefillMillis = average(s.PrefillMillis, float64(took)/float64(prompt))
+		v := &s[bucket(running)].PrefillMillis
+		*v = average(*v, float64(took)/float64(prompt))
 	}
 }
 
-func (s *Speed) measureDecode(output Tokens, took mn.Millis) {
+func (s *speeds) measureDecode(running int, output Tokens, took mn.Millis) {
 	if output > 1 {
-		s.DecodeMillis = average(s.DecodeMillis, float64(took)/float64(output-1))
+		v := &s[bucket(running)].DecodeMillis
+		*v = average(*v, float64(took)/float64(output-1))
 	}
 }
 
--- a/node/queue.go
+++ b/node/queue.go
@@ -27,7 +27,6 @@
 	mn.Engine
 	clock  mn.Clock
 	queue  *sched.Queue
-	limit  int64
 	cached *route.Cached
 
 	mu      sync.Mutex
@@ -55,7 +54,6 @@
 		Engine: e,
 		clock:  clock,
 		queue:  sched.New(clock, limits),
-		limit:  running,
 		cached: route.NewCached(cachedBlocks),
 		jobs:   make(map[mn.RequestID]*job),
 	}
@@ -178,7 +176,7 @@
 		Model:         string(q.state.Model),
 		Version:       q.state.Version,
 		Changing:      q.state.Changing,
-		Limit:         q.limit,
+		Limit:         int64(s.Limit),
 		PrefillMs:     s.Speed.PrefillMillis,
 		DecodeMs:      s.Speed.DecodeMillis,
 		Backlog:       float64(s.Backlog),
