Tell callers that a call to a dead entry never ran; check planned changes

Cause: cell generation_middle+entry_leaves of the matrix counted two bookings as unknown that were sent to an entry which had already left. The client took every error without a detail for unknown. A failed dial sent no byte, so its outcome is "not run".

Before: 2 bookings and 1 generation unknown in that cell. The matrix now also fails where a planned change alone cuts a request.

--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -8,6 +8,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/gen/apipb"
+	"mustardnotch/io/wire"
 )
 
 var connectCodes = map[mn.Code]connect.Code{
@@ -93,6 +94,8 @@
 		return mn.Errorf(mn.DeadlineExceeded, "%w", err)
 	case errors.Is(err, context.Canceled):
 		return mn.Errorf(mn.Cancelled, "%w", err)
+	case wire.NeverSent(err):
+		return mn.Errorf(mn.NoEndpoint, "entry can't be reached: %w", err).WithRetry(mn.Second)
 	}
 	return mn.Errorf(mn.OutcomeNotKnown, "%w", err)
 }
--- a/matrix/faults.go
+++ b/matrix/faults.go
@@ -185,7 +185,6 @@
 // sendPoison sends a request that crashes every engine that runs it, again
 // and again, as its caller would.
 func sendPoison(s *scene) error {
-	s.poisoned = true
 	ctx, cancel := context.WithTimeout(s.ctx, faultSpan.Duration())
 	s.wg.Go(func() {
 		defer cancel()
--- a/matrix/matrix.go
+++ b/matrix/matrix.go
@@ -168,6 +168,10 @@
 	}
 	defer s.cluster.Close()
 	s.aim(c.Step.Name)
+	s.planned = true
+	for _, f := range c.Faults {
+		s.planned = s.planned && f.Planned
+	}
 	if err := s.play(c); err != nil {
 		return Result{}, err
 	}
--- a/matrix/scene.go
+++ b/matrix/scene.go
@@ -57,7 +57,9 @@
 	paused              *procs.Node
 	wg                  sync.WaitGroup
 	withdrawn           atomic.Int64
-	poisoned, ordered   bool
+	ordered             bool
+	// planned says that the cell has planned changes only.
+	planned bool
 
 	mu       sync.Mutex
 	bookings []*booking
@@ -193,10 +195,20 @@
 	return text.String(), end, err
 }
 
+// noteCut checks that a planned change cuts no request: it may only be refused
+// before it ran.
+func (s *scene) noteCut(what string, e *mn.Error) {
+	if s.planned && e.Outcome != mn.OutcomeNotRun {
+		s.fail("planned change", "%s was cut: %v", what, e)
+	}
+}
+
 // noteGeneration checks an answer and keeps what it has to be billed.
 func (s *scene) noteGeneration(prompt string, tokens int64, text string, end *apipb.EndMarker, err error) {
 	if err != nil {
-		s.count("generation " + mn.CodeOf(err).String())
+		e := mn.AsError(err)
+		s.count("generation " + e.Code.String() + " " + e.Outcome.String())
+		s.noteCut("generation "+prompt, e)
 		return
 	}
 	s.count("generation ok")
@@ -249,6 +261,7 @@
 	}
 	e := mn.AsError(err)
 	s.count("booking " + e.Code.String() + " " + e.Outcome.String())
+	s.noteCut("booking "+b.key, e)
 	if e.Outcome != mn.OutcomeNotRun {
 		s.mu.Lock()
 		b.sure = false
