--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -55,6 +55,8 @@
 					return serve(ctx, c.String("listen"), e.Handler())
 				},
 			},
+			batchCommand(listen),
+			benchCommand(),
 			{
 				Name:   "plain",
 				Usage:  "serve a plain service",
