--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -42,6 +42,8 @@
 	Clients int
 	// Agents is how many plain services there are.
 	Agents int
+	// Part is "delay", "throughput" or "all".
+	Part string
 }
 
 // Run starts a cluster, measures, prints one line for each part to out, and
@@ -61,9 +63,15 @@
 	if err != nil {
 		return err
 	}
-	if err := delays(ctx, o, entry, agents[0], out); err != nil {
-		return err
+	if o.Part != "throughput" {
+		if err := delays(ctx, o, entry, agents[0], out); err != nil {
+			return err
+		}
+	}
+	if o.Part == "delay" {
+		return nil
 	}
+	fmt.Fprintf(out, "profiles entry=%s agent=%s\n", entry.Debug(), agents[0].Debug())
 	return throughput(ctx, o, entry, agents, out)
 }
 
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"testing"
 	"time"
 
@@ -29,9 +28,8 @@
 	}
 	defer os.RemoveAll(dir)
 	binDir = dir
-	out, err := exec.Command("go", "build", "-o", dir+"/", "mustardnotch/cmd/...").CombinedOutput()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v: %s\n", err, out)
+	if err := procs.Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
--- a/procs/proc.go
+++ b/procs/proc.go
@@ -15,6 +15,15 @@
 	mn "mustardnotch"
 )
 
+// Build compiles the programs under test into dir.
+func Build(dir string) error {
+	out, err := exec.Command("go", "build", "-o", dir+"/", "mustardnotch/cmd/...").CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w: %s", err, out)
+	}
+	return nil
+}
+
 // Proc is one running process.
 type Proc struct {
 	Name string
