--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -89,3 +89,11 @@
 		require.NoError(t, checkAddr(s.Callers))
 	})
 }
+
+func TestExamplesAreCorrect(t *testing.T) {
+	e, err := Load("../docs/examples/entry.ini", mn.RoleEntry)
+	require.NoError(t, err)
+	a, err := Load("../docs/examples/agent.ini", mn.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, Clashes([]*Settings{e, a}))
+}
