--- /dev/null
+++ b/core/calls/call.go
@@ -0,0 +1,146 @@
+package calls
+
+import (
+	"context"
+	"crypto/sha256"
+
+	mn "mustardnotch"
+)
+
+// Fingerprint tells calls with the same idempotency key apart.
+type Fingerprint [sha256.Size]byte
+
+// FingerprintOf hashes what has to be the same in all calls with one key.
+func FingerprintOf(customer mn.CustomerID, pool mn.PoolID, path string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, s := range []string{string(customer), string(pool), path} {
+		sum := sha256.Sum256([]byte(s))
+		h.Write(sum[:])
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum(nil))
+}
+
+// Request describes a request to the table.
+type Request struct {
+	ID mn.RequestID
+	// Key is empty for a request that its caller will not repeat.
+	Key         mn.IdempotencyKey
+	Fingerprint Fingerprint
+	// Agent is the incarnation that the request was sent to, if its sender
+	// knows. A sender sends each id once.
+	Agent mn.Incarnation
+	// First says that the caller sent no earlier request with Key and that no
+	// agent was given one that could still run.
+	First bool
+}
+
+// Phase is how far a call has come.
+type Phase int
+
+// Phases of a call.
+const (
+	// Registered means that nothing of the call has gone to the endpoint.
+	Registered Phase = iota
+	// Started means that the endpoint may have seen the call.
+	Started
+	// Done means that the call ran and its whole answer came back.
+	Done
+	// NotRun means that the call has not run and never will.
+	NotRun
+	// Unknown means that the call may have run and its answer is lost.
+	Unknown
+	// Elsewhere means that the key's former home had started the call and has
+	// not yet handed over how it went.
+	Elsewhere
+)
+
+// Call is one entry of the table. Its methods are safe for concurrent use.
+type Call struct {
+	table    *Table
+	request  Request
+	made     mn.Millis
+	phase    Phase
+	answer   []byte
+	dropped  bool
+	err      *mn.Error
+	finished chan struct{}
+	// heir is the agent that the call was handed over to before it finished.
+	heir mn.VMID
+}
+
+// Finished returns a channel that is closed once the call has an outcome.
+func (c *Call) Finished() <-chan struct{} { return c.finished }
+
+// Start marks the call as started. It must be called before the first byte
+// goes to the endpoint, and nothing may go there if it fails: the call has
+// then been barred, or this agent may no longer run calls with its key.
+func (c *Call) Start() *mn.Error {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.phase != Registered {
+		return c.err
+	}
+	if err := t.mayRun(c.request); err != nil {
+		t.finish(c, NotRun, nil, err)
+		return err
+	}
+	c.phase = Started
+	return nil
+}
+
+// Finish records the call's outcome: done with answer if err is nil, not run
+// if the outcome of err says so, and unknown otherwise. Only the first outcome
+// of a call counts.
+func (c *Call) Finish(answer []byte, err *mn.Error) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err == nil:
+		t.finish(c, Done, answer, nil)
+	case err.Outcome == mn.OutcomeNotRun:
+		t.finish(c, NotRun, nil, err)
+	default:
+		t.finish(c, Unknown, nil, err)
+	}
+}
+
+// Wait returns the call's answer once it is finished, or the error of ctx.
+func (c *Call) Wait(ctx context.Context) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, mn.Errorf(mn.DeadlineExceeded, "waiting for the answer of request %s: %w", c.request.ID, ctx.Err())
+	case <-c.finished:
+	}
+	status := c.Status()
+	if status.Err != nil {
+		return nil, status.Err
+	}
+	return status.Answer, nil
+}
+
+// Status is what the table knows of a call.
+type Status struct {
+	Phase Phase
+	// Answer is set in phase Done unless it was dropped.
+	Answer []byte
+	// Err is set in phases NotRun and Unknown, and in phase Done with code
+	// AnswerNotKept if the answer was dropped.
+	Err *mn.Error
+}
+
+// Status returns what is known of the call now.
+func (c *Call) Status() Status {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.status()
+}
+
+func (c *Call) status() Status {
+	if c.dropped {
+		return Status{Phase: Done, Err: mn.Errorf(AnswerNotKept, "answer of request %s", c.request.ID)}
+	}
+	return Status{Phase: c.phase, Answer: c.answer, Err: c.err}
+}
--- /dev/null
+++ b/core/calls/homes_test.go
@@ -0,0 +1,135 @@
+package calls_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+)
+
+type roster = map[mn.VMID]mn.Incarnation
+
+// switched is a currency that a test switches off.
+type switched struct{ off bool }
+
+func (s *switched) Current() error {
+	if s.off {
+		return mn.Errorf(mn.NotCurrent, "off")
+	}
+	return nil
+}
+
+// pair returns two agents that know each other, and a function that makes the
+// first request with a new key.
+func pair(t *testing.T) (a, b *calls.Table, aCurrent *switched, clock *mn.ManualClock, first func(agent mn.Incarnation) calls.Request) {
+	clock = mn.NewManualClock(1_800_000_000_000)
+	aCurrent = &switched{}
+	a = calls.New(calls.DefaultConfig("a", "a-1"), clock, aCurrent)
+	b = calls.New(calls.DefaultConfig("b", "b-1"), clock, current{})
+	a.Genesis()
+	a.Roster(1, roster{"a": "a-1"})
+	b.Roster(1, roster{"a": "a-1"})
+	b.Roster(2, roster{"a": "a-1", "b": "b-1"})
+	require.Nil(t, b.Import(a.Roster(2, roster{"a": "a-1", "b": "b-1"})["b"]))
+	number := 0
+	return a, b, aCurrent, clock, func(agent mn.Incarnation) calls.Request {
+		number += 2
+		return calls.Request{
+			ID:    mn.RequestID(keyMade(clock.Wall(), number)),
+			Key:   mn.IdempotencyKey(keyMade(clock.Wall(), number+1)),
+			Agent: agent,
+			First: true,
+		}
+	}
+}
+
+// runs says whether the table lets r run.
+func runs(table *calls.Table, r calls.Request) bool {
+	c, owner, err := table.Begin(r)
+	return err == nil && owner && c.Start() == nil
+}
+
+// homedAt returns a first request whose home is the given table's agent.
+func homedAt(t *testing.T, table *calls.Table, agent mn.Incarnation, first func(mn.Incarnation) calls.Request) calls.Request {
+	for range 100 {
+		r := first(agent)
+		if _, _, err := table.Begin(r); err == nil {
+			return r
+		}
+	}
+	require.Fail(t, "no key is at home here")
+	return calls.Request{}
+}
+
+func TestOldHomeRunsNothingOnceNotCurrent(t *testing.T) {
+	a, _, aCurrent, _, first := pair(t)
+	registered := homedAt(t, a, "a-1", first)
+	c, _, err := a.Begin(registered)
+	require.Nil(t, err)
+	aCurrent.off = true
+	require.Equal(t, mn.NotCurrent, c.Start().Code, "a call that was registered while current")
+	for range 20 {
+		require.False(t, runs(a, first("a-1")))
+	}
+}
+
+func TestRegisteredCallDoesNotStartAfterItsHomeMoved(t *testing.T) {
+	a, _, _, _, first := pair(t)
+	c, _, err := a.Begin(homedAt(t, a, "a-1", first))
+	require.Nil(t, err)
+	a.Roster(3, roster{"b": "b-1"})
+	require.Equal(t, calls.NotHome, c.Start().Code)
+}
+
+func TestSuccessorWaitsForALostHomeToLapse(t *testing.T) {
+	a, b, _, clock, first := pair(t)
+	lost := homedAt(t, a, "a-1", first)
+	lost.Agent = "b-1"
+	b.Roster(3, roster{"b": "b-1"})
+	require.False(t, runs(b, lost), "the old home may still run it")
+	retry := lost
+	retry.First = false
+	clock.Advance(3*mn.Second + 501*mn.Millisecond)
+	retry.ID = first("").ID
+	_, _, err := b.Begin(retry)
+	require.Equal(t, calls.HomeChanging, err.Code)
+	require.Equal(t, mn.OutcomeUnknown, err.Outcome)
+	lost.ID = first("").ID
+	require.True(t, runs(b, lost), "nobody else was given the key")
+	young := first("b-1")
+	young.First = false
+	require.True(t, runs(b, young))
+}
+
+func TestPlannedLeavingKeepsAnswers(t *testing.T) {
+	a, b, _, clock, first := pair(t)
+	r := homedAt(t, a, "a-1", first)
+	c, _, err := a.Begin(r)
+	require.Nil(t, err)
+	require.Nil(t, c.Start())
+	clock.Advance(mn.Second)
+	memory := a.Leave()["b"]
+	require.False(t, runs(a, first("a-1")), "a left agent runs nothing")
+	require.Equal(t, calls.Unknown, a.SettleKey(calls.Request{ID: first("").ID, Key: first("").Key, Agent: "a-1"}).Phase)
+	require.Nil(t, b.Import(memory))
+	b.Roster(3, roster{"b": "b-1"})
+
+	again := r
+	again.ID, again.Agent, again.First = first("").ID, "b-1", false
+	_, _, err = b.Begin(again)
+	require.Equal(t, calls.HomeChanging, err.Code, "still running at the old home")
+	c.Finish([]byte("booked"), nil)
+	require.Nil(t, b.Import(a.Late()["b"]))
+	kept, owner, err := b.Begin(again)
+	require.Nil(t, err)
+	require.False(t, owner)
+	answer, waitErr := kept.Wait(t.Context())
+	require.NoError(t, waitErr)
+	require.Equal(t, "booked", string(answer))
+
+	older := first("b-1")
+	older.First = false
+	require.True(t, runs(b, older), "the memory handed over leaves no gap")
+}
--- /dev/null
+++ b/core/calls/model_test.go
@@ -0,0 +1,430 @@
+package calls_test
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/core/rendez"
+)
+
+const (
+	modelSkew  = 200 * mn.Millisecond
+	modelLapse = 2 * mn.Second
+)
+
+// skewedClock is the shared clock with an error of its own.
+type skewedClock struct {
+	*mn.ManualClock
+	ahead mn.Millis
+}
+
+func (c skewedClock) Wall() mn.Millis { return c.ManualClock.Wall() + c.ahead }
+
+// keyMade returns the UUIDv7 with number, made at wall.
+func keyMade(wall mn.Millis, number int) string {
+	id := uuid.UUID{6: 0x70, 8: 0x80, 14: byte(number >> 8), 15: byte(number)}
+	for i := range 6 {
+		id[i] = byte(wall >> (40 - 8*i))
+	}
+	return id.String()
+}
+
+// record is one change of the roster in the model's log.
+type record struct {
+	at      mn.Millis
+	members map[mn.VMID]mn.Incarnation
+}
+
+// modelAgent is one incarnation of an agent.
+type modelAgent struct {
+	model   *model
+	vm      mn.VMID
+	inc     mn.Incarnation
+	table   *calls.Table
+	seen    int
+	leaving bool
+	blind   bool
+	open    []*running
+}
+
+// Current implements mn.Currency: an agent holds itself current for Lapse after
+// a record that it has not read.
+func (a *modelAgent) Current() error {
+	m := a.model
+	if a.seen < len(m.log) && m.clock.Now()-m.log[a.seen].at >= modelLapse {
+		return mn.Errorf(mn.NotCurrent, "%s", a.vm)
+	}
+	return nil
+}
+
+type running struct {
+	message *message
+	call    *calls.Call
+	started bool
+}
+
+type message struct {
+	request calls.Request
+	to      mn.VMID
+	notRun  bool
+	ran     bool
+	// taken says that an agent did not refuse the request.
+	taken bool
+}
+
+// booking is one idempotency key with every request sent for it.
+type booking struct {
+	key      mn.IdempotencyKey
+	messages []*message
+	runs     int
+}
+
+type model struct {
+	t         *rapid.T
+	clock     *mn.ManualClock
+	log       []record
+	agents    map[mn.VMID]*modelAgent
+	vms       []mn.VMID
+	bookings  map[mn.IdempotencyKey]*booking
+	keys      []mn.IdempotencyKey
+	wire      []*message
+	transfers []calls.Memory
+	heirs     []mn.VMID
+	ids       int
+	ran       int
+	unknown   int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, clock: mn.NewManualClock(1_800_000_000_000), agents: map[mn.VMID]*modelAgent{}, bookings: map[mn.IdempotencyKey]*booking{}}
+	m.vms = []mn.VMID{"a", "b", "c"}
+	for _, vm := range m.vms {
+		m.boot(vm)
+	}
+	for _, vm := range m.vms {
+		for m.agents[vm].seen < len(m.log) {
+			m.next(m.agents[vm])
+		}
+	}
+	for i := range m.transfers {
+		m.take(i)
+	}
+	return m
+}
+
+func (m *model) ahead() mn.Millis {
+	return mn.Millis(rapid.Int64Range(-int64(modelSkew)/2, int64(modelSkew)/2).Draw(m.t, "ahead"))
+}
+
+func (m *model) newID() string {
+	m.ids++
+	return keyMade(m.clock.Wall()+m.ahead(), m.ids)
+}
+
+func (m *model) last() map[mn.VMID]mn.Incarnation {
+	if len(m.log) == 0 {
+		return nil
+	}
+	return m.log[len(m.log)-1].members
+}
+
+func (m *model) change(edit func(members map[mn.VMID]mn.Incarnation)) {
+	next := maps.Clone(m.last())
+	if next == nil {
+		next = map[mn.VMID]mn.Incarnation{}
+	}
+	edit(next)
+	m.log = append(m.log, record{m.clock.Now(), next})
+}
+
+// boot starts a new incarnation on vm, which joins the roster.
+func (m *model) boot(vm mn.VMID) {
+	a := &modelAgent{model: m, vm: vm, inc: mn.NewIncarnation()}
+	config := calls.DefaultConfig(vm, a.inc)
+	config.Skew, config.Lapse, config.KeyAge = modelSkew, modelLapse, 20*mn.Second
+	a.table = calls.New(config, skewedClock{m.clock, m.ahead()}, a)
+	if len(m.log) == 0 {
+		a.table.Genesis()
+	}
+	a.seen = len(m.log)
+	if a.seen > 0 {
+		a.table.Roster(mn.Offset(a.seen), m.log[a.seen-1].members)
+	}
+	m.agents[vm] = a
+	m.change(func(members map[mn.VMID]mn.Incarnation) { members[vm] = a.inc })
+}
+
+func (m *model) pickVM() mn.VMID { return rapid.SampledFrom(m.vms).Draw(m.t, "vm") }
+
+// pick returns one of the agents for which ok holds.
+func (m *model) pick(ok func(*modelAgent) bool) *modelAgent {
+	var list []mn.VMID
+	for _, vm := range m.vms {
+		if ok(m.agents[vm]) {
+			list = append(list, vm)
+		}
+	}
+	if len(list) == 0 {
+		m.t.Skip("none")
+	}
+	return m.agents[rapid.SampledFrom(list).Draw(m.t, "agent")]
+}
+
+// pickMessage prefers the latest.
+func (m *model) pickMessage() *message {
+	if len(m.wire) == 0 {
+		m.t.Skip("none")
+	}
+	back := rapid.IntRange(0, len(m.wire)-1).Draw(m.t, "back")
+	return m.wire[len(m.wire)-1-back]
+}
+
+func (m *model) tick(*rapid.T) {
+	m.clock.Advance(mn.Millis(rapid.Int64Range(1, 1500).Draw(m.t, "span")))
+}
+
+// see has an agent read the next record.
+func (m *model) see(*rapid.T) {
+	m.next(m.pick(func(a *modelAgent) bool { return a.seen < len(m.log) && !a.blind }))
+}
+
+// cut has an agent lose touch with the log, or find it again.
+func (m *model) cut(*rapid.T) {
+	m.seldom()
+	a := m.agents[m.pickVM()]
+	a.blind = !a.blind
+}
+
+func (m *model) next(a *modelAgent) {
+	r := m.log[a.seen]
+	a.seen++
+	m.send(a.table.Roster(mn.Offset(a.seen), r.members))
+}
+
+func (m *model) send(memories map[mn.VMID]calls.Memory) {
+	for _, vm := range slices.Sorted(maps.Keys(memories)) {
+		m.heirs = append(m.heirs, vm)
+		m.transfers = append(m.transfers, memories[vm])
+	}
+}
+
+// transfer delivers a memory, possibly again later, or never.
+func (m *model) transfer(*rapid.T) {
+	if len(m.transfers) == 0 {
+		m.t.Skip("none")
+	}
+	m.take(len(m.transfers) - 1 - rapid.IntRange(0, len(m.transfers)-1).Draw(m.t, "transfer"))
+}
+
+func (m *model) take(i int) {
+	_ = m.agents[m.heirs[i]].table.Import(m.transfers[i])
+}
+
+func (m *model) late(*rapid.T) {
+	m.send(m.agents[m.pickVM()].table.Late())
+}
+
+// kill replaces an agent by a new incarnation. Its calls in flight stay with
+// the endpoint, where they may have run or not.
+func (m *model) kill(*rapid.T) {
+	m.seldom()
+	m.boot(m.pickVM())
+}
+
+// seldom skips an action mostly.
+func (m *model) seldom() {
+	if rapid.IntRange(0, 3).Draw(m.t, "seldom") > 0 {
+		m.t.Skip("seldom")
+	}
+}
+
+func (m *model) remove(*rapid.T) {
+	m.seldom()
+	vm := m.pickVM()
+	m.change(func(members map[mn.VMID]mn.Incarnation) { delete(members, vm) })
+}
+
+func (m *model) rejoin(*rapid.T) {
+	a := m.agents[m.pickVM()]
+	if a.leaving {
+		m.t.Skip("leaving")
+	}
+	m.change(func(members map[mn.VMID]mn.Incarnation) { members[a.vm] = a.inc })
+}
+
+// leave is a planned shutdown: memory first, then the roster.
+func (m *model) leave(*rapid.T) {
+	m.seldom()
+	a := m.agents[m.pickVM()]
+	a.leaving = true
+	m.send(a.table.Leave())
+	m.change(func(members map[mn.VMID]mn.Incarnation) { delete(members, a.vm) })
+}
+
+func (m *model) book(*rapid.T) {
+	key := mn.IdempotencyKey(m.newID())
+	m.bookings[key] = &booking{key: key}
+	m.keys = append(m.keys, key)
+	m.request(m.bookings[key])
+}
+
+// retry sends another request for a booking.
+func (m *model) retry(*rapid.T) {
+	if len(m.keys) == 0 {
+		m.t.Skip("none")
+	}
+	m.request(m.bookings[rapid.SampledFrom(m.keys).Draw(m.t, "key")])
+}
+
+func (m *model) request(b *booking) {
+	first := true
+	for _, earlier := range b.messages {
+		first = first && earlier.request.First && earlier.notRun
+	}
+	members := m.log[rapid.IntRange(max(0, len(m.log)-3), len(m.log)-1).Draw(m.t, "view")].members
+	home, ok := rendez.Home(string(b.key), slices.Sorted(maps.Keys(members)))
+	if !ok || rapid.IntRange(0, 9).Draw(m.t, "astray") == 0 {
+		home = m.pickVM()
+	}
+	msg := &message{to: home, request: calls.Request{
+		ID:    mn.RequestID(m.newID()),
+		Key:   b.key,
+		First: first,
+	}}
+	if rapid.Bool().Draw(m.t, "addressed") {
+		msg.request.Agent = m.agents[home].inc
+	}
+	b.messages = append(b.messages, msg)
+	m.wire = append(m.wire, msg)
+}
+
+// deliver hands a request to an agent. A request that is taken stays on the
+// wire, so it may come again, even to a later process; one that is refused was
+// answered on the stream that carried it.
+func (m *model) deliver(*rapid.T) {
+	msg := m.pickMessage()
+	a := m.agents[msg.to]
+	c, owner, err := a.table.Begin(msg.request)
+	if err != nil && msg.taken {
+		return
+	}
+	if err != nil {
+		m.told(msg, err)
+		m.wire = slices.DeleteFunc(m.wire, func(o *message) bool { return o == msg })
+		return
+	}
+	msg.taken = true
+	if owner {
+		a.open = append(a.open, &running{message: msg, call: c})
+	}
+}
+
+// told checks an answer to a request: "not run" speaks of the request and of
+// all that were sent with the key before it.
+func (m *model) told(msg *message, err *mn.Error) {
+	if err.Outcome != mn.OutcomeNotRun {
+		m.unknown++
+		return
+	}
+	for _, sent := range m.bookings[msg.request.Key].messages {
+		require.False(m.t, sent.ran, "%s says not run: %v", msg.to, err)
+		sent.notRun = true
+		if sent == msg {
+			return
+		}
+	}
+}
+
+func (m *model) start(*rapid.T) {
+	waits := func(r *running) bool { return !r.started }
+	a := m.pick(func(a *modelAgent) bool { return slices.ContainsFunc(a.open, waits) })
+	i := slices.IndexFunc(a.open, waits)
+	r := a.open[i]
+	if err := r.call.Start(); err != nil {
+		a.open = slices.Delete(a.open, i, i+1)
+		r.message.notRun = true
+		return
+	}
+	r.started = true
+	r.message.ran = true
+	m.ran++
+	b := m.bookings[r.message.request.Key]
+	b.runs++
+	require.False(m.t, r.message.notRun, "request %s ran after it was answered not run", r.message.request.ID)
+	require.LessOrEqual(m.t, b.runs, 1, "key %s ran again, at %s", b.key, a.vm)
+}
+
+func (m *model) finish(*rapid.T) {
+	runs := func(r *running) bool { return r.started }
+	a := m.pick(func(a *modelAgent) bool { return slices.ContainsFunc(a.open, runs) })
+	i := slices.IndexFunc(a.open, runs)
+	if rapid.Bool().Draw(m.t, "done") {
+		a.open[i].call.Finish([]byte("ok"), nil)
+	} else {
+		a.open[i].call.Finish(nil, mn.Errorf(mn.OutcomeNotKnown, "endpoint"))
+	}
+	a.open = slices.Delete(a.open, i, i+1)
+}
+
+func (m *model) settle(*rapid.T) {
+	msg := m.pickMessage()
+	status := m.agents[msg.to].table.Settle(msg.request)
+	if status.Phase == calls.NotRun {
+		require.False(m.t, msg.ran, "%s settled as not run: %v", msg.to, status.Err)
+		msg.notRun = true
+	}
+	m.done(msg, status)
+}
+
+func (m *model) done(msg *message, status calls.Status) {
+	if status.Phase == calls.Done {
+		require.Equal(m.t, 1, m.bookings[msg.request.Key].runs)
+	}
+}
+
+// settleKey is what an entry does before it tells its caller "not run".
+func (m *model) settleKey(*rapid.T) {
+	msg := m.pickMessage()
+	b := m.bookings[msg.request.Key]
+	status := m.agents[msg.to].table.SettleKey(msg.request)
+	if status.Phase == calls.NotRun && (!msg.request.First || msg == b.messages[len(b.messages)-1]) {
+		m.told(b.messages[len(b.messages)-1], status.Err)
+	}
+	m.done(msg, status)
+}
+
+// Under any interleaving of requests, duplicates, late delivery, kills,
+// pauses, removals, planned leaving and lost or repeated handovers, no key runs
+// twice and nothing that ran is called "not run".
+func TestNoKeyRunsTwice(t *testing.T) {
+	ran, unknown := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": m.tick, "see": m.see, "see_2": m.see, "see_3": m.see, "transfer": m.transfer, "late": m.late,
+			"cut": m.cut, "kill": m.kill, "remove": m.remove, "rejoin": m.rejoin, "leave": m.leave,
+			"book": m.book, "retry": m.retry, "deliver": m.deliver, "deliver_2": m.deliver, "deliver_3": m.deliver,
+			"start": m.start, "start_2": m.start, "finish": m.finish, "settle": m.settle, "settle_key": m.settleKey,
+		})
+		ran += m.ran
+		unknown += m.unknown
+	})
+	t.Logf("%d calls ran, %d answers were unknown", ran, unknown)
+	require.Positive(t, ran)
+}
+
+// TestMain runs more cases than rapid's default; the flag still overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "4000"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
--- /dev/null
+++ b/core/calls/table.go
@@ -0,0 +1,421 @@
+package calls
+
+import (
+	"sync"
+
+	mn "mustardnotch"
+)
+
+// Config bounds a table.
+type Config struct {
+	// VM and Incarnation name the agent.
+	VM          mn.VMID
+	Incarnation mn.Incarnation
+	// Skew is the largest difference allowed between two wall clocks.
+	Skew mn.Millis
+	// Lapse is how long an agent that was removed from the roster may go on
+	// holding itself current.
+	Lapse mn.Millis
+	// KeyAge is how old an idempotency key may be. Each key is remembered at
+	// least until it is older than that.
+	KeyAge mn.Millis
+	// MaxCalls bounds the calls remembered; beyond it new ones are refused.
+	MaxCalls int
+	// MaxBytes bounds the answers kept; beyond it the oldest are dropped.
+	MaxBytes int64
+}
+
+// DefaultConfig returns the bounds of an agent on vm.
+func DefaultConfig(vm mn.VMID, incarnation mn.Incarnation) Config {
+	return Config{
+		VM:          vm,
+		Incarnation: incarnation,
+		Skew:        500 * mn.Millisecond,
+		Lapse:       3 * mn.Second,
+		KeyAge:      10 * mn.Minute,
+		MaxCalls:    200_000,
+		MaxBytes:    32 << 20,
+	}
+}
+
+// Table remembers the calls of one incarnation of an agent. It is safe for
+// concurrent use.
+type Table struct {
+	config   Config
+	clock    mn.Clock
+	currency mn.Currency
+	started  mn.Millis
+
+	mu     sync.Mutex
+	byID   map[mn.RequestID]*Call
+	byKey  map[mn.IdempotencyKey]*Call
+	barred map[mn.RequestID]bool
+	// keyBars holds, for keys that were settled, the time up to which requests
+	// with the key must have been made to be refused.
+	keyBars map[mn.IdempotencyKey]mn.Millis
+	// order holds what is remembered, oldest arrival first.
+	order []remembered
+	// kept holds the calls with an answer, oldest answer first.
+	kept      []*Call
+	keptBytes int64
+	homes     homes
+	draining  bool
+	// late holds outcomes of calls that were handed over while they ran.
+	late      []Late
+	lateReady chan struct{}
+}
+
+// remembered is an id, and the key that was barred with it if any, with the
+// time at which the table may forget them.
+type remembered struct {
+	id    mn.RequestID
+	key   mn.IdempotencyKey
+	until mn.Millis
+}
+
+// New returns an empty table. It runs no call with an idempotency key until
+// it has a roster with this agent in it.
+func New(config Config, clock mn.Clock, currency mn.Currency) *Table {
+	return &Table{
+		config:   config,
+		clock:    clock,
+		currency: currency,
+		started:  clock.Wall(),
+		byID:     map[mn.RequestID]*Call{},
+		byKey:    map[mn.IdempotencyKey]*Call{},
+		barred:   map[mn.RequestID]bool{},
+		keyBars:  map[mn.IdempotencyKey]mn.Millis{},
+		homes:    newHomes(config),
+
+		lateReady: make(chan struct{}, 1),
+	}
+}
+
+// Begin registers r. With owner set the caller of Begin has to run the call
+// and finish it. Otherwise an earlier request had the same id or key, and the
+// call returned is that one.
+func (t *Table) Begin(r Request) (call *Call, owner bool, err *mn.Error) {
+	made, err := t.check(r)
+	if err != nil {
+		return nil, false, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget()
+	if t.barred[r.ID] {
+		return nil, false, t.certain(r, mn.Errorf(mn.Barred, "request %s", r.ID))
+	}
+	if c := t.byID[r.ID]; c != nil {
+		return c, false, nil
+	}
+	if err := t.mine(r); err != nil {
+		return nil, false, t.certain(r, err)
+	}
+	if c := t.byKey[r.Key]; r.Key != "" && c != nil {
+		return t.again(c, r)
+	}
+	if err := t.admit(r); err != nil {
+		return nil, false, t.certain(r, err)
+	}
+	if err := t.covers(r, made); err != nil {
+		return nil, false, err
+	}
+	return t.register(r, made), true, nil
+}
+
+// check refuses ids and keys whose age can't be told or is out of bounds, and
+// returns when the key was made.
+func (t *Table) check(r Request) (mn.Millis, *mn.Error) {
+	made, err := mn.IdempotencyKey(r.ID).Created()
+	if err != nil {
+		return 0, mn.Errorf(mn.BadRequest, "request id: %w", err)
+	}
+	now := t.clock.Wall()
+	if made+t.config.KeyAge+t.config.Skew < now {
+		return 0, mn.Errorf(mn.Barred, "request %s was made %d ms ago", r.ID, now-made).WithOutcome(mn.OutcomeUnknown)
+	}
+	if r.Key == "" {
+		return made, nil
+	}
+	made, err = r.Key.Created()
+	if err != nil {
+		return 0, mn.Errorf(mn.BadIdempotencyKey, "%w", err)
+	}
+	if made > now+t.config.Skew {
+		return 0, mn.Errorf(mn.BadIdempotencyKey, "idempotency key was made %d ms in the future", made-now)
+	}
+	if made+t.config.KeyAge < now {
+		return 0, mn.Errorf(mn.KeyTooOld, "idempotency key was made %d ms ago, at most %d ms are remembered", now-made, t.config.KeyAge)
+	}
+	return made, nil
+}
+
+// again answers a request whose key the table knows.
+func (t *Table) again(c *Call, r Request) (*Call, bool, *mn.Error) {
+	if c.request.Fingerprint != r.Fingerprint {
+		return nil, false, mn.Errorf(mn.Duplicate, "idempotency key %s", r.Key)
+	}
+	if c.phase == Elsewhere {
+		return nil, false, mn.Errorf(HomeChanging, "request %s is at the key's former home", c.request.ID).WithRetry(retryHome)
+	}
+	if len(t.order) >= 2*t.config.MaxCalls {
+		return nil, false, mn.Errorf(mn.Overloaded, "agent %s remembers %d requests", t.config.VM, len(t.order)).
+			WithOutcome(mn.OutcomeUnknown).WithRetry(mn.Second)
+	}
+	// From now on r.ID names the same call, so that Settle finds it.
+	t.byID[r.ID] = c
+	t.remember(r.ID)
+	return c, false, nil
+}
+
+// retryHome is how long to wait for a former home's memory.
+const retryHome = 100 * mn.Millisecond
+
+func (t *Table) admit(r Request) *mn.Error {
+	if made, _ := mn.IdempotencyKey(r.ID).Created(); r.Key != "" && made <= t.keyBars[r.Key] {
+		return mn.Errorf(mn.Barred, "requests with key %s up to %s are barred", r.Key, r.ID).WithRetry(t.config.Skew)
+	}
+	if t.draining {
+		return mn.Errorf(mn.Draining, "agent %s is leaving", t.config.VM).WithRetry(retryHome)
+	}
+	if err := t.mayRun(r); err != nil {
+		return err
+	}
+	if len(t.byID) >= t.config.MaxCalls {
+		return mn.Errorf(mn.Overloaded, "agent %s remembers %d calls", t.config.VM, len(t.byID)).WithRetry(mn.Second)
+	}
+	return nil
+}
+
+// covers returns an error if a call with the key of r may have run without
+// this table's knowledge, or may still run elsewhere. The first request with a
+// key was sent nowhere before, so it may run as soon as no other agent can.
+func (t *Table) covers(r Request, made mn.Millis) *mn.Error {
+	if r.Key == "" {
+		return nil
+	}
+	if !r.First {
+		return t.homes.covers(r.Key, made)
+	}
+	if err := t.homes.covers(r.Key, t.clock.Wall()); err != nil {
+		return err.WithOutcome(mn.OutcomeNotRun)
+	}
+	return nil
+}
+
+// certain weakens the outcome of a refusal to "unknown" where an earlier
+// request with the same key may have run or may yet arrive.
+func (t *Table) certain(r Request, err *mn.Error) *mn.Error {
+	if r.Key == "" || r.First {
+		return err
+	}
+	return err.WithOutcome(mn.OutcomeUnknown)
+}
+
+// mayRun says whether this agent may run r as far as homes go.
+func (t *Table) mayRun(r Request) *mn.Error {
+	if r.Key == "" {
+		return nil
+	}
+	if err := t.currency.Current(); err != nil {
+		return mn.AsError(err)
+	}
+	return t.homes.isHome(r.Key)
+}
+
+func (t *Table) register(r Request, made mn.Millis) *Call {
+	c := &Call{table: t, request: r, made: made, finished: make(chan struct{})}
+	t.byID[r.ID] = c
+	if r.Key != "" {
+		t.byKey[r.Key] = c
+	}
+	t.remember(r.ID)
+	return c
+}
+
+// remember keeps id for as long as a request or key that is still accepted
+// could arrive again.
+func (t *Table) remember(id mn.RequestID) {
+	t.rememberBar(id, "")
+}
+
+func (t *Table) rememberBar(id mn.RequestID, key mn.IdempotencyKey) {
+	t.order = append(t.order, remembered{id, key, t.clock.Wall() + t.config.KeyAge + 2*t.config.Skew})
+}
+
+func (t *Table) forget() {
+	now := t.clock.Wall()
+	for len(t.order) > 0 && t.order[0].until < now {
+		id := t.order[0].id
+		c := t.byID[id]
+		if c != nil && (c.phase == Registered || c.phase == Started) {
+			return
+		}
+		delete(t.barred, id)
+		delete(t.keyBars, t.order[0].key)
+		t.order = t.order[1:]
+		if c != nil {
+			t.drop(id, c)
+		}
+	}
+	t.homes.forget(now)
+}
+
+func (t *Table) drop(id mn.RequestID, c *Call) {
+	delete(t.byID, id)
+	if c.request.ID != id {
+		return
+	}
+	if t.byKey[c.request.Key] == c {
+		delete(t.byKey, c.request.Key)
+	}
+	t.release(c)
+	for len(t.kept) > 0 && t.kept[0].dropped {
+		t.kept = t.kept[1:]
+	}
+}
+
+// release drops the answer of c.
+func (t *Table) release(c *Call) {
+	if c.phase != Done || c.dropped {
+		return
+	}
+	t.keptBytes -= int64(len(c.answer))
+	c.answer, c.dropped = nil, true
+}
+
+func (t *Table) finish(c *Call, p Phase, answer []byte, err *mn.Error) {
+	if c.phase != Registered && c.phase != Started && c.phase != Elsewhere {
+		return
+	}
+	c.phase, c.answer, c.err = p, answer, err
+	if p == NotRun && t.byKey[c.request.Key] == c {
+		// Another request with the key may still run.
+		delete(t.byKey, c.request.Key)
+	}
+	close(c.finished)
+	t.keep(c)
+	t.tellLate(c)
+}
+
+// keep bounds the answers kept.
+func (t *Table) keep(c *Call) {
+	if c.phase != Done {
+		return
+	}
+	t.kept = append(t.kept, c)
+	t.keptBytes += int64(len(c.answer))
+	for t.keptBytes > t.config.MaxBytes && len(t.kept) > 1 {
+		t.release(t.kept[0])
+		t.kept = t.kept[1:]
+	}
+}
+
+// Settle says what became of the request r. One that was never seen, or that
+// has not started, is barred, and is then in phase NotRun for good. A request
+// that a former process may have run is in phase Unknown.
+func (t *Table) Settle(r Request) Status {
+	if _, err := t.check(r); err != nil {
+		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.settle(r)
+}
+
+// SettleKey is like Settle for every request with the key of r that was sent
+// until now: in phase NotRun none of them has run or will.
+func (t *Table) SettleKey(r Request) Status {
+	made, err := t.check(r)
+	if err != nil {
+		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	status := t.settle(r)
+	if r.Key == "" || status.Phase != NotRun {
+		return status
+	}
+	if c := t.byKey[r.Key]; c != nil {
+		return c.status()
+	}
+	if err := t.barKey(r, made); err != nil {
+		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
+	}
+	return status
+}
+
+func (t *Table) settle(r Request) Status {
+	t.forget()
+	if c := t.byID[r.ID]; c != nil {
+		if c.phase == Registered && c.request.ID == r.ID {
+			t.finish(c, NotRun, nil, mn.Errorf(mn.Barred, "request %s was barred before it started", r.ID))
+		}
+		return c.status()
+	}
+	if err := t.bar(r); err != nil {
+		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
+	}
+	return Status{Phase: NotRun, Err: mn.Errorf(mn.Barred, "request %s was never seen and is now barred", r.ID)}
+}
+
+// barKey bars the requests with the key of r that were made until now. It
+// fails if one may have run, or may yet run, at another agent.
+func (t *Table) barKey(r Request, made mn.Millis) *mn.Error {
+	if err := t.mayRun(r); err != nil {
+		return err
+	}
+	if err := t.covers(r, made); err != nil {
+		return err
+	}
+	t.keyBars[r.Key] = t.clock.Wall() + t.config.Skew
+	t.rememberBar(r.ID, r.Key)
+	return nil
+}
+
+// mine returns an error if r may have been delivered to a former process.
+func (t *Table) mine(r Request) *mn.Error {
+	if r.Agent == t.config.Incarnation {
+		return nil
+	}
+	if r.Agent != "" {
+		return mn.Errorf(OtherProcess, "request %s is for incarnation %s, this is %s", r.ID, r.Agent, t.config.Incarnation)
+	}
+	made, err := mn.IdempotencyKey(r.ID).Created()
+	if err != nil || made-t.config.Skew <= t.started {
+		return mn.Errorf(OtherProcess, "request %s is older than the agent's process", r.ID)
+	}
+	return nil
+}
+
+// bar refuses the id of r from now on. It fails if the id may have been seen
+// by a former process.
+func (t *Table) bar(r Request) *mn.Error {
+	if t.barred[r.ID] {
+		return nil
+	}
+	if err := t.mine(r); err != nil {
+		return err
+	}
+	if len(t.order) >= 2*t.config.MaxCalls {
+		return mn.Errorf(mn.OutcomeNotKnown, "agent %s can bar no more requests", t.config.VM)
+	}
+	t.barred[r.ID] = true
+	t.remember(r.ID)
+	return nil
+}
+
+// Drain refuses every new call from now on.
+func (t *Table) Drain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = true
+}
+
+// Size returns how many calls the table remembers and the bytes of the answers
+// that it keeps.
+func (t *Table) Size() (remembered int, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID), t.keptBytes
+}
--- /dev/null
+++ b/core/poison/ward.go
@@ -0,0 +1,86 @@
+package poison
+
+import (
+	"context"
+	"sync"
+)
+
+// Ward knows what runs on one endpoint and lets no more than one suspect run
+// there at a time. It is safe for concurrent use.
+type Ward struct {
+	tracker *Tracker
+	single  chan struct{}
+
+	mu      sync.Mutex
+	running map[*Stay]struct{}
+}
+
+// Stay is the time of one request on the endpoint.
+type Stay struct {
+	ward        *Ward
+	fingerprint string
+	suspect     bool
+}
+
+// NewWard returns a ward of an endpoint on which nothing runs.
+func NewWard(tracker *Tracker) *Ward {
+	return &Ward{tracker: tracker, single: make(chan struct{}, 1), running: map[*Stay]struct{}{}}
+}
+
+// Enter admits a request to the endpoint. A suspect waits until no other one
+// runs there. It fails with code Quarantined, or with the error of ctx.
+func (w *Ward) Enter(ctx context.Context, fingerprint string) (*Stay, error) {
+	s := &Stay{ward: w, fingerprint: fingerprint, suspect: w.tracker.Crashes(fingerprint) > 0}
+	if s.suspect {
+		select {
+		case w.single <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if err := w.tracker.Check(fingerprint); err != nil {
+		s.free()
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[s] = struct{}{}
+	return s, nil
+}
+
+// Leave ends the stay. With whole set the request ran to its end, which clears
+// it of suspicion.
+func (s *Stay) Leave(whole bool) {
+	w := s.ward
+	w.mu.Lock()
+	_, present := w.running[s]
+	delete(w.running, s)
+	w.mu.Unlock()
+	if present {
+		s.free()
+	}
+	if whole && s.suspect {
+		w.tracker.Clear(s.fingerprint)
+	}
+}
+
+func (s *Stay) free() {
+	if s.suspect {
+		<-s.ward.single
+	}
+}
+
+// Crashed returns the fingerprints that count against a crash of the endpoint:
+// the suspect that ran there, or else everything that did.
+func (w *Ward) Crashed() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []string
+	for s := range w.running {
+		if s.suspect {
+			return []string{s.fingerprint}
+		}
+		all = append(all, s.fingerprint)
+	}
+	return all
+}
--- /dev/null
+++ b/core/rendez/rendez.go
@@ -0,0 +1,66 @@
+// Package rendez picks members for keys by rendezvous hashing.
+//
+// Every process that knows the same members picks the same one for a key. A
+// member that joins or leaves moves only the keys that it gains or loses.
+package rendez
+
+import (
+	"cmp"
+	"slices"
+
+	mn "mustardnotch"
+)
+
+// FNV-1a, 64 bits.
+const (
+	fnvOffset uint64 = 14695981039346656037
+	fnvPrime  uint64 = 1099511628211
+)
+
+// Home returns the member that scores highest for key. It returns false if
+// there are no members. The order of members does not matter.
+func Home(key string, members []mn.VMID) (mn.VMID, bool) {
+	var best mn.VMID
+	var high uint64
+	for i, m := range members {
+		s := score(key, m)
+		if i == 0 || s > high || s == high && m < best {
+			best, high = m, s
+		}
+	}
+	return best, len(members) > 0
+}
+
+// Top returns the count members that score highest for key, best first. With
+// fewer members it returns all of them.
+func Top(key string, members []mn.VMID, count int) []mn.VMID {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b mn.VMID) int {
+		if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return sorted[:min(count, len(sorted))]
+}
+
+func score(key string, member mn.VMID) uint64 {
+	h := hash(fnvOffset, string(member))
+	h = hash(h*fnvPrime, key)
+	return mix(h)
+}
+
+func hash(h uint64, s string) uint64 {
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * fnvPrime
+	}
+	return h
+}
+
+// mix is the finalizer of MurmurHash3: without it the high bits of FNV-1a
+// hardly depend on the last bytes of the input.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
