--- a/core/calls/homes.go
+++ b/core/calls/homes.go
@@ -19,6 +19,9 @@
 	Until mn.Millis
 	// Since is the offset of the record that opened the gap.
 	Since mn.Offset
+	// Inherited says that another agent lacked the memory and then handed over
+	// its own. What Lost divided among others does not fill such a gap.
+	Inherited bool
 }
 
 // hides says whether a call with key, of which nobody can have known before
@@ -160,10 +163,11 @@
 		h.handed[m.Incarnation] = m.Among
 	}
 	h.gaps = slices.DeleteFunc(h.gaps, func(g Gap) bool {
-		return h.divided(g) || !m.Final && g.Incarnation == m.Incarnation && g.Since <= m.AsOf
+		return !g.Inherited && h.divided(g) || !m.Final && g.Incarnation == m.Incarnation && g.Since <= m.AsOf
 	})
 	for _, g := range m.Lacks {
-		if !h.divided(g) && !h.has(g) {
+		g.Inherited = true
+		if !h.has(g) {
 			h.gaps = append(h.gaps, g)
 		}
 	}
@@ -171,7 +175,7 @@
 
 func (h *homes) has(g Gap) bool {
 	return slices.ContainsFunc(h.gaps, func(o Gap) bool {
-		return o.Lost == g.Lost && o.Incarnation == g.Incarnation && o.Until >= g.Until && slices.Equal(o.Members, g.Members)
+		return o.Inherited && o.Lost == g.Lost && o.Incarnation == g.Incarnation && o.Until >= g.Until && slices.Equal(o.Members, g.Members)
 	})
 }
 
--- a/core/calls/table.go
+++ b/core/calls/table.go
@@ -19,6 +19,9 @@
 	// KeyAge is how old an idempotency key may be. Each key is remembered at
 	// least until it is older than that.
 	KeyAge mn.Millis
+	// IDAge is how old the id of a request may be when it arrives. A request
+	// without a key is remembered at least until its id is older than that.
+	IDAge mn.Millis
 	// MaxCalls bounds the calls remembered; beyond it new ones are refused.
 	MaxCalls int
 	// MaxBytes bounds the answers kept; beyond it the oldest are dropped.
@@ -33,6 +36,7 @@
 		Skew:        500 * mn.Millisecond,
 		Lapse:       3 * mn.Second,
 		KeyAge:      10 * mn.Minute,
+		IDAge:       15 * mn.Second,
 		MaxCalls:    200_000,
 		MaxBytes:    32 << 20,
 	}
@@ -53,8 +57,10 @@
 	// keyBars holds, for keys that were settled, the time up to which requests
 	// with the key must have been made to be refused.
 	keyBars map[mn.IdempotencyKey]mn.Millis
-	// order holds what is remembered, oldest arrival first.
-	order []remembered
+	// ids holds the requests without a key that are remembered, keys those with
+	// one, both roughly in order of the time until which they are.
+	ids  []remembered
+	keys []remembered
 	// kept holds the calls with an answer, oldest answer first.
 	kept      []*Call
 	keptBytes int64
@@ -131,7 +137,7 @@
 		return 0, mn.Errorf(mn.BadRequest, "request id: %w", err)
 	}
 	now := t.clock.Wall()
-	if made+t.config.KeyAge+t.config.Skew < now {
+	if made+t.config.IDAge+t.config.Skew < now {
 		return 0, mn.Errorf(mn.Barred, "request %s was made %d ms ago", r.ID, now-made).WithOutcome(mn.OutcomeUnknown)
 	}
 	if r.Key == "" {
@@ -158,13 +164,13 @@
 	if c.phase == Elsewhere {
 		return nil, false, mn.Errorf(HomeChanging, "request %s is at the key's former home", c.request.ID).WithRetry(retryHome)
 	}
-	if len(t.order) >= 2*t.config.MaxCalls {
-		return nil, false, mn.Errorf(mn.Overloaded, "agent %s remembers %d requests", t.config.VM, len(t.order)).
+	if t.size() >= 2*t.config.MaxCalls {
+		return nil, false, mn.Errorf(mn.Overloaded, "agent %s remembers %d requests", t.config.VM, t.size()).
 			WithOutcome(mn.OutcomeUnknown).WithRetry(mn.Second)
 	}
 	// From now on r.ID names the same call, so that Settle finds it.
 	t.byID[r.ID] = c
-	t.remember(r.ID)
+	t.remember(r.ID, "")
 	return c, false, nil
 }
 
@@ -229,36 +235,53 @@
 	if r.Key != "" {
 		t.byKey[r.Key] = c
 	}
-	t.remember(r.ID)
+	t.remember(r.ID, r.Key)
 	return c
 }
 
-// remember keeps id for as long as a request or key that is still accepted
-// could arrive again.
-func (t *Table) remember(id mn.RequestID) {
-	t.rememberBar(id, "")
-}
+func (t *Table) size() int { return len(t.ids) + len(t.keys) }
 
-func (t *Table) rememberBar(id mn.RequestID, key mn.IdempotencyKey) {
-	t.order = append(t.order, remembered{id, key, t.clock.Wall() + t.config.KeyAge + 2*t.config.Skew})
+// remember keeps id for as long as a request with it or with key, if that is
+// not empty, could still be accepted.
+func (t *Table) remember(id mn.RequestID, key mn.IdempotencyKey) {
+	e := remembered{id: id, key: key, until: t.clock.Wall() + 2*t.config.Skew}
+	if key == "" {
+		e.until += t.config.IDAge
+		t.ids = append(t.ids, e)
+		return
+	}
+	e.until += t.config.KeyAge
+	t.keys = append(t.keys, e)
 }
 
 func (t *Table) forget() {
 	now := t.clock.Wall()
-	for len(t.order) > 0 && t.order[0].until < now {
-		id := t.order[0].id
-		c := t.byID[id]
-		if c != nil && (c.phase == Registered || c.phase == Started) {
-			return
+	t.ids = t.forgetFrom(t.ids, now)
+	t.keys = t.forgetFrom(t.keys, now)
+	t.homes.forget(now)
+}
+
+// forgetFrom drops what is past its time from the front of queue. Calls that
+// still run go to the end.
+func (t *Table) forgetFrom(queue []remembered, now mn.Millis) []remembered {
+	var running []remembered
+	for len(queue) > 0 && queue[0].until < now {
+		e := queue[0]
+		queue = queue[1:]
+		if c := t.byID[e.id]; c != nil && (c.phase == Registered || c.phase == Started) {
+			e.until = now + t.config.IDAge
+			running = append(running, e)
+			continue
+		}
+		delete(t.barred, e.id)
+		if e.key != "" {
+			delete(t.keyBars, e.key)
 		}
-		delete(t.barred, id)
-		delete(t.keyBars, t.order[0].key)
-		t.order = t.order[1:]
-		if c != nil {
-			t.drop(id, c)
+		if c := t.byID[e.id]; c != nil {
+			t.drop(e.id, c)
 		}
 	}
-	t.homes.forget(now)
+	return append(queue, running...)
 }
 
 func (t *Table) drop(id mn.RequestID, c *Call) {
@@ -315,9 +338,6 @@
 // has not started, is barred, and is then in phase NotRun for good. A request
 // that a former process may have run is in phase Unknown.
 func (t *Table) Settle(r Request) Status {
-	if _, err := t.check(r); err != nil {
-		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.settle(r)
@@ -337,6 +357,9 @@
 		return status
 	}
 	if c := t.byKey[r.Key]; c != nil {
+		if c.request.Fingerprint != r.Fingerprint {
+			return Status{Phase: Unknown, Err: mn.Errorf(mn.Duplicate, "idempotency key %s", r.Key)}
+		}
 		return c.status()
 	}
 	if err := t.barKey(r, made); err != nil {
@@ -353,6 +376,9 @@
 		}
 		return c.status()
 	}
+	if _, err := t.check(Request{ID: r.ID}); err != nil {
+		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
+	}
 	if err := t.bar(r); err != nil {
 		return Status{Phase: Unknown, Err: err.WithOutcome(mn.OutcomeUnknown)}
 	}
@@ -369,7 +395,7 @@
 		return err
 	}
 	t.keyBars[r.Key] = t.clock.Wall() + t.config.Skew
-	t.rememberBar(r.ID, r.Key)
+	t.remember(r.ID, r.Key)
 	return nil
 }
 
@@ -397,11 +423,11 @@
 	if err := t.mine(r); err != nil {
 		return err
 	}
-	if len(t.order) >= 2*t.config.MaxCalls {
+	if t.size() >= 2*t.config.MaxCalls {
 		return mn.Errorf(mn.OutcomeNotKnown, "agent %s can bar no more requests", t.config.VM)
 	}
 	t.barred[r.ID] = true
-	t.remember(r.ID)
+	t.remember(r.ID, "")
 	return nil
 }
 
--- a/core/poison/ward.go
+++ b/core/poison/ward.go
@@ -20,6 +20,8 @@
 	ward        *Ward
 	fingerprint string
 	suspect     bool
+	// counted says that a crash during the stay has been counted.
+	counted bool
 }
 
 // NewWard returns a ward of an endpoint on which nothing runs.
@@ -70,17 +72,26 @@
 	}
 }
 
-// Crashed returns the fingerprints that count against a crash of the endpoint:
-// the suspect that ran there, or else everything that did.
-func (w *Ward) Crashed() []string {
+// Crashed is called by whoever sees that the endpoint crashed during the stay.
+// It returns the fingerprints that count against that crash, once: the suspect
+// that ran there, or else everything that did.
+func (s *Stay) Crashed() []string {
+	w := s.ward
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var all []string
-	for s := range w.running {
-		if s.suspect {
-			return []string{s.fingerprint}
+	if s.counted {
+		return nil
+	}
+	var all, suspects []string
+	for o := range w.running {
+		if o.suspect && !o.counted {
+			suspects = append(suspects, o.fingerprint)
 		}
-		all = append(all, s.fingerprint)
+		all = append(all, o.fingerprint)
+		o.counted = true
+	}
+	if len(suspects) > 0 {
+		return suspects
 	}
 	return all
 }
--- /dev/null
+++ b/io/wire/memory.go
@@ -0,0 +1,93 @@
+package wire
+
+import (
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/gen/meshpb"
+)
+
+// MemoryOf returns m as it crosses between agents of pool.
+func MemoryOf(pool mn.PoolID, m calls.Memory) *meshpb.HandoverRequest {
+	out := &meshpb.HandoverRequest{
+		Pool:        string(pool),
+		Vm:          string(m.From),
+		Incarnation: string(m.Incarnation),
+		To:          string(m.To),
+		AsOf:        int64(m.AsOf),
+		Final:       m.Final,
+		Among:       stringsOf(m.Among),
+		Partial:     m.Partial,
+	}
+	for _, k := range m.Keys {
+		out.Keys = append(out.Keys, &meshpb.HandoverKey{
+			Key:         string(k.Key),
+			RequestId:   string(k.ID),
+			Fingerprint: k.Fingerprint[:],
+			Phase:       int32(k.Phase),
+			Body:        k.Answer,
+			Dropped:     k.Dropped,
+		})
+	}
+	for _, g := range m.Lacks {
+		out.Lacks = append(out.Lacks, &meshpb.HandoverGap{
+			Members:     stringsOf(g.Members),
+			Lost:        string(g.Lost),
+			Incarnation: string(g.Incarnation),
+			UntilMs:     int64(g.Until),
+			Since:       int64(g.Since),
+		})
+	}
+	return out
+}
+
+// ToMemory is the inverse of [MemoryOf].
+func ToMemory(in *meshpb.HandoverRequest) (calls.Memory, error) {
+	m := calls.Memory{
+		From:        mn.VMID(in.Vm),
+		Incarnation: mn.Incarnation(in.Incarnation),
+		To:          mn.Incarnation(in.To),
+		AsOf:        mn.Offset(in.AsOf),
+		Final:       in.Final,
+		Among:       vmsOf(in.Among),
+		Partial:     in.Partial,
+	}
+	for _, k := range in.Keys {
+		kept := calls.Kept{
+			Key:     mn.IdempotencyKey(k.Key),
+			ID:      mn.RequestID(k.RequestId),
+			Phase:   calls.Phase(k.Phase),
+			Answer:  k.Body,
+			Dropped: k.Dropped,
+		}
+		if copy(kept.Fingerprint[:], k.Fingerprint) != len(kept.Fingerprint) {
+			return m, mn.Errorf(mn.BadRequest, "key %s: fingerprint has %d bytes, want %d", k.Key, len(k.Fingerprint), len(kept.Fingerprint))
+		}
+		m.Keys = append(m.Keys, kept)
+	}
+	for _, g := range in.Lacks {
+		m.Lacks = append(m.Lacks, calls.Gap{
+			Members:     vmsOf(g.Members),
+			Lost:        mn.VMID(g.Lost),
+			Incarnation: mn.Incarnation(g.Incarnation),
+			Until:       mn.Millis(g.UntilMs),
+			Since:       mn.Offset(g.Since),
+		})
+	}
+	return m, nil
+}
+
+func stringsOf(vms []mn.VMID) []string {
+	var out []string
+	for _, v := range vms {
+		out = append(out, string(v))
+	}
+	return out
+}
+
+func vmsOf(names []string) []mn.VMID {
+	var out []mn.VMID
+	for _, n := range names {
+		out = append(out, mn.VMID(n))
+	}
+	return out
+}
