Calls run at most once through the daemons; generations go on elsewhere

Agents run keyed calls only at the key's home, keep answers, settle and bar requests, keep generations for readers that come back, and hand their memory over when the roster changes. Entries retry only what has not run, settle after a cut link, attach to answers after a broken connection, go on at another agent from what was sent, and say "not run" of a call with a key only when its home does.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -69,6 +69,9 @@
 	heir mn.VMID
 }
 
+// ID returns the id of the request that the call was registered with.
+func (c *Call) ID() mn.RequestID { return c.request.ID }
+
 // Finished returns a channel that is closed once the call has an outcome.
 func (c *Call) Finished() <-chan struct{} { return c.finished }
 
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -16,6 +16,16 @@
 	mn "mustardnotch"
 )
 
+// EndpointCrashed means that the endpoint's process ended while it worked on a
+// request.
+const EndpointCrashed mn.Code = 325
+
+func init() {
+	mn.RegisterCode(mn.CodeDoc{Code: EndpointCrashed, Title: "endpoint crashed", Since: "0.1",
+		Severity: mn.SeverityRetry, Outcome: mn.OutcomeUnknown,
+		Text: "The endpoint's process ended while it worked on the request. A generation goes on at one other endpoint."})
+}
+
 // Config bounds a tracker.
 type Config struct {
 	// Crashes is how many endpoints a request may crash.
--- a/core/poison/ward.go
+++ b/core/poison/ward.go
@@ -73,25 +73,17 @@
 }
 
 // Crashed is called by whoever sees that the endpoint crashed during the stay.
-// It returns the fingerprints that count against that crash, once: the suspect
-// that ran there, or else everything that did.
+// It returns the fingerprints of all requests that ran there, once for each.
 func (s *Stay) Crashed() []string {
 	w := s.ward
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if s.counted {
-		return nil
-	}
-	var all, suspects []string
+	var all []string
 	for o := range w.running {
-		if o.suspect && !o.counted {
-			suspects = append(suspects, o.fingerprint)
+		if !o.counted {
+			all = append(all, o.fingerprint)
 		}
-		all = append(all, o.fingerprint)
 		o.counted = true
 	}
-	if len(suspects) > 0 {
-		return suspects
-	}
 	return all
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -57,7 +57,10 @@
 	Recv() (*meshpb.Frame, error)
 }
 
-var errSilent = errors.New("no frame or heartbeat within the limit")
+var (
+	errSilent = errors.New("no frame or heartbeat within the limit")
+	errNoEnd  = errors.New("stream ended without an end marker")
+)
 
 func receive(ctx context.Context, cancel context.CancelCauseFunc, addr string, in frameReceiver, k *checker, sink func(*meshpb.Frame) error) error {
 	watchdog := time.AfterFunc(silenceLimit.Duration(), func() { cancel(errSilent) })
@@ -97,21 +100,24 @@
 		return mn.Errorf(mn.Cancelled, "waiting for the agent at %s: %w", addr, err)
 	}
 	if errors.Is(err, io.EOF) {
-		return mn.Errorf(mn.Truncated, "agent at %s ended the stream without an end marker", addr)
+		return linkError(addr, errNoEnd)
 	}
 	return linkError(addr, err)
 }
 
 // linkError wraps a failure of the connection to an agent.
 func linkError(addr string, err error) error {
+	link := &wire.LinkError{Addr: addr, Err: err}
 	if wire.NeverSent(err) {
-		return mn.Errorf(mn.NoEndpoint, "agent at %s: %w", addr, err)
+		return mn.Errorf(mn.NoEndpoint, "%w", link)
 	}
-	return mn.Errorf(mn.OutcomeNotKnown, "agent at %s: %w", addr, err)
+	return mn.Errorf(mn.OutcomeNotKnown, "%w", link)
 }
 
 // checker verifies that the frames of an answer are whole and in order.
 type checker struct {
+	// partial says that the beginning of the answer was not seen.
+	partial  bool
 	sequence int64
 	length   int64
 	sum      hash.Hash
@@ -142,6 +148,9 @@
 }
 
 func (k *checker) finish(e *meshpb.End) error {
+	if k.partial {
+		return nil
+	}
 	if e.Length != k.length {
 		return mn.Errorf(mn.Truncated, "answer has %d bytes, its end marker says %d", k.length, e.Length)
 	}
--- /dev/null
+++ b/io/agent/settle.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"context"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// replyLimit bounds a call that an agent answers at once.
+const replyLimit = 1 * mn.Second
+
+// Attach goes on with the answer to a request that was submitted before, after
+// the frames whose text is had. It returns as Submit does.
+func (c *Client) Attach(ctx context.Context, addr string, r *meshpb.AttachRequest, had string, sink func(*meshpb.Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn := c.conns.Get(ctx, addr)
+	defer conn.Close()
+	stream, err := meshpb.NewDRPCAgentClient(conn).Attach(ctx, r)
+	if err != nil {
+		return linkError(addr, err)
+	}
+	defer stream.Close()
+	return receive(ctx, cancel, addr, stream, newChecker(had, r.AfterSequence), sink)
+}
+
+// Resume is like Attach for a reader that has not seen the frames before, so
+// that only their order is checked.
+func (c *Client) Resume(ctx context.Context, addr string, r *meshpb.AttachRequest, sink func(*meshpb.Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn := c.conns.Get(ctx, addr)
+	defer conn.Close()
+	stream, err := meshpb.NewDRPCAgentClient(conn).Attach(ctx, r)
+	if err != nil {
+		return linkError(addr, err)
+	}
+	defer stream.Close()
+	k := newChecker("", r.AfterSequence)
+	k.partial = true
+	return receive(ctx, cancel, addr, stream, k, sink)
+}
+
+// Settle asks the agent at addr what became of a request.
+func (c *Client) Settle(ctx context.Context, addr string, r *meshpb.SettleRequest) (*meshpb.SettleReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, replyLimit.Duration())
+	defer cancel()
+	conn := c.conns.Get(ctx, addr)
+	defer conn.Close()
+	reply, err := meshpb.NewDRPCAgentClient(conn).Settle(ctx, r)
+	if err != nil {
+		return nil, linkError(addr, err)
+	}
+	return reply, nil
+}
+
+// Handover gives memory to the agent of pool at addr.
+func (c *Client) Handover(ctx context.Context, addr string, pool mn.PoolID, memory calls.Memory) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*replyLimit.Duration())
+	defer cancel()
+	conn := c.conns.Get(ctx, addr)
+	defer conn.Close()
+	reply, err := meshpb.NewDRPCAgentClient(conn).Handover(ctx, wire.MemoryOf(pool, memory))
+	if err != nil {
+		return linkError(addr, err)
+	}
+	return wire.ErrorOf(reply.Failure)
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -13,6 +13,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	mn "mustardnotch"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/retry"
 	"mustardnotch/core/spans"
 	"mustardnotch/gen/apipb"
 	"mustardnotch/gen/meshpb"
@@ -25,6 +27,12 @@
 type Agents interface {
 	// Submit runs a request at the agent at addr and passes its frames on.
 	Submit(ctx context.Context, addr string, r *meshpb.Request, sink func(*meshpb.Frame) error) error
+	// Attach goes on with an answer of which the text had was received.
+	Attach(ctx context.Context, addr string, r *meshpb.AttachRequest, had string, sink func(*meshpb.Frame) error) error
+	// Resume is like Attach for a reader that has not seen the earlier text.
+	Resume(ctx context.Context, addr string, r *meshpb.AttachRequest, sink func(*meshpb.Frame) error) error
+	// Settle asks what became of a request and bars one that was never seen.
+	Settle(ctx context.Context, addr string, r *meshpb.SettleRequest) (*meshpb.SettleReply, error)
 }
 
 // Config has what a server depends on.
@@ -37,8 +45,12 @@
 	Router   mn.Router
 	Recorder mn.Recorder
 	Agents   Agents
-	Tracer   trace.Tracer
-	Log      *logrus.Entry
+	// Retries bounds the requests that are tried again.
+	Retries *retry.Budget
+	// Poisons knows which requests crashed endpoints.
+	Poisons *poison.Tracker
+	Tracer  trace.Tracer
+	Log     *logrus.Entry
 	// MaxBody bounds a request's size in bytes.
 	MaxBody int64
 	// Drain says whether the entry is leaving.
@@ -84,8 +96,14 @@
 }
 
 // Resume implements the service.
-func (s *Server) Resume(context.Context, *connect.Request[apipb.ResumeRequest], *connect.ServerStream[apipb.GenerateChunk]) error {
-	return ToConnect(mn.Errorf(mn.UnknownRequest, "this entry holds no generations"))
+func (s *Server) Resume(ctx context.Context, req *connect.Request[apipb.ResumeRequest], out *connect.ServerStream[apipb.GenerateChunk]) error {
+	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.resume")
+	defer span.End()
+	err := s.resume(ctx, req, out)
+	if err != nil {
+		spans.Fail(span, err)
+	}
+	return ToConnect(err)
 }
 
 func remote(ctx context.Context, h http.Header) context.Context {
--- /dev/null
+++ b/io/caller/generation.go
@@ -0,0 +1,206 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	mn "mustardnotch"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/retry"
+	"mustardnotch/core/spans"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// attachTries is how often an entry attaches to an answer at the same agent
+// before it goes on at another.
+const attachTries = 3
+
+// generation is one generation on its way to its caller, by one agent or
+// several.
+type generation struct {
+	server   *Server
+	request  *meshpb.Request
+	sink     func(mn.VMID, *meshpb.Frame) error
+	text     strings.Builder
+	backoff  retry.Backoff
+	avoid    []mn.VMID
+	sinkErr  error
+	sequence int64
+	tokens   int64
+	began    mn.Millis
+}
+
+// runGeneration runs r and passes its frames to sink. When an agent or its
+// engine fails, it goes on from what was already sent.
+func (s *Server) runGeneration(ctx context.Context, r *meshpb.Request, sink func(mn.VMID, *meshpb.Frame) error) error {
+	g := &generation{server: s, request: r, sink: sink, backoff: newBackoff(), began: s.Clock.Now()}
+	g.text.WriteString(r.Generation.Prefix)
+	g.sequence, g.tokens = r.Generation.PrefixSequence, r.Generation.PrefixTokens
+	s.Retries.Deposit()
+	for {
+		err := g.try(ctx)
+		if err == nil || g.sinkErr != nil {
+			return err
+		}
+		if !g.again(ctx, mn.AsError(err)) {
+			return g.final(err)
+		}
+	}
+}
+
+// final returns err with an outcome that takes account of what was sent.
+func (g *generation) final(err error) error {
+	e := mn.AsError(err)
+	if g.sequence > g.request.Generation.PrefixSequence && e.Outcome == mn.OutcomeNotRun {
+		return e.WithOutcome(mn.OutcomeUnknown)
+	}
+	return err
+}
+
+func (g *generation) again(ctx context.Context, err *mn.Error) bool {
+	s := g.server
+	if ctx.Err() != nil || !retry.Helps(err) || s.Clock.Now()-g.began > patience && g.request.DeadlineMs == 0 {
+		return false
+	}
+	return s.Retries.Withdraw() && s.pause(ctx, &g.backoff, err)
+}
+
+// try runs the generation at one agent.
+func (g *generation) try(ctx context.Context) error {
+	s, r := g.server, g.request
+	content := poison.Fingerprint(mn.PoolID(r.Pool), r.Generation.Prompt)
+	if err := s.Poisons.Check(content); err != nil {
+		return err
+	}
+	r.Id = string(mn.NewRequestID())
+	work := mn.Work{
+		ID:        mn.RequestID(r.Id),
+		Customer:  mn.CustomerID(r.Customer),
+		Pool:      mn.PoolID(r.Pool),
+		Weight:    r.Weight,
+		Prompt:    r.Generation.Prompt,
+		MaxTokens: r.Generation.MaxTokens,
+		Avoid:     g.avoid,
+	}
+	if d, ok := ctx.Deadline(); ok {
+		work.Deadline = s.Clock.Now() + mn.MillisOf(time.Until(d))
+	}
+	m, done, err := s.Router.Route(ctx, work)
+	if err != nil {
+		return err
+	}
+	err = g.runAt(ctx, m)
+	done(err)
+	if err == nil {
+		return nil
+	}
+	g.avoid = append(g.avoid, m.VM)
+	if mn.CodeOf(err) == poison.EndpointCrashed {
+		c := mn.Poison{Fingerprint: content, VM: m.VM, Wall: s.Clock.Wall()}
+		s.Poisons.Add(c)
+		r.Crashes = append(r.Crashes, &meshpb.Crash{Vm: string(c.VM), WallMs: int64(c.Wall)})
+	}
+	return err
+}
+
+func (g *generation) runAt(ctx context.Context, m mn.Member) error {
+	s, r := g.server, g.request
+	ctx, span := s.Tracer.Start(ctx, "entry.submit")
+	defer span.End()
+	r.Agent = string(m.Incarnation)
+	r.Traceparent = spans.Inject(ctx)
+	body := r.Generation
+	r.Generation = &meshpb.GenerationBody{
+		Prompt:         body.Prompt,
+		Prefix:         g.text.String(),
+		PrefixSequence: g.sequence,
+		PrefixTokens:   g.tokens,
+		MaxTokens:      body.MaxTokens,
+		Priority:       body.Priority,
+		KvHandle:       body.KvHandle,
+	}
+	defer func() { r.Generation = body }()
+	pass := func(f *meshpb.Frame) error { return g.pass(m.VM, f) }
+	err := s.Agents.Submit(ctx, m.Addr, r, pass)
+	for i := 0; i < attachTries && g.broken(ctx, err); i++ {
+		if s.Clock.Sleep(ctx, firstPause) != nil {
+			break
+		}
+		attach := &meshpb.AttachRequest{Id: r.Id, Customer: r.Customer, KeyHash: r.KeyHash, AfterSequence: g.sequence}
+		err = s.Agents.Attach(ctx, m.Addr, attach, g.text.String(), pass)
+	}
+	if err != nil {
+		spans.Fail(span, err)
+	}
+	return err
+}
+
+// broken says whether the connection broke, not the generation.
+func (g *generation) broken(ctx context.Context, err error) bool {
+	return err != nil && g.sinkErr == nil && ctx.Err() == nil && wire.IsLink(err) && mn.CodeOf(err) != mn.NoEndpoint
+}
+
+func (g *generation) pass(vm mn.VMID, f *meshpb.Frame) error {
+	if err := g.sink(vm, f); err != nil {
+		g.sinkErr = err
+		return err
+	}
+	if f.End == nil {
+		g.text.WriteString(f.Text)
+		g.sequence = f.Sequence
+		g.tokens += f.Tokens
+	}
+	return nil
+}
+
+// resume goes on with a generation whose stream broke at another entry.
+func (s *Server) resume(ctx context.Context, req *connect.Request[apipb.ResumeRequest], out *connect.ServerStream[apipb.GenerateChunk]) error {
+	m := req.Msg
+	parts := strings.Split(m.ResumeToken, "/")
+	if len(parts) != 3 || m.AfterSequence < 0 {
+		return mn.Errorf(mn.BadRequest, "resume_token %q: want the token of a chunk", m.ResumeToken).WithOutcome(mn.OutcomeUnknown)
+	}
+	v := s.Views.View()
+	pool, found := v.Pool(mn.PoolID(parts[0]))
+	id, err := s.identify(req.Header(), found && pool.Open)
+	if err != nil {
+		return mn.AsError(err).WithOutcome(mn.OutcomeUnknown)
+	}
+	member, ok := v.Roster[mn.VMID(parts[1])]
+	if !ok {
+		return mn.Errorf(mn.UnknownRequest, "no agent on VM %q", parts[1])
+	}
+	r := s.request(id, pool.ID, 0, v.Offset)
+	r.Id = parts[2]
+	after := m.AfterSequence
+	sink := func(f *meshpb.Frame) error {
+		if f.End != nil {
+			s.record(r, f.End)
+		}
+		if err := out.Send(chunkOf(pool.ID, member.VM, r.Id, f)); err != nil {
+			return errors.Join(errSink, err)
+		}
+		if f.End == nil {
+			after = f.Sequence
+		}
+		return nil
+	}
+	for try := 0; ; try++ {
+		attach := &meshpb.AttachRequest{Id: r.Id, Customer: r.Customer, KeyHash: r.KeyHash, AfterSequence: after}
+		err := s.Agents.Resume(ctx, member.Addr, attach, sink)
+		if err == nil || errors.Is(err, errSink) || !wire.IsLink(err) || try == attachTries {
+			return err
+		}
+		if s.Clock.Sleep(ctx, firstPause) != nil {
+			return err
+		}
+	}
+}
+
+var errSink = errors.New("caller's stream")
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -6,7 +6,6 @@
 	"connectrpc.com/connect"
 
 	mn "mustardnotch"
-	"mustardnotch/core/spans"
 	"mustardnotch/gen/apipb"
 	"mustardnotch/gen/meshpb"
 )
@@ -32,14 +31,20 @@
 		return err
 	}
 	r := s.request(id, pool.ID, m.DeadlineMs, v.Offset)
-	r.Generation = &meshpb.GenerationBody{Prompt: m.Prompt, MaxTokens: maxTokens}
+	r.Generation = &meshpb.GenerationBody{
+		Prompt:         m.Prompt,
+		MaxTokens:      maxTokens,
+		Prefix:         m.Prefix,
+		PrefixSequence: m.AfterSequence,
+		PrefixTokens:   m.PrefixTokens,
+	}
 	sink := func(vm mn.VMID, f *meshpb.Frame) error {
 		if f.End != nil {
 			s.record(r, f.End)
 		}
 		return out.Send(chunkOf(pool.ID, vm, r.Id, f))
 	}
-	return s.attempt(ctx, r, sink)
+	return s.runGeneration(ctx, r, sink)
 }
 
 func checkGenerate(v *mn.View, m *apipb.GenerateRequest, found bool) (int64, error) {
@@ -56,6 +61,9 @@
 	if err := checkDeadline(m.DeadlineMs); err != nil {
 		return 0, err
 	}
+	if m.AfterSequence < 0 || m.PrefixTokens < 0 || (m.Prefix == "") != (m.PrefixTokens == 0) {
+		return 0, mn.Errorf(mn.BadRequest, "prefix: want its after_sequence and prefix_tokens with it")
+	}
 	if m.MaxTokens == 0 {
 		return model.MaxTokens, nil
 	}
@@ -82,21 +90,15 @@
 	if !found || pool.Kind != mn.PoolPlain {
 		return nil, mn.Errorf(mn.UnknownPool, "pool %q", m.Pool)
 	}
-	if err := s.Limiter.Admit(ctx, id.customer, s.deadline(span)); err != nil {
-		return nil, err
-	}
 	r := s.request(id, pool.ID, span, v.Offset)
 	r.IdempotencyKey = m.IdempotencyKey
+	r.First = m.Attempt == 1
 	r.Call = &meshpb.CallBody{Path: m.Path, Body: m.Body}
-	resp := &apipb.CallResponse{RequestId: r.Id}
-	err = s.attempt(ctx, r, func(_ mn.VMID, f *meshpb.Frame) error {
-		resp.Body = append(resp.Body, f.Body...)
-		if f.End != nil {
-			s.record(r, f.End)
-		}
-		return nil
-	})
-	return resp, err
+	j := s.newJob(r, pool.Repeatable)
+	if err := s.Limiter.Admit(ctx, id.customer, s.deadline(span)); err != nil {
+		return j.answer(j.verdict(ctx, err))
+	}
+	return j.answer(j.run(ctx))
 }
 
 func (s *Server) request(id identity, pool mn.PoolID, deadline int64, off mn.Offset) *meshpb.Request {
@@ -112,39 +114,14 @@
 	}
 }
 
-// attempt routes r and runs it at the chosen agent.
-func (s *Server) attempt(ctx context.Context, r *meshpb.Request, sink func(mn.VMID, *meshpb.Frame) error) error {
-	work := mn.Work{
-		ID:       mn.RequestID(r.Id),
-		Customer: mn.CustomerID(r.Customer),
-		Pool:     mn.PoolID(r.Pool),
-		Key:      mn.IdempotencyKey(r.IdempotencyKey),
-		Deadline: s.deadline(r.DeadlineMs),
-		Weight:   r.Weight,
-	}
-	if g := r.Generation; g != nil {
-		work.Prompt = g.Prompt
-		work.MaxTokens = g.MaxTokens
-	}
-	m, done, err := s.Router.Route(ctx, work)
-	if err != nil {
-		return err
-	}
-	ctx, span := s.Tracer.Start(ctx, "entry.submit")
-	defer span.End()
-	r.Traceparent = spans.Inject(ctx)
-	err = s.Agents.Submit(ctx, m.Addr, r, func(f *meshpb.Frame) error { return sink(m.VM, f) })
-	done(err)
-	if err != nil {
-		spans.Fail(span, err)
-	}
-	return err
-}
-
 // record notes the usage of r before its caller sees the end marker.
 func (s *Server) record(r *meshpb.Request, e *meshpb.End) {
+	id := r.Id
+	if e.RequestId != "" {
+		id = e.RequestId
+	}
 	s.Recorder.Record(mn.Served{
-		ID:           mn.RequestID(r.Id),
+		ID:           mn.RequestID(id),
 		Customer:     mn.CustomerID(r.Customer),
 		Pool:         mn.PoolID(r.Pool),
 		PromptTokens: e.PromptTokens,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/replay"
 	"mustardnotch/core/spans"
 	"mustardnotch/gen/meshpb"
 	"mustardnotch/io/wire"
@@ -36,6 +39,17 @@
 	// Engine or Plain is the endpoint, the other is nil.
 	Engine mn.Engine
 	Plain  mn.PlainService
+	// Alive says whether the endpoint's process accepts connections.
+	Alive func(ctx context.Context) bool
+	// Calls remembers requests and idempotency keys.
+	Calls *calls.Table
+	// Answers keeps generations for callers that resume them.
+	Answers *replay.Store[*meshpb.Frame]
+	// Poisons knows which requests crashed endpoints, Ward what runs here.
+	Poisons *poison.Tracker
+	Ward    *poison.Ward
+	// Report spreads that a request was part of a crash of the endpoint.
+	Report func(p mn.Poison)
 }
 
 // Server implements the drpc service Agent.
@@ -52,6 +66,9 @@
 	return &Server{Config: c}
 }
 
+// Refuse refuses new work from now on.
+func (s *Server) Refuse() { s.draining.Store(true) }
+
 // Drain refuses new work from now on and waits until requests have ended or
 // ctx is done.
 func (s *Server) Drain(ctx context.Context) error {
@@ -104,17 +121,12 @@
 	if err := s.admit(r); err != nil {
 		return err
 	}
-	work := s.work(r)
-	release, err := s.Scheduler.Acquire(ctx, work)
-	if err != nil {
-		return err
+	for _, c := range r.Crashes {
+		s.Poisons.Add(mn.Poison{Fingerprint: fingerprint(r), VM: mn.VMID(c.Vm), Wall: mn.Millis(c.WallMs)})
 	}
-	var tokens int64
-	defer func() { release(tokens) }()
-
 	switch {
 	case r.Generation != nil && s.Engine != nil:
-		return s.generate(ctx, r, out, &tokens)
+		return s.generate(ctx, r, out)
 	case r.Call != nil && s.Plain != nil:
 		return s.call(ctx, r, out)
 	}
@@ -122,7 +134,7 @@
 }
 
 func (s *Server) admit(r *meshpb.Request) error {
-	if s.draining.Load() {
+	if s.draining.Load() && r.IdempotencyKey == "" {
 		return mn.Errorf(mn.Draining, "agent %s is leaving", s.VM)
 	}
 	if r.Id == "" || mn.PoolID(r.Pool) != s.Pool {
@@ -131,28 +143,28 @@
 	if err := s.Currency.Current(); err != nil {
 		return err
 	}
-	return s.authorize(r)
+	return s.authorize(r.Customer, r.KeyHash)
 }
 
 // authorize checks the key again, in the agent's own view: a request runs only
 // for the customer whose key came with it.
-func (s *Server) authorize(r *meshpb.Request) error {
+func (s *Server) authorize(customer, hash string) error {
 	v := s.Views.View()
-	if r.KeyHash == "" {
+	if hash == "" {
 		p, ok := v.Pool(s.Pool)
-		if ok && p.Open && r.Customer == "" {
+		if ok && p.Open && customer == "" {
 			return nil
 		}
 		return mn.Errorf(mn.Unauthenticated, "pool %q is not open", s.Pool)
 	}
-	k, ok := v.Keys[mn.KeyHash(r.KeyHash)]
+	k, ok := v.Keys[mn.KeyHash(hash)]
 	if !ok {
 		return mn.Errorf(mn.Unauthenticated, "no such key")
 	}
 	if k.Withdrawn {
 		return mn.Errorf(mn.KeyWithdrawn, "key %q", k.Name).WithOutcome(mn.OutcomeNotRun)
 	}
-	if string(k.Customer) != r.Customer {
+	if string(k.Customer) != customer {
 		return mn.Errorf(mn.Unauthenticated, "key %q belongs to another customer", k.Name)
 	}
 	return nil
@@ -176,68 +188,6 @@
 	return w
 }
 
-func (s *Server) generate(ctx context.Context, r *meshpb.Request, out *sender, tokens *int64) error {
-	g := r.Generation
-	sum := newDigest(g.Prefix)
-	seq := g.PrefixSequence
-	*tokens = g.PrefixTokens
-	end := &meshpb.End{}
-	emit := func(p mn.Piece) error {
-		*tokens += p.Tokens
-		sum.add([]byte(p.Text))
-		end.PromptTokens += p.PromptTokens
-		end.CachedTokens += p.CachedTokens
-		seq++
-		return out.send(&meshpb.Frame{Sequence: seq, Text: p.Text, Tokens: p.Tokens, KvHandle: p.KVHandle})
-	}
-	err := s.Engine.Generate(ctx, mn.Generation{
-		ID:        mn.RequestID(r.Id),
-		Prompt:    g.Prompt,
-		Prefix:    g.Prefix,
-		MaxTokens: g.MaxTokens,
-		Priority:  mn.Priority(g.Priority),
-		KVHandle:  g.KvHandle,
-	}, emit)
-	if err != nil {
-		return err
-	}
-	end.OutputTokens = *tokens
-	return s.finish(r, out, end, sum)
-}
-
-func (s *Server) call(ctx context.Context, r *meshpb.Request, out *sender) error {
-	body, err := s.Plain.Call(ctx, mn.PlainCall{
-		ID:       mn.RequestID(r.Id),
-		Customer: mn.CustomerID(r.Customer),
-		Path:     r.Call.Path,
-		Body:     r.Call.Body,
-	})
-	if err != nil {
-		return err
-	}
-	sum := newDigest("")
-	sum.add(body)
-	if err := out.send(&meshpb.Frame{Sequence: 1, Body: body}); err != nil {
-		return err
-	}
-	return s.finish(r, out, &meshpb.End{}, sum)
-}
-
-// finish records what the request used before the end marker goes out, so that
-// the caller never sees a whole answer that is not recorded.
-func (s *Server) finish(r *meshpb.Request, out *sender, end *meshpb.End, sum *digest) error {
-	end.Length = sum.length
-	end.Digest = sum.hash.Sum(nil)
-	s.Recorder.Record(mn.Served{
-		ID:           mn.RequestID(r.Id),
-		Customer:     mn.CustomerID(r.Customer),
-		Pool:         s.Pool,
-		PromptTokens: end.PromptTokens,
-		OutputTokens: end.OutputTokens,
-	})
-	return out.send(&meshpb.Frame{End: end})
-}
-
 // digest sums up the bytes of an answer.
 type digest struct {
 	hash   hash.Hash
@@ -254,3 +204,8 @@
 	d.hash.Write(b)
 	d.length += int64(len(b))
 }
+
+// end returns the end marker of the answer that request id made.
+func (d *digest) end(id string) *meshpb.End {
+	return &meshpb.End{Length: d.length, Digest: d.hash.Sum(nil), RequestId: id}
+}
--- /dev/null
+++ b/io/entry/generate.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/core/replay"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// idleLimit is how long a generation without a reader runs on, so that its
+// caller can resume it.
+const idleLimit = 8 * mn.Second
+
+// frameOverhead is added to the size of each frame that is kept.
+const frameOverhead = 200
+
+// generate runs a generation beside the stream and sends its frames, which are
+// kept so that a reader may attach later.
+func (s *Server) generate(ctx context.Context, r *meshpb.Request, out *sender) error {
+	c, owner, err := s.Calls.Begin(tableRequest(r))
+	if err != nil {
+		return err
+	}
+	if !owner {
+		return mn.Errorf(mn.BadRequest, "request %s was submitted before", r.Id)
+	}
+	first := mn.Sequence(r.Generation.PrefixSequence)
+	answer, err := s.Answers.Open(mn.RequestID(r.Id), mn.CustomerID(r.Customer), first+1)
+	if err != nil {
+		return err
+	}
+	s.wg.Go(func() { s.runGeneration(ctx, r, c, answer) })
+	return answer.Read(ctx, first, out.send)
+}
+
+// Attach streams the rest of an answer to a request that was submitted before.
+func (s *Server) Attach(r *meshpb.AttachRequest, stream meshpb.DRPCAgent_AttachStream) error {
+	s.wg.Add(1)
+	defer s.wg.Done()
+	ctx, span := s.Tracer.Start(stream.Context(), "agent.attach")
+	defer span.End()
+	out := newSender(stream, s.Clock)
+	defer out.close()
+	if err := s.attach(ctx, r, out); err != nil {
+		return out.send(&meshpb.Frame{Failure: wire.FailureOf(err)})
+	}
+	return nil
+}
+
+func (s *Server) attach(ctx context.Context, r *meshpb.AttachRequest, out *sender) error {
+	if err := s.authorize(r.Customer, r.KeyHash); err != nil {
+		return mn.AsError(err).WithOutcome(mn.OutcomeUnknown)
+	}
+	answer, err := s.Answers.Find(mn.RequestID(r.Id), mn.CustomerID(r.Customer))
+	if err != nil {
+		return err
+	}
+	return answer.Read(ctx, mn.Sequence(r.AfterSequence), out.send)
+}
+
+type frames = replay.Answer[*meshpb.Frame]
+
+func (s *Server) runGeneration(ctx context.Context, r *meshpb.Request, c *calls.Call, answer *frames) {
+	defer answer.End()
+	ctx, cancel := s.detach(ctx, r)
+	defer cancel()
+	go s.cancelIdle(ctx, cancel, answer)
+	err := s.runAtEngine(ctx, r, c, answer)
+	if err != nil {
+		answer.Append(&meshpb.Frame{Failure: wire.FailureOf(err)}, frameOverhead)
+		c.Finish(nil, mn.AsError(err))
+		return
+	}
+	c.Finish(nil, nil)
+}
+
+// detach returns a context with the deadline of r that outlives the stream.
+func (s *Server) detach(ctx context.Context, r *meshpb.Request) (context.Context, context.CancelFunc) {
+	return s.withDeadline(context.WithoutCancel(ctx), r)
+}
+
+// cancelIdle cancels a generation that nobody has read for too long.
+func (s *Server) cancelIdle(ctx context.Context, cancel func(), answer *frames) {
+	for s.Clock.Sleep(ctx, idleLimit/4) == nil {
+		if answer.Idle() >= idleLimit {
+			cancel()
+		}
+	}
+}
+
+func (s *Server) runAtEngine(ctx context.Context, r *meshpb.Request, c *calls.Call, answer *frames) error {
+	var tokens int64
+	release, err := s.Scheduler.Acquire(ctx, s.work(r))
+	if err != nil {
+		return notStarted(err)
+	}
+	defer func() { release(tokens) }()
+	stay, err := s.Ward.Enter(ctx, fingerprint(r))
+	if err != nil {
+		return notStarted(err)
+	}
+	if err := c.Start(); err != nil {
+		stay.Leave(false)
+		return err
+	}
+	end, err := s.stream(ctx, r, answer, &tokens)
+	err = s.leave(ctx, stay, err)
+	if err != nil {
+		return ended(ctx, err)
+	}
+	s.record(r, end)
+	answer.Append(&meshpb.Frame{End: end}, frameOverhead)
+	return nil
+}
+
+// ended tells a generation that its own context ended from one that failed.
+func ended(ctx context.Context, err error) error {
+	switch ctx.Err() {
+	case nil:
+		return err
+	case context.DeadlineExceeded:
+		return mn.Errorf(mn.DeadlineExceeded, "generating: %w", err)
+	}
+	return mn.Errorf(mn.Cancelled, "generating: %w", err)
+}
+
+// stream runs the generation at the engine and keeps its frames.
+func (s *Server) stream(ctx context.Context, r *meshpb.Request, answer *frames, tokens *int64) (*meshpb.End, error) {
+	g := r.Generation
+	sum := newDigest(g.Prefix)
+	seq := g.PrefixSequence
+	*tokens = g.PrefixTokens
+	var prompt, cached int64
+	emit := func(p mn.Piece) error {
+		*tokens += p.Tokens
+		sum.add([]byte(p.Text))
+		prompt += p.PromptTokens
+		cached += p.CachedTokens
+		seq++
+		answer.Append(&meshpb.Frame{Sequence: seq, Text: p.Text, Tokens: p.Tokens, KvHandle: p.KVHandle}, int64(len(p.Text))+frameOverhead)
+		return nil
+	}
+	err := s.Engine.Generate(ctx, mn.Generation{
+		ID:        mn.RequestID(r.Id),
+		Prompt:    g.Prompt,
+		Prefix:    g.Prefix,
+		MaxTokens: g.MaxTokens,
+		Priority:  mn.Priority(g.Priority),
+		KVHandle:  g.KvHandle,
+	}, emit)
+	if err != nil {
+		return nil, err
+	}
+	end := sum.end(r.Id)
+	end.PromptTokens, end.CachedTokens, end.OutputTokens = prompt, cached, *tokens
+	return end, nil
+}
--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 
@@ -98,3 +99,22 @@
 		Detail:     f.Detail,
 	}
 }
+
+// LinkError is a failure of the connection to a peer, as opposed to a failure
+// that the peer reports.
+type LinkError struct {
+	Addr string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *LinkError) Error() string { return "peer at " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LinkError) Unwrap() error { return e.Err }
+
+// IsLink says whether err is a failure of the connection to a peer.
+func IsLink(err error) bool {
+	var e *LinkError
+	return errors.As(err, &e)
+}
--- a/io/wire/memory.go
+++ b/io/wire/memory.go
@@ -6,6 +6,11 @@
 	"mustardnotch/gen/meshpb"
 )
 
+// Fingerprint returns what has to be the same in all calls with the key of r.
+func Fingerprint(r *meshpb.Request) calls.Fingerprint {
+	return calls.FingerprintOf(mn.CustomerID(r.Customer), mn.PoolID(r.Pool), r.Call.Path, r.Call.Body)
+}
+
 // MemoryOf returns m as it crosses between agents of pool.
 func MemoryOf(pool mn.PoolID, m calls.Memory) *meshpb.HandoverRequest {
 	out := &meshpb.HandoverRequest{
--- a/node/agent.go
+++ b/node/agent.go
@@ -20,6 +20,7 @@
 type Agent struct {
 	*base
 	server *entry.Server
+	keeper *keeper
 }
 
 // NewAgent returns an agent with settings s that logs to log.
@@ -51,6 +52,7 @@
 	} else {
 		c.Plain = plain.New(a.settings.Endpoint)
 	}
+	a.memory(&c)
 	return c
 }
 
@@ -70,6 +72,7 @@
 	g, run := errgroup.WithContext(run)
 	g.Go(func() error { return wire.Serve(run, ls[0], mux) })
 	serveHTTP(run, g, ls[1], a.debugHandler())
+	g.Go(func() error { return a.keeper.run(run) })
 	g.Go(func() error { return a.follow(run) })
 	g.Go(func() error {
 		if err := a.join(run); err != nil {
@@ -95,12 +98,15 @@
 func (a *Agent) leave(ctx context.Context) {
 	a.leaving.Store(true)
 	a.log.WithField("event", "leaving").Info()
+	a.server.Refuse()
+	a.keeper.leave(ctx)
 	a.depart(ctx, false)
 	drain, cancel := context.WithTimeout(ctx, a.settings.Drain.Duration())
 	defer cancel()
 	if err := a.server.Drain(drain); err != nil {
 		a.log.WithField("event", "drain_incomplete").Warn(err)
 	}
+	a.keeper.leaveLate(drain)
 	a.depart(ctx, true)
 	a.log.WithField("event", "left").Info()
 	_ = a.spans.Close(drain)
--- /dev/null
+++ b/node/calls.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"net"
+	"net/url"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/core/conf"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/replay"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/agent"
+	"mustardnotch/io/entry"
+)
+
+const (
+	// handoverPause is the pause before memory is sent again.
+	handoverPause = 100 * mn.Millisecond
+	// handoverLimit bounds how long a leaving agent tries to hand its memory
+	// over.
+	handoverLimit = 1500 * mn.Millisecond
+	// outbox bounds the memories that wait to be sent.
+	outbox = 1024
+)
+
+// keeper keeps an agent's memory of calls in step with the roster, and hands
+// it to the agents that become homes of its keys.
+type keeper struct {
+	*base
+	table  *calls.Table
+	client *agent.Client
+	out    chan map[mn.VMID]calls.Memory
+
+	mu      sync.Mutex
+	members map[mn.VMID]mn.Incarnation
+	offset  mn.Offset
+}
+
+// newKeeper returns a keeper that follows the fold of b from now on.
+func newKeeper(b *base, currency mn.Currency) *keeper {
+	k := &keeper{
+		base:    b,
+		table:   calls.New(calls.DefaultConfig(b.self.VM, b.self.Incarnation), b.clock, currency),
+		client:  agent.New(b.conns),
+		out:     make(chan map[mn.VMID]calls.Memory, outbox),
+		members: map[mn.VMID]mn.Incarnation{},
+	}
+	b.fold.OnRecord(k.onRecord)
+	return k
+}
+
+// onRecord is a hook of the fold.
+func (k *keeper) onRecord(off mn.Offset, r *mn.Record, v conf.Verdict) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if off == 1 {
+		k.table.Genesis()
+	}
+	if k.offset == 0 && off > 1 {
+		k.table.Missed(off)
+	}
+	k.offset = off
+	if v.Err == nil && k.change(r) {
+		k.send(k.table.Roster(off, maps.Clone(k.members)))
+	}
+}
+
+// change takes r into the members and says whether they have changed.
+func (k *keeper) change(r *mn.Record) bool {
+	switch {
+	case r.Join != nil && r.Join.Role == mn.RoleAgent && r.Join.Pool == k.self.Pool:
+		k.members[r.Join.VM] = r.Join.Incarnation
+		return true
+	case r.Join != nil:
+		return k.drop(r.Join.VM, k.members[r.Join.VM])
+	case r.Leave != nil:
+		return k.drop(r.Leave.VM, r.Leave.Incarnation)
+	case r.Remove != nil:
+		return k.drop(r.Remove.VM, r.Remove.Incarnation)
+	}
+	return false
+}
+
+func (k *keeper) drop(vm mn.VMID, incarnation mn.Incarnation) bool {
+	if have, ok := k.members[vm]; !ok || have != incarnation {
+		return false
+	}
+	delete(k.members, vm)
+	return true
+}
+
+// compare takes over the roster of the view where records were skipped, as
+// after a snapshot.
+func (k *keeper) compare() {
+	v := k.fold.View()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v.Offset < k.offset {
+		return
+	}
+	members := map[mn.VMID]mn.Incarnation{}
+	for _, m := range v.Agents(k.self.Pool) {
+		members[m.VM] = m.Incarnation
+	}
+	if maps.Equal(members, k.members) {
+		return
+	}
+	k.members, k.offset = members, v.Offset
+	k.table.Missed(v.Offset)
+	k.send(k.table.Roster(v.Offset, maps.Clone(members)))
+}
+
+// send queues memories without blocking the fold.
+func (k *keeper) send(memories map[mn.VMID]calls.Memory) {
+	if len(memories) == 0 {
+		return
+	}
+	select {
+	case k.out <- memories:
+	default:
+		k.log.WithField("event", "handover_dropped").Warn()
+	}
+}
+
+// run sends memories and late outcomes until ctx is done.
+func (k *keeper) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for ctx.Err() == nil {
+		var memories map[mn.VMID]calls.Memory
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case memories = <-k.out:
+		case <-k.table.LateReady():
+			memories = k.table.Late()
+		case <-k.fold.Changed():
+			k.compare()
+		}
+		for vm, m := range memories {
+			g.Go(func() error {
+				k.deliver(ctx, vm, m)
+				return nil
+			})
+		}
+	}
+	return g.Wait()
+}
+
+// deliver sends m until its receiver has it, is no longer a member, or ctx is
+// done.
+func (k *keeper) deliver(ctx context.Context, vm mn.VMID, m calls.Memory) {
+	for ctx.Err() == nil {
+		member, ok := k.fold.View().Roster[vm]
+		if !ok || member.Incarnation != m.To {
+			return
+		}
+		err := k.client.Handover(ctx, member.Addr, k.self.Pool, m)
+		if err == nil {
+			k.log.WithField("event", "handover").WithField("to", vm).WithField("keys", len(m.Keys)).WithField("final", m.Final).Info()
+			return
+		}
+		if mn.CodeOf(err) == mn.OrderStale {
+			return
+		}
+		_ = k.clock.Sleep(ctx, handoverPause)
+	}
+}
+
+// leave hands the whole memory over, as far as the others can be reached.
+func (k *keeper) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit.Duration())
+	defer cancel()
+	var wg sync.WaitGroup
+	for vm, m := range k.table.Leave() {
+		wg.Go(func() { k.deliver(ctx, vm, m) })
+	}
+	wg.Wait()
+}
+
+// leaveLate hands over the outcomes of calls that ran on meanwhile.
+func (k *keeper) leaveLate(ctx context.Context) {
+	for vm, m := range k.table.Late() {
+		k.deliver(ctx, vm, m)
+	}
+}
+
+// publish makes the counts of the table visible.
+func (k *keeper) publish(answers *replay.Store[*meshpb.Frame], poisons *poison.Tracker) {
+	expvar.Publish("calls_remembered", expvar.Func(func() any {
+		n, _ := k.table.Size()
+		return n
+	}))
+	expvar.Publish("calls_answer_bytes", expvar.Func(func() any {
+		_, n := k.table.Size()
+		return n
+	}))
+	expvar.Publish("generation_bytes", expvar.Func(func() any { return answers.Bytes() }))
+	expvar.Publish("quarantined", expvar.Func(func() any { return poisons.Quarantined() }))
+}
+
+// newTracker returns a tracker that takes in the crashes in the log.
+func newTracker(b *base) *poison.Tracker {
+	t := poison.New(poison.DefaultConfig(), b.clock)
+	b.fold.OnRecord(func(_ mn.Offset, r *mn.Record, v conf.Verdict) {
+		if r.Poison != nil && v.Err == nil {
+			t.Add(*r.Poison)
+		}
+	})
+	return t
+}
+
+// report appends a crash to the log, once the log takes it.
+func (b *base) report(p mn.Poison) {
+	rec := &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: b.self.VM, Poison: &p}
+	b.log.WithField("event", "endpoint_crashed").WithField("fingerprint", p.Fingerprint).Warn()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), mn.Minute.Duration())
+		defer cancel()
+		for ctx.Err() == nil && b.append(ctx, rec) != nil {
+			_ = b.clock.Sleep(ctx, mn.Second)
+		}
+	}()
+}
+
+// memory adds to c what the agent's server needs to remember requests.
+func (a *Agent) memory(c *entry.Config) {
+	a.keeper = newKeeper(a.base, c.Currency)
+	poisons := newTracker(a.base)
+	c.Calls = a.keeper.table
+	c.Answers = replay.New[*meshpb.Frame](replay.DefaultConfig(), a.clock)
+	c.Poisons = poisons
+	c.Ward = poison.NewWard(poisons)
+	c.Report = a.report
+	c.Alive = a.endpointAlive
+	a.keeper.publish(c.Answers, poisons)
+}
+
+// endpointAlive says whether the endpoint's process accepts connections.
+func (a *Agent) endpointAlive(ctx context.Context) bool {
+	u, err := url.Parse(a.settings.Endpoint)
+	if err != nil {
+		return false
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
+	"mustardnotch/core/retry"
 	"mustardnotch/io/agent"
 	"mustardnotch/io/caller"
 	"mustardnotch/setup"
@@ -92,6 +93,8 @@
 		Router:   newRobin(e.fold),
 		Recorder: unrecorded{},
 		Agents:   agent.New(e.conns),
+		Retries:  retry.New(retry.DefaultConfig(), e.clock),
+		Poisons:  newTracker(e.base),
 		Tracer:   e.tracer,
 		Log:      e.log,
 		MaxBody:  e.settings.MaxBody,
--- a/node/thin.go
+++ b/node/thin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	mn "mustardnotch"
@@ -21,6 +22,9 @@
 	if len(agents) == 0 {
 		return mn.Member{}, nil, mn.Errorf(mn.NoEndpoint, "pool %q has no agent", w.Pool).WithRetry(mn.Second)
 	}
+	if rest := slices.DeleteFunc(slices.Clone(agents), func(m mn.Member) bool { return slices.Contains(w.Avoid, m.VM) }); len(rest) > 0 {
+		agents = rest
+	}
 	m := agents[r.next.Add(1)%uint64(len(agents))]
 	return m, func(error) {}, nil
 }
