Record a generation when its end marker goes out

Cause: agents recorded a generation when the engine ended, read or not. One whose caller went on at another agent, since this one could not be reached, was billed twice: once for the answer nobody got.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -81,7 +81,7 @@
 	})
 	err = s.leave(ctx, stay, err)
 	if err == nil {
-		s.record(r, &meshpb.End{})
+		s.record(r.Id, r.Customer, &meshpb.End{})
 	}
 	c.Finish(answer, mn.AsError(err))
 }
@@ -125,10 +125,10 @@
 
 // record notes what the request used before the end marker goes out, so that
 // the caller never sees a whole answer that is not recorded.
-func (s *Server) record(r *meshpb.Request, end *meshpb.End) {
+func (s *Server) record(id, customer string, end *meshpb.End) {
 	s.Recorder.Record(mn.Served{
-		ID:           mn.RequestID(r.Id),
-		Customer:     mn.CustomerID(r.Customer),
+		ID:           mn.RequestID(id),
+		Customer:     mn.CustomerID(customer),
 		Pool:         s.Pool,
 		PromptTokens: end.PromptTokens,
 		OutputTokens: end.OutputTokens,
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -33,7 +33,22 @@
 		return err
 	}
 	s.wg.Go(func() { s.runGeneration(ctx, r, c, answer) })
-	return answer.Read(ctx, first, out.send)
+	if r.Generation.PrefillOnly {
+		return answer.Read(ctx, first, out.send) // the agent that generates records it
+	}
+	return answer.Read(ctx, first, s.recorded(r.Customer, out.send))
+}
+
+// recorded returns send with the usage of a generation recorded just before
+// its end marker goes out: an answer that nobody reads is not billed, and one
+// that its caller has is recorded.
+func (s *Server) recorded(customer string, send func(*meshpb.Frame) error) func(*meshpb.Frame) error {
+	return func(f *meshpb.Frame) error {
+		if f.End != nil {
+			s.record(f.End.RequestId, customer, f.End)
+		}
+		return send(f)
+	}
 }
 
 // Attach streams the rest of an answer to a request that was submitted before.
@@ -58,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return answer.Read(ctx, mn.Sequence(r.AfterSequence), out.send)
+	return answer.Read(ctx, mn.Sequence(r.AfterSequence), s.recorded(r.Customer, out.send))
 }
 
 type frames = replay.Answer[*meshpb.Frame]
@@ -111,9 +126,6 @@
 	if err != nil {
 		return ended(ctx, err)
 	}
-	if !r.Generation.PrefillOnly {
-		s.record(r, end) // the agent that generates records a prefill
-	}
 	answer.Append(&meshpb.Frame{End: end}, frameOverhead)
 	return nil
 }
