--- a/node/entry.go
+++ b/node/entry.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
+	"mustardnotch/core/retry"
 	"mustardnotch/core/route"
 	"mustardnotch/io/agent"
 	"mustardnotch/io/caller"
@@ -102,6 +103,8 @@
 		Router:   e.table,
 		Recorder: unrecorded{},
 		Agents:   e.agents,
+		Retries:  retry.New(retry.DefaultConfig(), e.clock),
+		Poisons:  newTracker(e.base),
 		Tracer:   e.tracer,
 		Log:      e.log,
 		MaxBody:  e.settings.MaxBody,
