--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -65,6 +65,9 @@
 
 func (g *generation) again(ctx context.Context, err *mn.Error) bool {
 	s := g.server
+	if err.Code == mn.DeadlineTooShort && len(g.avoid) == 1 && ctx.Err() == nil {
+		return s.Retries.Withdraw() // another agent may be less busy
+	}
 	if ctx.Err() != nil || !retry.Helps(err) || s.Clock.Now()-g.began > patience && g.request.DeadlineMs == 0 {
 		return false
 	}
@@ -116,6 +119,9 @@
 	defer span.End()
 	r.Agent = string(m.Incarnation)
 	r.Traceparent = spans.Inject(ctx)
+	if d, ok := ctx.Deadline(); ok {
+		r.DeadlineMs = max(int64(mn.MillisOf(time.Until(d))), 1)
+	}
 	body := r.Generation
 	r.Generation = &meshpb.GenerationBody{
 		Prompt:         body.Prompt,
