--- /dev/null
+++ b/core/lease/elect.go
@@ -0,0 +1,310 @@
+package lease
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+)
+
+// counters holds the package's measures: claims, renewals, releases, each by
+// what became of them, and how often a lease lapsed.
+var counters = expvar.NewMap("lease")
+
+// driftDivisor bounds how fast clocks may run apart: over a span the slower
+// clock of a pair falls behind by at most span/driftDivisor.
+const driftDivisor = 20
+
+// Settings are the times of an election.
+type Settings struct {
+	// Span is how long the lease lasts from each renewal.
+	Span mn.Millis
+	// Renew is the time between renewals. Several fit into Span, so that one
+	// lost append does not cost the lease.
+	Renew mn.Millis
+	// Margin is what a challenger waits beyond the lease's span, for clocks
+	// that run at different rates. At least Span/20 is taken.
+	Margin mn.Millis
+	// Spread is the mean wait of the first of several challengers.
+	Spread mn.Millis
+	// Timeout bounds one append with its reading back.
+	Timeout mn.Millis
+}
+
+// DefaultSettings returns the settings of a production system.
+func DefaultSettings() Settings {
+	return Settings{
+		Span:    3 * mn.Second,
+		Renew:   1 * mn.Second,
+		Margin:  150 * mn.Millisecond,
+		Spread:  50 * mn.Millisecond,
+		Timeout: 1 * mn.Second,
+	}
+}
+
+// Elector keeps one process in the election of the control holder. Held may
+// be called from any goroutine.
+type Elector struct {
+	self        mn.VMID
+	incarnation mn.Incarnation
+	settings    Settings
+	clock       mn.Clock
+	views       mn.Views
+	writer      mn.RecordWriter
+	log         logrus.FieldLogger
+
+	mu       sync.Mutex
+	term     mn.Term
+	until    mn.Millis
+	released bool
+
+	// The fields below belong to the goroutine that runs Run.
+
+	// last is the lease record that was read last, at readAt.
+	last   mn.Offset
+	noted  bool
+	readAt mn.Millis
+	// delay is the random wait drawn for last.
+	delay mn.Millis
+	// renewed is when the last renewal was sent.
+	renewed mn.Millis
+	held    bool
+}
+
+// New returns an elector for the process incarnation on the VM self. Call Run
+// to take part.
+func New(self mn.VMID, incarnation mn.Incarnation, settings Settings, clock mn.Clock, views mn.Views, writer mn.RecordWriter, log logrus.FieldLogger) *Elector {
+	return &Elector{
+		self:        self,
+		incarnation: incarnation,
+		settings:    settings,
+		clock:       clock,
+		views:       views,
+		writer:      writer,
+		log:         log,
+	}
+}
+
+// Held implements [mn.Authority]. The lease is counted from just before the
+// process sent the last record that it has since read back.
+func (e *Elector) Held() (mn.Term, mn.Millis, bool) {
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term, e.until, e.holdsAt(now)
+}
+
+func (e *Elector) holdsAt(now mn.Millis) bool {
+	return !e.released && e.term != 0 && now < e.until
+}
+
+// Remaining returns how much of the lease is left, 0 if none is.
+func (e *Elector) Remaining() mn.Millis {
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.holdsAt(now) {
+		return 0
+	}
+	return e.until - now
+}
+
+// Run takes part in the election until ctx is done, and returns its error.
+func (e *Elector) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := e.views.Changed()
+		v := e.views.View()
+		e.note(v)
+		wait := e.step(ctx, v)
+		if wait > 0 {
+			e.pause(ctx, wait, changed)
+		}
+	}
+	return ctx.Err()
+}
+
+// Release gives the lease up at once, if the process holds it. Call it after
+// Run has returned and after all orders under the lease have ended. The
+// elector holds no lease any more, even if Release fails.
+func (e *Elector) Release(ctx context.Context) error {
+	e.mu.Lock()
+	term := e.term
+	held := !e.released && term != 0
+	e.released = true
+	e.mu.Unlock()
+	if !held {
+		return nil
+	}
+	r := e.record()
+	r.Release = &mn.Release{Term: term, Incarnation: e.incarnation}
+	_, err := e.writer.Write(ctx, r)
+	e.count("releases", err)
+	return err
+}
+
+// step does what is due now and returns how long to wait for the next step.
+func (e *Elector) step(ctx context.Context, v *mn.View) mn.Millis {
+	if e.owns(v.Holder) {
+		return e.keep(ctx, v.Holder)
+	}
+	e.lose(v.Holder)
+	return e.challenge(ctx, v)
+}
+
+// note remembers when the lease's last record was first read.
+func (e *Elector) note(v *mn.View) {
+	e.checkLapse()
+	if e.noted && v.Holder.Last == e.last {
+		return
+	}
+	e.noted = true
+	e.last = v.Holder.Last
+	e.readAt = e.clock.Now()
+	e.delay = e.draw(len(v.Entries()))
+}
+
+// draw returns a random wait. With n challengers the first of them waits
+// Spread on average, so neither the wait for a claim nor the number of void
+// claims grows with n.
+func (e *Elector) draw(n int) mn.Millis {
+	limit := int64(e.settings.Spread) * int64(max(n, 1))
+	if limit <= 0 {
+		return 0
+	}
+	return mn.Millis(rand.Int64N(limit))
+}
+
+func (e *Elector) owns(l mn.Lease) bool {
+	return l.Term != 0 && l.Holder == e.self && l.Incarnation == e.incarnation
+}
+
+// keep renews the lease l of this process when that is due. After a lapse it
+// renews at once: the renewal is valid unless another process claimed first.
+func (e *Elector) keep(ctx context.Context, l mn.Lease) mn.Millis {
+	e.mu.Lock()
+	known := e.term == l.Term
+	e.mu.Unlock()
+	now := e.clock.Now()
+	due := e.renewed + e.settings.Renew
+	if known && now < due {
+		return due - now
+	}
+	r := e.record()
+	r.Renewal = &mn.Renewal{Term: l.Term, Incarnation: e.incarnation}
+	sent := e.clock.Now()
+	_, err := e.write(ctx, r)
+	e.count("renewals", err)
+	if err != nil {
+		return e.settings.Renew / 4
+	}
+	e.renewed = sent
+	e.extend(l.Term, sent+l.Span)
+	return 0
+}
+
+// challenge claims the lease once it has surely run out.
+func (e *Elector) challenge(ctx context.Context, v *mn.View) mn.Millis {
+	l := v.Holder
+	ready := e.readAt + e.delay
+	if l.Term != 0 {
+		ready += l.Span + max(e.settings.Margin, l.Span/driftDivisor)
+	}
+	if now := e.clock.Now(); now < ready {
+		return ready - now
+	}
+	r := e.record()
+	r.Claim = &mn.Claim{Incarnation: e.incarnation, Replaces: l.Last, Span: e.settings.Span}
+	sent := e.clock.Now()
+	off, err := e.write(ctx, r)
+	e.count("claims", err)
+	if err != nil {
+		e.delay += e.draw(len(v.Entries())) + e.settings.Renew/4
+		return e.settings.Renew / 4
+	}
+	e.renewed = sent
+	e.extend(mn.Term(off), sent+e.settings.Span)
+	return 0
+}
+
+// extend raises the end of the lease.
+func (e *Elector) extend(term mn.Term, until mn.Millis) {
+	now := e.clock.Now()
+	e.mu.Lock()
+	if term != e.term {
+		e.term = term
+		e.until = until
+	}
+	e.until = max(e.until, until)
+	holds := e.holdsAt(now)
+	e.mu.Unlock()
+	if holds && !e.held {
+		e.held = true
+		e.log.WithField("term", term).Info("control lease held")
+	}
+}
+
+// lose ends a lease that the log has given to another process.
+func (e *Elector) lose(l mn.Lease) {
+	e.mu.Lock()
+	term := e.term
+	e.term = 0
+	e.until = 0
+	e.mu.Unlock()
+	e.held = false
+	if term != 0 {
+		counters.Add("lost", 1)
+		e.log.WithFields(logrus.Fields{"term": term, "holder": l.Holder}).Warn("control lease lost")
+	}
+}
+
+// checkLapse reports a lease that ran out before it was renewed.
+func (e *Elector) checkLapse() {
+	if !e.held {
+		return
+	}
+	if term, _, ok := e.Held(); !ok {
+		e.held = false
+		counters.Add("lapsed", 1)
+		e.log.WithField("term", term).Warn("control lease lapsed")
+	}
+}
+
+func (e *Elector) record() *mn.Record {
+	return &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: e.self}
+}
+
+func (e *Elector) write(ctx context.Context, r *mn.Record) (mn.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Timeout.Duration())
+	defer cancel()
+	return e.writer.Write(ctx, r)
+}
+
+// pause waits for span, or until changed is closed.
+func (e *Elector) pause(ctx context.Context, span mn.Millis, changed <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}()
+	_ = e.clock.Sleep(ctx, span) // Woken early is as good as slept.
+}
+
+func (e *Elector) count(what string, err error) {
+	switch {
+	case err == nil:
+		counters.Add(what, 1)
+	case mn.CodeOf(err) == mn.LeaseLost:
+		counters.Add(what+"_void", 1)
+	default:
+		counters.Add(what+"_unknown", 1)
+		e.log.WithFields(logrus.Fields{"record": what, "err": err}).Warn("lease record not written")
+	}
+}
--- /dev/null
+++ b/core/lease/export_test.go
@@ -0,0 +1,10 @@
+package lease
+
+import mn "mustardnotch"
+
+// HoldsAt returns the term that e holds at the instant now of its clock.
+func (e *Elector) HoldsAt(now mn.Millis) (mn.Term, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term, e.holdsAt(now)
+}
--- /dev/null
+++ b/core/order/gate.go
@@ -0,0 +1,348 @@
+package order
+
+import (
+	"context"
+	"expvar"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+)
+
+// counters holds orders given and refused, by result code.
+var counters = expvar.NewMap("orders")
+
+// Settings are the times of a gate.
+type Settings struct {
+	// Poll is the time between readings of the engine's state during a change.
+	Poll mn.Millis
+	// Idle is the time between readings otherwise.
+	Idle mn.Millis
+	// Settle is for how long the engine's state has to stay the same before a
+	// change, or an order with an unknown result, counts as ended.
+	Settle mn.Millis
+	// Call bounds one call of the engine.
+	Call mn.Millis
+	// Hold is for how long a prepared endpoint takes no new work when no
+	// further order comes.
+	Hold mn.Millis
+}
+
+// DefaultSettings returns the settings of a production system.
+func DefaultSettings() Settings {
+	return Settings{
+		Poll:   100 * mn.Millisecond,
+		Idle:   1 * mn.Second,
+		Settle: 500 * mn.Millisecond,
+		Call:   2 * mn.Second,
+		Hold:   3 * mn.Second,
+	}
+}
+
+// Gate is the one way by which orders reach an engine. Call Run to have it
+// read the engine's state; until that has settled no order passes.
+type Gate struct {
+	incarnation mn.Incarnation
+	settings    Settings
+	clock       mn.Clock
+	engine      mn.Engine
+	work        mn.Work
+	fencing     func() bool
+	log         logrus.FieldLogger
+	kick        chan struct{}
+
+	mu       sync.Mutex
+	term     mn.Term
+	sequence mn.Sequence
+	state    mn.EngineState
+	// busy is set from the moment that an order passes until the engine's
+	// state has settled, and calling while the engine is being spoken to.
+	busy    bool
+	calling bool
+	// stable is since when the state has been the same, 0 while it is not.
+	stable mn.Millis
+	held   bool
+	// holdEnd is when a hold without a further order ends.
+	holdEnd mn.Millis
+}
+
+// New returns a gate for the agent incarnation. The engine is sent fencing
+// numbers while fencing returns true.
+func New(incarnation mn.Incarnation, settings Settings, clock mn.Clock, engine mn.Engine, work mn.Work, fencing func() bool, log logrus.FieldLogger) *Gate {
+	return &Gate{
+		incarnation: incarnation,
+		settings:    settings,
+		clock:       clock,
+		engine:      engine,
+		work:        work,
+		fencing:     fencing,
+		log:         log,
+		kick:        make(chan struct{}, 1),
+		busy:        true,
+	}
+}
+
+// Raise makes term known to the gate.
+func (g *Gate) Raise(term mn.Term) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term > g.term {
+		g.term = term
+		g.sequence = 0
+	}
+}
+
+// Stamp implements [mn.OrderTaker]. A term older than one seen before gets an
+// Error with code OrderStale.
+func (g *Gate) Stamp(_ context.Context, term mn.Term) (mn.AgentState, error) {
+	g.Raise(term)
+	running := g.work.Running()
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term < g.term {
+		return mn.AgentState{}, refuse(mn.OrderStale, "term %d, but the agent has seen term %d", term, g.term)
+	}
+	return mn.AgentState{
+		Stamp:       now,
+		Incarnation: g.incarnation,
+		Term:        g.term,
+		State:       g.state,
+		Busy:        g.busy,
+		Held:        g.held,
+		Running:     running,
+	}, nil
+}
+
+// Order implements [mn.OrderTaker].
+func (g *Gate) Order(ctx context.Context, o mn.Order) error {
+	if o.Prepare {
+		return g.prepare(o)
+	}
+	if err := g.enter(o); err != nil {
+		return err
+	}
+	defer g.leave()
+	if err := g.recheck(o); err != nil {
+		g.abandon()
+		return err
+	}
+	err := g.call(ctx, o)
+	if err != nil && mn.AsError(err).Outcome == mn.OutcomeNotRun {
+		g.abandon()
+	}
+	g.log.WithFields(logrus.Fields{
+		"term": o.Term, "sequence": o.Sequence, "role": o.Target.Role, "version": o.Target.Version, "err": err,
+	}).Info("order given to engine")
+	return err
+}
+
+// call speaks to the engine. The caller's context does not end the call: a
+// call cut short would leave its result unknown.
+func (g *Gate) call(ctx context.Context, o mn.Order) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.settings.Call.Duration())
+	defer cancel()
+	e := mn.EngineOrder{Role: o.Target.Role, Model: o.Target.Model, Version: o.Target.Version}
+	if g.fencing() {
+		e.Fence = int64(o.Term)
+	}
+	counters.Add("given", 1)
+	return g.engine.Order(ctx, e)
+}
+
+// prepare stops new work at the endpoint.
+func (g *Gate) prepare(o mn.Order) error {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(o, now); err != nil {
+		return err
+	}
+	if g.busy {
+		return refuse(mn.OrderBusy, "an order is in progress or the engine's state is not settled")
+	}
+	g.sequence = o.Sequence
+	g.hold()
+	return nil
+}
+
+// enter takes the order in as the only one, if nothing speaks against it.
+func (g *Gate) enter(o mn.Order) error {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.check(o, now); err != nil {
+		return err
+	}
+	if g.busy {
+		return refuse(mn.OrderBusy, "an order is in progress or the engine's state is not settled")
+	}
+	g.hold()
+	if n := g.work.Running(); n > 0 {
+		return refuse(NotDrained, "%d requests are running", n)
+	}
+	g.sequence = o.Sequence
+	g.busy = true
+	g.calling = true
+	g.stable = 0
+	return nil
+}
+
+// recheck repeats the checks that time can change, just before the engine is
+// spoken to.
+func (g *Gate) recheck(o mn.Order) error {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if o.Term < g.term {
+		return refuse(mn.OrderStale, "term %d, but the agent has seen term %d", o.Term, g.term)
+	}
+	return checkLife(o, now)
+}
+
+func (g *Gate) check(o mn.Order, now mn.Millis) error {
+	if o.Incarnation != g.incarnation {
+		return refuse(Foreign, "stamped by incarnation %s, this is %s", o.Incarnation, g.incarnation)
+	}
+	if o.Term != g.term {
+		return refuse(mn.OrderStale, "term %d, but the agent has seen term %d", o.Term, g.term)
+	}
+	if o.Sequence <= g.sequence {
+		return refuse(mn.OrderStale, "sequence %d, but the agent has seen sequence %d", o.Sequence, g.sequence)
+	}
+	return checkLife(o, now)
+}
+
+func checkLife(o mn.Order, now mn.Millis) error {
+	if now >= o.Stamp+o.Life {
+		return refuse(mn.OrderExpired, "%d ms after the stamp, life %d ms", now-o.Stamp, o.Life)
+	}
+	return nil
+}
+
+func refuse(code mn.Code, format string, args ...any) error {
+	counters.Add("refused_"+code.String(), 1)
+	return mn.Errorf(code, format, args...)
+}
+
+// leave ends the speaking to the engine and has its state read at once.
+func (g *Gate) leave() {
+	g.mu.Lock()
+	g.calling = false
+	g.mu.Unlock()
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// abandon ends an order that has not reached the engine, or that it refused.
+func (g *Gate) abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = false
+}
+
+// hold stops new work. The caller holds g.mu.
+func (g *Gate) hold() {
+	g.holdEnd = g.clock.Now() + g.settings.Hold
+	if !g.held {
+		g.held = true
+		g.work.Hold()
+	}
+}
+
+// resume lets new work in. The caller holds g.mu.
+func (g *Gate) resume() {
+	if g.held {
+		g.held = false
+		g.work.Resume()
+	}
+}
+
+// Run reads the engine's state until ctx is done, and returns its error.
+func (g *Gate) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.observe(g.read(ctx))
+		g.wait(ctx)
+	}
+	return ctx.Err()
+}
+
+// reading is one answer of the engine about its state, which counts only if
+// no order was given while the engine was asked.
+type reading struct {
+	state mn.EngineState
+	err   error
+	asked mn.Sequence
+	term  mn.Term
+}
+
+func (g *Gate) read(ctx context.Context) reading {
+	g.mu.Lock()
+	r := reading{asked: g.sequence, term: g.term}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, g.settings.Call.Duration())
+	defer cancel()
+	r.state, r.err = g.engine.State(ctx)
+	return r
+}
+
+// observe takes a reading of the engine's state in.
+func (g *Gate) observe(r reading) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.err != nil {
+		g.stable = 0
+		return
+	}
+	if r.state.Changing {
+		g.state = r.state
+		g.busy = true
+		g.stable = 0
+		g.hold()
+		return
+	}
+	if g.calling || r.asked != g.sequence || r.term != g.term {
+		g.stable = 0
+		return
+	}
+	if g.stable == 0 || r.state != g.state {
+		g.state = r.state
+		g.stable = now
+	}
+	if g.busy && now-g.stable >= g.settings.Settle {
+		g.busy = false
+		g.resume()
+	}
+	if !g.busy && now >= g.holdEnd {
+		g.resume()
+	}
+}
+
+// wait sleeps until the next reading is due or an order has been given.
+func (g *Gate) wait(ctx context.Context) {
+	g.mu.Lock()
+	span := g.settings.Idle
+	if g.busy || g.held {
+		span = g.settings.Poll
+	}
+	g.mu.Unlock()
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error {
+		select {
+		case <-g.kick:
+			return context.Canceled
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	tasks.Go(func() error {
+		_ = g.clock.Sleep(ctx, span)
+		return context.Canceled
+	})
+	_ = tasks.Wait()
+}
