--- a/control.go
+++ b/control.go
@@ -67,8 +67,8 @@
 	Order(ctx context.Context, o Order) error
 }
 
-// Work is the requests at an agent's endpoint.
-type Work interface {
+// Admission lets requests in at an agent's endpoint.
+type Admission interface {
 	// Hold refuses new requests from now on; those admitted go on.
 	Hold()
 	// Resume ends a hold.
--- /dev/null
+++ b/core/fleet/doc.go
@@ -0,0 +1,16 @@
+// Package fleet decides on the roles of a pool's engines and on the size of
+// pools by data centre, and carries start and stop orders to the platform.
+//
+// [Orders] gives an order only while the process holds the control lease and
+// only for as long as the lease surely lasts. [Roles] and [Sizer] hold the
+// policy; [Forecast] smooths what they decide on.
+package fleet
+
+import "expvar"
+
+// counters holds orders given to the platform, by result, role changes and
+// engine-milliseconds paid.
+var counters = expvar.NewMap("fleet")
+
+// Count adds n to one of the package's measures.
+func Count(measure string, n int64) { counters.Add(measure, n) }
--- /dev/null
+++ b/core/fleet/orders.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+)
+
+// OrderSettings are the times of orders to the platform.
+type OrderSettings struct {
+	// Call bounds one call of the platform.
+	Call mn.Millis
+	// Margin is what has to be left of the lease when a call must have ended,
+	// and what a new holder waits beyond the longest call of the one before.
+	Margin mn.Millis
+}
+
+// DefaultOrderSettings returns the settings of a production system.
+func DefaultOrderSettings() OrderSettings {
+	return OrderSettings{Call: 1 * mn.Second, Margin: 200 * mn.Millisecond}
+}
+
+// Orders gives start and stop orders to the platform, one at a time.
+type Orders struct {
+	self      mn.VMID
+	settings  OrderSettings
+	clock     mn.Clock
+	authority mn.Authority
+	writer    mn.RecordWriter
+	fleet     mn.Fleet
+	log       logrus.FieldLogger
+
+	mu    sync.Mutex
+	term  mn.Term
+	ready mn.Millis
+}
+
+// NewOrders returns an Orders for the process on the VM self.
+func NewOrders(self mn.VMID, settings OrderSettings, clock mn.Clock, authority mn.Authority, writer mn.RecordWriter, fleet mn.Fleet, log logrus.FieldLogger) *Orders {
+	return &Orders{
+		self:      self,
+		settings:  settings,
+		clock:     clock,
+		authority: authority,
+		writer:    writer,
+		fleet:     fleet,
+		log:       log,
+	}
+}
+
+// States returns what the platform has been ordered, once no call of an
+// earlier holder can be under way any more.
+func (o *Orders) States(ctx context.Context) ([]mn.FleetState, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, err := o.begin(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.settings.Call.Duration())
+	defer cancel()
+	return o.fleet.FleetStates(ctx)
+}
+
+// Set orders target endpoints of pool in dc. The intent is in the log, and
+// read back as valid, before the platform is called; the call's deadline lies
+// inside the lease. An error without outcome "not run" leaves it unknown
+// whether the order took effect; States tells.
+func (o *Orders) Set(ctx context.Context, pool mn.PoolID, dc mn.DataCentre, target int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	term, err := o.begin()
+	if err != nil {
+		return err
+	}
+	r := &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: o.self}
+	r.Intent = &mn.Intent{Term: term, Pool: pool, DataCentre: dc, Target: target}
+	if err := o.declare(ctx, r); err != nil {
+		return err
+	}
+	order := mn.FleetOrder{ID: r.ID, Pool: pool, DataCentre: dc, Target: target, Term: term, Holder: o.self}
+	ctx, cancel := context.WithTimeout(ctx, o.settings.Call.Duration())
+	defer cancel()
+	if err := o.check(term); err != nil {
+		return err
+	}
+	err = o.fleet.OrderFleet(ctx, order)
+	o.note(order, err)
+	return err
+}
+
+// declare writes the intent. It has no more time than a call, so that a slow
+// log does not use the lease up.
+func (o *Orders) declare(ctx context.Context, r *mn.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, o.settings.Call.Duration())
+	defer cancel()
+	if _, err := o.writer.Write(ctx, r); err != nil {
+		counters.Add("intents_failed", 1)
+		return mn.Errorf(mn.PlatformUnavailable, "intent for pool %q: %w", r.Intent.Pool, err).WithOutcome(mn.OutcomeNotRun)
+	}
+	return nil
+}
+
+// begin returns the term to give orders under. A new term waits until the
+// longest call of the holder before has ended.
+func (o *Orders) begin() (mn.Term, error) {
+	term, _, ok := o.authority.Held()
+	if !ok {
+		return 0, mn.Errorf(mn.LeaseLost, "no lease to give orders under")
+	}
+	now := o.clock.Now()
+	if term != o.term {
+		o.term = term
+		o.ready = now + o.settings.Call + o.settings.Margin
+	}
+	if now < o.ready {
+		return 0, mn.Errorf(mn.OrderBusy, "a call of an earlier holder may be under way").WithRetry(o.ready - now)
+	}
+	return term, nil
+}
+
+// check says whether a call that starts now ends inside the lease of term.
+func (o *Orders) check(term mn.Term) error {
+	now := o.clock.Now()
+	held, until, ok := o.authority.Held()
+	if !ok || held != term {
+		return mn.Errorf(mn.LeaseLost, "lease of term %d has ended", term)
+	}
+	if until-now < o.settings.Call+o.settings.Margin {
+		return mn.Errorf(mn.LeaseLost, "%d ms of the lease are left, a call needs %d ms", until-now, o.settings.Call+o.settings.Margin)
+	}
+	return nil
+}
+
+func (o *Orders) note(order mn.FleetOrder, err error) {
+	entry := o.log.WithFields(logrus.Fields{
+		"pool": order.Pool, "data_centre": order.DataCentre, "target": order.Target, "term": order.Term,
+	})
+	if err != nil {
+		counters.Add("orders_unknown", 1)
+		entry.WithField("err", err).Warn("fleet order without an answer")
+		return
+	}
+	counters.Add("orders", 1)
+	entry.Info("fleet order given")
+}
--- /dev/null
+++ b/core/order/example_test.go
@@ -0,0 +1,33 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/core/order"
+)
+
+// A holder of the lease changes an engine's role through the gate of its
+// agent.
+func Example() {
+	r := newRig(true)
+	r.engine.change = 50 * mn.Millisecond
+	settings := order.Settings{Poll: 5, Idle: 5, Settle: 10, Call: 50, Hold: 1000}
+	gate := order.New("run-1", settings, r.clock, r.engine, r.work, func() bool { return true }, r.log)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() { _ = gate.Run(ctx) }()
+
+	authority := &lease{clock: r.clock}
+	authority.set(7, r.clock.Now()+mn.Minute)
+	issuer := order.NewIssuer(authority, r.clock, 10)
+	err := issuer.Change(ctx, gate, toDecode)
+	for err != nil && mn.CodeOf(err) == mn.OrderBusy { // The gate is still reading the engine's state.
+		err = issuer.Change(ctx, gate, toDecode)
+	}
+	s, _ := issuer.State(ctx, gate)
+	fmt.Println(err, s.State.Role, s.State.Fence)
+	// Output: <nil> decode 7
+}
--- a/core/order/gate.go
+++ b/core/order/gate.go
@@ -21,7 +21,8 @@
 	// Idle is the time between readings otherwise.
 	Idle mn.Millis
 	// Settle is for how long the engine's state has to stay the same before a
-	// change, or an order with an unknown result, counts as ended.
+	// change counts as ended; after an order with an unknown result, and when
+	// the agent starts, it is Settle and Call together.
 	Settle mn.Millis
 	// Call bounds one call of the engine.
 	Call mn.Millis
@@ -48,7 +49,7 @@
 	settings    Settings
 	clock       mn.Clock
 	engine      mn.Engine
-	work        mn.Work
+	work        mn.Admission
 	fencing     func() bool
 	log         logrus.FieldLogger
 	kick        chan struct{}
@@ -63,6 +64,8 @@
 	calling bool
 	// stable is since when the state has been the same, 0 while it is not.
 	stable mn.Millis
+	// settle is for how long it has to be so.
+	settle mn.Millis
 	held   bool
 	// holdEnd is when a hold without a further order ends.
 	holdEnd mn.Millis
@@ -70,7 +73,7 @@
 
 // New returns a gate for the agent incarnation. The engine is sent fencing
 // numbers while fencing returns true.
-func New(incarnation mn.Incarnation, settings Settings, clock mn.Clock, engine mn.Engine, work mn.Work, fencing func() bool, log logrus.FieldLogger) *Gate {
+func New(incarnation mn.Incarnation, settings Settings, clock mn.Clock, engine mn.Engine, work mn.Admission, fencing func() bool, log logrus.FieldLogger) *Gate {
 	return &Gate{
 		incarnation: incarnation,
 		settings:    settings,
@@ -81,6 +84,7 @@
 		log:         log,
 		kick:        make(chan struct{}, 1),
 		busy:        true,
+		settle:      settings.Settle + settings.Call,
 	}
 }
 
@@ -125,12 +129,19 @@
 		return err
 	}
 	defer g.leave()
+	if n := g.work.Running(); n > 0 {
+		g.abandon()
+		return refuse(NotDrained, "%d requests are running", n)
+	}
 	if err := g.recheck(o); err != nil {
 		g.abandon()
 		return err
 	}
 	err := g.call(ctx, o)
-	if err != nil && mn.AsError(err).Outcome == mn.OutcomeNotRun {
+	switch {
+	case err == nil:
+		g.accepted()
+	case mn.AsError(err).Outcome == mn.OutcomeNotRun:
 		g.abandon()
 	}
 	g.log.WithFields(logrus.Fields{
@@ -180,13 +191,11 @@
 		return refuse(mn.OrderBusy, "an order is in progress or the engine's state is not settled")
 	}
 	g.hold()
-	if n := g.work.Running(); n > 0 {
-		return refuse(NotDrained, "%d requests are running", n)
-	}
 	g.sequence = o.Sequence
 	g.busy = true
 	g.calling = true
 	g.stable = 0
+	g.settle = g.settings.Settle + g.settings.Call
 	return nil
 }
 
@@ -206,7 +215,7 @@
 	if o.Incarnation != g.incarnation {
 		return refuse(Foreign, "stamped by incarnation %s, this is %s", o.Incarnation, g.incarnation)
 	}
-	if o.Term != g.term {
+	if o.Term <= 0 || o.Term != g.term {
 		return refuse(mn.OrderStale, "term %d, but the agent has seen term %d", o.Term, g.term)
 	}
 	if o.Sequence <= g.sequence {
@@ -216,7 +225,7 @@
 }
 
 func checkLife(o mn.Order, now mn.Millis) error {
-	if now >= o.Stamp+o.Life {
+	if now < o.Stamp || now-o.Stamp >= o.Life {
 		return refuse(mn.OrderExpired, "%d ms after the stamp, life %d ms", now-o.Stamp, o.Life)
 	}
 	return nil
@@ -238,6 +247,13 @@
 	}
 }
 
+// accepted notes that the engine has taken the order.
+func (g *Gate) accepted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle = g.settings.Settle
+}
+
 // abandon ends an order that has not reached the engine, or that it refused.
 func (g *Gate) abandon() {
 	g.mu.Lock()
@@ -314,7 +330,7 @@
 		g.state = r.state
 		g.stable = now
 	}
-	if g.busy && now-g.stable >= g.settings.Settle {
+	if g.busy && now-g.stable >= g.settle {
 		g.busy = false
 		g.resume()
 	}
