--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -27,6 +27,8 @@
 	peersPort     = 7003
 	debugPort     = 7004
 	standInPort   = 7100
+	peersLinkPort = 7013
+	platLinkPort  = 7110
 )
 
 // OperatorToken is the operators' token of every cluster.
@@ -43,10 +45,15 @@
 	Endpoint *Proc
 	// Runs is the file with a plain service's runs.
 	Runs string
+	// PeersLink carries what peers send to the process, PlatformLink what the
+	// process sends to the platform. Both are nil unless the cluster has links.
+	PeersLink    *Link
+	PlatformLink *Link
 	// settings is the file with the process's settings.
 	settings string
 	kind     mn.PoolKind
 	model    mn.ModelID
+	engine   []string
 }
 
 // Callers returns the base URL for callers of an entry.
@@ -72,6 +79,14 @@
 	Nodes    map[mn.VMID]*Node
 	// Extra is appended to the settings of every process started from now on.
 	Extra string
+	// EngineArgs, if set, are the arguments of the program fakes for model
+	// engines started from now on, without model and address.
+	EngineArgs []string
+	// Running, if set, bounds the requests at endpoints added from now on.
+	Running int
+	// Links has every process started from now on reached by its peers, and
+	// reach the platform, over a link that can be cut.
+	Links bool
 
 	reserved net.Listener
 	subnet   string
@@ -131,6 +146,11 @@
 				p.Kill()
 			}
 		}
+		for _, l := range []*Link{n.PeersLink, n.PlatformLink} {
+			if l != nil {
+				l.Close()
+			}
+		}
 	}
 	if c.Platform != nil {
 		c.Platform.Kill()
@@ -145,6 +165,9 @@
 		IP: ip,
 		VM: mn.VM{ID: mn.VMID(name), State: mn.VMLive, Role: mn.RoleEntry, Addr: fmt.Sprintf("%s:%d", ip, peersPort), DataCentre: dc},
 	}
+	if err := c.addLinks(n); err != nil {
+		return n, err
+	}
 	settings := c.common(n) + fmt.Sprintf("callers = %s:%d\noperators = %s:%d\n[operators]\ntoken = %s\n",
 		ip, callersPort, ip, operatorsPort, OperatorToken)
 	return n, c.launch(n, settings)
@@ -152,7 +175,11 @@
 
 // AddModel starts a model engine with its agent and waits until it is ready.
 func (c *Cluster) AddModel(name string, dc mn.DataCentre, pool mn.PoolID, model mn.ModelID) (*Node, error) {
-	return c.addEndpoint(&Node{kind: mn.PoolModel, model: model}, name, dc, pool)
+	engine := []string{"engine"}
+	if c.EngineArgs != nil {
+		engine = c.EngineArgs
+	}
+	return c.addEndpoint(&Node{kind: mn.PoolModel, model: model, engine: engine}, name, dc, pool)
 }
 
 // AddPlain starts a plain service with its agent and waits until it is ready.
@@ -167,7 +194,13 @@
 	if err := c.StartEndpoint(n); err != nil {
 		return n, err
 	}
+	if err := c.addLinks(n); err != nil {
+		return n, err
+	}
 	settings := c.common(n) + fmt.Sprintf("[endpoint]\npool = %s\nkind = %s\nurl = %s\n", pool, n.kind, n.EndpointURL())
+	if c.Running > 0 {
+		settings += fmt.Sprintf("running = %d\n", c.Running)
+	}
 	return n, c.launch(n, settings)
 }
 
@@ -175,7 +208,7 @@
 func (c *Cluster) StartEndpoint(n *Node) error {
 	args := []string{"plain", "--runs", n.Runs}
 	if n.kind == mn.PoolModel {
-		args = []string{"engine", "--model", string(n.model)}
+		args = append(append([]string{}, n.engine...), "--model", string(n.model))
 	}
 	args = append(args, "--listen", fmt.Sprintf("%s:%d", n.IP, standInPort))
 	p, err := start(c.Dir, string(n.VM.ID)+"-endpoint", filepath.Join(c.Bin, "fakes"), args...)
@@ -186,8 +219,25 @@
 	return c.await(p.Name, n.EndpointURL(), p)
 }
 
+func (c *Cluster) addLinks(n *Node) error {
+	if !c.Links {
+		return nil
+	}
+	n.VM.Addr = fmt.Sprintf("%s:%d", n.IP, peersLinkPort)
+	var err error
+	if n.PeersLink, err = newLink(n.VM.Addr, fmt.Sprintf("%s:%d", n.IP, peersPort)); err != nil {
+		return err
+	}
+	n.PlatformLink, err = newLink(fmt.Sprintf("%s:%d", n.IP, platLinkPort), c.platformAddr())
+	return err
+}
+
 func (c *Cluster) common(n *Node) string {
-	s := fmt.Sprintf("[process]\nvm = %s\ndata_centre = %s\n[platform]\nurl = %s\n", n.VM.ID, n.VM.DataCentre, c.PlatformURL())
+	platform := c.PlatformURL()
+	if n.PlatformLink != nil {
+		platform = fmt.Sprintf("http://%s:%d", n.IP, platLinkPort)
+	}
+	s := fmt.Sprintf("[process]\nvm = %s\ndata_centre = %s\n[platform]\nurl = %s\n", n.VM.ID, n.VM.DataCentre, platform)
 	s += c.Extra
 	var entries string
 	for _, v := range c.vms {
@@ -198,7 +248,7 @@
 	if entries != "" {
 		s += "[peers]\nentries = " + entries + "\n"
 	}
-	return s + fmt.Sprintf("[listen]\npeers = %s:%d\ndebug = %s:%d\n", n.IP, peersPort, n.IP, debugPort)
+	return s + fmt.Sprintf("[listen]\nadvertise = %s\npeers = %s:%d\ndebug = %s:%d\n", n.VM.Addr, n.IP, peersPort, n.IP, debugPort)
 }
 
 func (c *Cluster) launch(n *Node, settings string) error {
@@ -233,6 +283,28 @@
 	return nil
 }
 
+// Isolate cuts n off from its peers, in both directions, and from the platform.
+func (c *Cluster) Isolate(n *Node) {
+	n.PlatformLink.Cut()
+	n.PeersLink.Cut()
+	for _, o := range c.Nodes {
+		if o != n {
+			o.PeersLink.CutFrom(n.IP)
+		}
+	}
+}
+
+// Rejoin undoes Isolate.
+func (c *Cluster) Rejoin(n *Node) {
+	n.PlatformLink.Restore()
+	n.PeersLink.Restore()
+	for _, o := range c.Nodes {
+		if o != n {
+			o.PeersLink.RestoreFrom(n.IP)
+		}
+	}
+}
+
 // VMs returns the platform's list of VMs as the cluster has set it.
 func (c *Cluster) VMs() []mn.VM { return append([]mn.VM(nil), c.vms...) }
 
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -27,6 +27,9 @@
 	Operators string
 	Peers     string
 	Debug     string
+	// Advertise is the address at which peers reach the process; it is Peers
+	// unless a forwarder stands between.
+	Advertise string
 
 	// Platform is the base URL of the platform's service.
 	Platform string
@@ -37,6 +40,8 @@
 	Pool     mn.PoolID
 	Kind     mn.PoolKind
 	Endpoint string
+	// Running bounds the requests at the endpoint at once.
+	Running int64
 
 	// OperatorToken is what operators present as a bearer token.
 	OperatorToken string
@@ -83,6 +88,7 @@
 	{"listen", "callers", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Callers = v; return checkAddr(v) }},
 	{"listen", "operators", entryOnly, true, "", wantAddr, func(s *Settings, v string) error { s.Operators = v; return checkAddr(v) }},
 	{"listen", "peers", both, true, "", wantAddr, func(s *Settings, v string) error { s.Peers = v; return checkAddr(v) }},
+	{"listen", "advertise", both, false, "", wantAddr, func(s *Settings, v string) error { s.Advertise = v; return checkAddr(v) }},
 	{"listen", "debug", both, true, "", wantAddr, func(s *Settings, v string) error { s.Debug = v; return checkAddr(v) }},
 	{"listen", "max_body", entryOnly, false, "4194304", "a number of bytes from 1 to 1073741824", func(s *Settings, v string) error { return parseCount(v, 1, 1<<30, &s.MaxBody) }},
 	{"platform", "url", both, true, "", wantURL, func(s *Settings, v string) error { s.Platform = v; return checkURL(v) }},
@@ -93,6 +99,7 @@
 		return checkOneOf(v, string(mn.PoolModel), string(mn.PoolPlain))
 	}},
 	{"endpoint", "url", agentOnly, true, "", wantURL, func(s *Settings, v string) error { s.Endpoint = v; return checkURL(v) }},
+	{"endpoint", "running", agentOnly, false, "32", "a number of requests from 1 to 4096", func(s *Settings, v string) error { return parseCount(v, 1, 4096, &s.Running) }},
 	{"operators", "token", entryOnly, true, "", "a token of at least 16 characters", parseToken},
 	{"control", "lease", entryOnly, false, "3s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Lease) }},
 	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
@@ -136,6 +143,9 @@
 			faults = append(faults, fmt.Sprintf("%s: [%s] %s: %v", path, d.section, d.name, err))
 		}
 	}
+	if s.Advertise == "" {
+		s.Advertise = s.Peers
+	}
 	faults = append(faults, s.clashes()...)
 	if s.TraceExporter != "none" && s.TraceTarget == "" {
 		faults = append(faults, fmt.Sprintf("%s: [trace] target: missing, exporter %q needs one", path, s.TraceExporter))
