--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -22,8 +23,26 @@
 	CrashToken = "crash_token"
 	// CutToken cuts the stream of the next request after so many tokens.
 	CutToken = "cut_token"
+	// ChangeMillis is for how long an order keeps the engine from work.
+	ChangeMillis = "change_ms"
+	// OrderLost lets so many orders take effect without an answer.
+	OrderLost = "order_lost"
+	// OrderSlow delays orders before they take effect, in milliseconds.
+	OrderSlow = "order_slow_ms"
+	// Fencing has the engine refuse orders with an old fencing number.
+	Fencing = "fencing"
 )
 
+// TimedEngineOrder is an order with the time at which it took effect.
+type TimedEngineOrder struct {
+	mn.EngineOrder
+	Wall mn.Millis `json:"wall"`
+	// Conflict says that another order was being carried out, and Cut how many
+	// requests the order cut.
+	Conflict bool  `json:"conflict"`
+	Cut      int64 `json:"cut"`
+}
+
 // PoisonPrompt makes an engine's process end when it is part of a prompt.
 const PoisonPrompt = "<<poison>>"
 
@@ -57,12 +76,16 @@
 	mu      sync.Mutex
 	state   mn.EngineState
 	seen    []string
+	orders  []TimedEngineOrder
+	// ready is when the present change ends.
+	ready mn.Millis
+	next  mn.EngineState
 }
 
 // NewEngine returns an engine that has loaded a version of model.
 func NewEngine(clock mn.Clock, model mn.ModelID, version string) *Engine {
 	return &Engine{
-		Faults: NewFaults(TokenMillis, CrashToken, CutToken),
+		Faults: NewFaults(TokenMillis, CrashToken, CutToken, ChangeMillis, OrderLost, OrderSlow, Fencing),
 		clock:  clock,
 		state:  mn.EngineState{Role: mn.EngineMixed, Model: model, Version: version},
 	}
@@ -78,6 +101,11 @@
 	mux.HandleFunc("GET /state", e.handleState)
 	mux.HandleFunc("POST /order", e.handleOrder)
 	mux.HandleFunc("GET /cache_events", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, []mn.CacheEvent{}) })
+	mux.HandleFunc("GET /admin/orders", func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		writeJSON(w, e.orders)
+	})
 	mux.HandleFunc("GET /admin/seen", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -95,6 +123,10 @@
 	if strings.Contains(g.Prompt, PoisonPrompt) {
 		os.Exit(3)
 	}
+	if e.changing() {
+		http.Error(w, "the engine is changing", http.StatusServiceUnavailable)
+		return
+	}
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.stream(w, r, g)
@@ -110,6 +142,9 @@
 				return
 			}
 		}
+		if e.changing() {
+			drop()
+		}
 		if crash > 0 && i+1 >= crash {
 			os.Exit(3)
 		}
@@ -138,17 +173,57 @@
 func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.settle()
 	writeJSON(w, e.state)
 }
 
+// settle ends a change whose time has passed. The caller holds e.mu.
+func (e *Engine) settle() {
+	if e.state.Changing && e.clock.Now() >= e.ready {
+		e.state = e.next
+	}
+}
+
+// changing says whether an order keeps the engine from work.
+func (e *Engine) changing() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	return e.state.Changing
+}
+
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o mn.EngineOrder
 	if !readJSON(w, r, &o) {
 		return
 	}
+	if d := mn.Millis(e.Faults.Get(OrderSlow)); d > 0 {
+		_ = e.clock.Sleep(context.WithoutCancel(r.Context()), d)
+	}
+	if !e.take(o) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	if e.Faults.Take(OrderLost) {
+		drop()
+	}
+}
+
+// take starts the change that o asks for and says whether o was accepted.
+func (e *Engine) take(o mn.EngineOrder) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.Role = o.Role
-	e.state.Model = o.Model
-	e.state.Version = o.Version
+	e.settle()
+	if e.Faults.Get(Fencing) != 0 && o.Fence < e.state.Fence {
+		return false
+	}
+	e.orders = append(e.orders, TimedEngineOrder{o, e.clock.Wall(), e.state.Changing, e.running.Load()})
+	e.next = mn.EngineState{Role: o.Role, Model: o.Model, Version: o.Version}
+	if e.Faults.Get(Fencing) != 0 {
+		e.next.Fence = o.Fence
+		e.state.Fence = o.Fence
+	}
+	e.state.Changing = true
+	e.ready = e.clock.Now() + mn.Millis(e.Faults.Get(ChangeMillis))
+	return true
 }
--- /dev/null
+++ b/io/agent/order.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// stampTimeout bounds the asking for a stamp. An order has the life of its
+// lease instead.
+const stampTimeout = 1 * mn.Second
+
+// Taker gives orders to one agent. It implements [mn.OrderTaker].
+type Taker struct {
+	client *Client
+	addr   string
+}
+
+// Taker returns the agent at addr as the control holder sees it.
+func (c *Client) Taker(addr string) *Taker {
+	return &Taker{client: c, addr: addr}
+}
+
+// Stamp implements [mn.OrderTaker].
+func (t *Taker) Stamp(ctx context.Context, term mn.Term) (mn.AgentState, error) {
+	ctx, cancel := context.WithTimeout(ctx, stampTimeout.Duration())
+	defer cancel()
+	conn := t.client.conns.Get(ctx, t.addr)
+	defer conn.Close()
+	r, err := meshpb.NewDRPCAgentClient(conn).Stamp(ctx, &meshpb.StampRequest{Term: int64(term)})
+	if err != nil {
+		return mn.AgentState{}, linkError(t.addr, err)
+	}
+	if r.Failure != nil {
+		return mn.AgentState{}, wire.ErrorOf(r.Failure)
+	}
+	return mn.AgentState{
+		Stamp:       mn.Millis(r.Stamp),
+		Incarnation: mn.Incarnation(r.Incarnation),
+		Term:        mn.Term(r.Term),
+		State: mn.EngineState{
+			Role:     mn.EngineRole(r.Role),
+			Model:    mn.ModelID(r.Model),
+			Version:  r.Version,
+			Changing: r.Changing,
+			Fence:    r.Fence,
+		},
+		Busy:    r.Busy,
+		Held:    r.Held,
+		Running: r.Running,
+	}, nil
+}
+
+// Order implements [mn.OrderTaker].
+func (t *Taker) Order(ctx context.Context, o mn.Order) error {
+	conn := t.client.conns.Get(ctx, t.addr)
+	defer conn.Close()
+	r, err := meshpb.NewDRPCAgentClient(conn).Order(ctx, &meshpb.OrderRequest{
+		Term:        int64(o.Term),
+		Sequence:    int64(o.Sequence),
+		Stamp:       int64(o.Stamp),
+		LifeMs:      int64(o.Life),
+		Incarnation: string(o.Incarnation),
+		Role:        string(o.Target.Role),
+		Model:       string(o.Target.Model),
+		Version:     o.Target.Version,
+		Prepare:     o.Prepare,
+	})
+	if err != nil {
+		return linkError(t.addr, err)
+	}
+	return wire.ErrorOf(r.Failure)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -37,6 +37,9 @@
 	// Engine or Plain is the endpoint, the other is nil.
 	Engine mn.Engine
 	Plain  mn.PlainService
+	// Gate takes orders to the engine. It is set after New, since it holds the
+	// server's admission; nil for plain services.
+	Gate mn.OrderTaker
 }
 
 // Server implements the drpc service Agent.
@@ -45,6 +48,7 @@
 	Config
 	running  atomic.Int64
 	draining atomic.Bool
+	held     atomic.Bool
 	wg       sync.WaitGroup
 }
 
@@ -126,6 +130,9 @@
 	if s.draining.Load() {
 		return mn.Errorf(mn.Draining, "agent %s is leaving", s.VM)
 	}
+	if s.held.Load() {
+		return mn.Errorf(mn.Draining, "endpoint of agent %s is about to change", s.VM)
+	}
 	if r.Id == "" || mn.PoolID(r.Pool) != s.Pool {
 		return mn.Errorf(mn.BadRequest, "request %q for pool %q reached an agent of pool %q", r.Id, r.Pool, s.Pool)
 	}
--- a/io/entry/load.go
+++ b/io/entry/load.go
@@ -25,7 +25,7 @@
 	for {
 		report, next := s.Loads.LoadReport(last)
 		last = next
-		report.Draining = s.draining.Load()
+		report.Draining = s.draining.Load() || s.held.Load()
 		report.Offset = int64(s.Views.View().Offset)
 		if err := stream.Send(report); err != nil {
 			return err
--- /dev/null
+++ b/io/entry/order.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// Hold implements [mn.Admission]. A request counts as running before it looks
+// whether the endpoint is held, so none slips past a count of 0.
+func (s *Server) Hold() { s.held.Store(true) }
+
+// Resume implements [mn.Admission].
+func (s *Server) Resume() { s.held.Store(false) }
+
+// Running implements [mn.Admission].
+func (s *Server) Running() int64 { return s.running.Load() }
+
+func (s *Server) gate() (mn.OrderTaker, error) {
+	if s.Gate == nil {
+		return nil, mn.Errorf(mn.BadRequest, "endpoint of pool %q takes no orders", s.Pool)
+	}
+	return s.Gate, nil
+}
+
+// Stamp gives out a stamp for an order.
+func (s *Server) Stamp(ctx context.Context, r *meshpb.StampRequest) (*meshpb.StampReply, error) {
+	g, err := s.gate()
+	if err != nil {
+		return &meshpb.StampReply{Failure: wire.FailureOf(err)}, nil
+	}
+	a, err := g.Stamp(ctx, mn.Term(r.Term))
+	if err != nil {
+		return &meshpb.StampReply{Failure: wire.FailureOf(err)}, nil
+	}
+	return &meshpb.StampReply{
+		Stamp:       int64(a.Stamp),
+		Incarnation: string(a.Incarnation),
+		Term:        int64(a.Term),
+		Role:        string(a.State.Role),
+		Model:       string(a.State.Model),
+		Version:     a.State.Version,
+		Changing:    a.State.Changing,
+		Fence:       a.State.Fence,
+		Busy:        a.Busy,
+		Held:        a.Held,
+		Running:     a.Running,
+	}, nil
+}
+
+// Order passes an order to the engine, or refuses it.
+func (s *Server) Order(ctx context.Context, r *meshpb.OrderRequest) (*meshpb.OrderReply, error) {
+	g, err := s.gate()
+	if err != nil {
+		return &meshpb.OrderReply{Failure: wire.FailureOf(err)}, nil
+	}
+	err = g.Order(ctx, mn.Order{
+		Term:        mn.Term(r.Term),
+		Sequence:    mn.Sequence(r.Sequence),
+		Stamp:       mn.Millis(r.Stamp),
+		Life:        mn.Millis(r.LifeMs),
+		Incarnation: mn.Incarnation(r.Incarnation),
+		Target: mn.EngineTarget{
+			Role:    mn.EngineRole(r.Role),
+			Model:   mn.ModelID(r.Model),
+			Version: r.Version,
+		},
+		Prepare: r.Prepare,
+	})
+	return &meshpb.OrderReply{Failure: wire.FailureOf(err)}, nil
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcmux"
 
 	mn "mustardnotch"
+	"mustardnotch/core/order"
 	"mustardnotch/gen/meshpb"
 	"mustardnotch/io/engine"
 	"mustardnotch/io/entry"
@@ -21,6 +22,7 @@
 	*base
 	server *entry.Server
 	queue  *queued
+	gate   *order.Gate
 }
 
 // NewAgent returns an agent with settings s that logs to log.
@@ -31,6 +33,7 @@
 	}
 	a := &Agent{base: b}
 	a.server = entry.New(a.serverConfig())
+	a.guard()
 	return a, nil
 }
 
@@ -76,6 +79,7 @@
 	serveHTTP(run, g, ls[1], a.debugHandler())
 	g.Go(func() error { return a.follow(run) })
 	g.Go(func() error { return a.queue.poll(run) })
+	g.Go(func() error { return a.takeOrders(run) })
 	g.Go(func() error {
 		if err := a.join(run); err != nil {
 			return err
--- a/node/entry.go
+++ b/node/entry.go
@@ -20,6 +20,7 @@
 	callers *http.Server
 	table   *route.Table
 	agents  *agent.Client
+	control *control
 }
 
 // NewEntry returns an entry with settings s that logs to log.
@@ -30,10 +31,12 @@
 	}
 	routing := route.DefaultSettings(s.DataCentre)
 	routing.Policy = route.Policy(s.Router)
+	agents := agent.New(b.conns)
 	return &Entry{
-		base:   b,
-		table:  route.New(b.clock, b.fold, routing),
-		agents: agent.New(b.conns),
+		base:    b,
+		table:   route.New(b.clock, b.fold, routing),
+		agents:  agents,
+		control: newControl(b, agents),
 	}, nil
 }
 
@@ -54,7 +57,8 @@
 	e.callers = serveHTTP(run, g, ls[0], mux)
 	serveHTTP(run, g, ls[3], e.debugHandler())
 	g.Go(func() error { return e.follow(run) })
-	g.Go(func() error { return newFeeds(e.base, e.table, e.agents).run(run) })
+	g.Go(func() error { return newFeeds(e.base, e.table, e.agents, e.control.report).run(run) })
+	g.Go(func() error { return e.control.run(run) })
 	g.Go(func() error {
 		if err := e.join(run); err != nil {
 			return err
@@ -79,6 +83,7 @@
 func (e *Entry) leave(ctx context.Context) {
 	e.leaving.Store(true)
 	e.log.WithField("event", "leaving").Info()
+	e.control.stop(ctx)
 	e.depart(ctx, false)
 	_ = e.clock.Sleep(ctx, grace)
 	drain, cancel := context.WithTimeout(ctx, e.settings.Drain.Duration())
--- a/node/feeds.go
+++ b/node/feeds.go
@@ -25,6 +25,8 @@
 	table  *route.Table
 	agents *agent.Client
 	open   map[mn.VMID]feed
+	// report takes each load report in as well.
+	report func(vm mn.VMID, r *meshpb.LoadReport)
 }
 
 // feed is one stream of load reports.
@@ -33,8 +35,8 @@
 	stop        context.CancelFunc
 }
 
-func newFeeds(b *base, t *route.Table, agents *agent.Client) *feeds {
-	return &feeds{base: b, table: t, agents: agents, open: make(map[mn.VMID]feed)}
+func newFeeds(b *base, t *route.Table, agents *agent.Client, report func(mn.VMID, *meshpb.LoadReport)) *feeds {
+	return &feeds{base: b, table: t, agents: agents, open: make(map[mn.VMID]feed), report: report}
 }
 
 // run follows the roster until ctx is done.
@@ -82,6 +84,7 @@
 		err := f.agents.Watch(ctx, m.Addr, reportInterval, func(r *meshpb.LoadReport) {
 			report, events := reportOf(r)
 			f.table.Report(m.VM, report, events, r.EventsLost)
+			f.report(m.VM, r)
 		})
 		if ctx.Err() != nil {
 			return
--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+	"mustardnotch/core/order"
+)
+
+// guard puts a gate for orders before the agent's engine, if it has one.
+func (a *Agent) guard() {
+	if a.server.Engine == nil {
+		return
+	}
+	a.gate = order.New(a.self.Incarnation, order.DefaultSettings(), a.clock, a.server.Engine, a.server, a.fencing, a.log)
+	a.server.Gate = a.gate
+}
+
+// fencing says whether the pool's engines check fencing numbers.
+func (a *Agent) fencing() bool {
+	p, ok := a.fold.View().Pool(a.self.Pool)
+	return ok && p.Fencing
+}
+
+// takeOrders runs the gate until ctx is done, and tells it of new terms as
+// the log has them.
+func (a *Agent) takeOrders(ctx context.Context) error {
+	if a.gate == nil {
+		return nil
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		_ = a.gate.Run(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		for ctx.Err() == nil {
+			changed := a.fold.Changed()
+			a.gate.Raise(a.fold.View().Holder.Term)
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+var _ mn.OrderTaker = (*order.Gate)(nil)
