--- a/core/fleet/size.go
+++ b/core/fleet/size.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -70,39 +70,48 @@
 	return min(current, s.needs[0].size)
 }
 
-// Divide divides total endpoints among data centres in proportion to demand,
-// by largest remainder. Where remainders are equal, a data centre that has
-// more endpoints now goes first, so that as few as possible move.
-func Divide(total int64, demand map[mn.DataCentre]float64, current map[mn.DataCentre]int64) map[mn.DataCentre]int64 {
-	type part struct {
-		dc   mn.DataCentre
-		size int64
-		rest float64
+// Spread returns sizes by data centre that add up to total. It starts from the
+// present sizes: endpoints are added where demand is highest for the size, and
+// taken away where it is lowest, by highest averages. No endpoint moves from
+// one data centre to another unless the total changes.
+func Spread(total int64, demand map[mn.DataCentre]float64, current map[mn.DataCentre]int64) map[mn.DataCentre]int64 {
+	sizes := map[mn.DataCentre]int64{}
+	var sum int64
+	var all float64
+	for dc, d := range demand {
+		sizes[dc] = current[dc]
+		sum += current[dc]
+		all += d
 	}
-	var sum float64
-	for _, d := range demand {
-		sum += d
+	if len(sizes) == 0 {
+		return sizes
 	}
-	var parts []part
-	left := total
-	for dc, d := range demand {
-		exact := float64(total) / float64(len(demand))
-		if sum > 0 {
-			exact = float64(total) * d / sum
-		}
-		size := int64(exact)
-		left -= size
-		parts = append(parts, part{dc, size, exact - float64(size)})
+	// Where there is no demand yet, some is assumed, so that no data centre
+	// is left without endpoints by one look at the load.
+	least := max(all, 1) / float64(len(sizes)) / 4
+	for ; sum < total; sum++ {
+		sizes[pick(sizes, func(dc mn.DataCentre) float64 { return (demand[dc] + least) / float64(sizes[dc]+1) })]++
 	}
-	slices.SortFunc(parts, func(a, b part) int {
-		return cmp.Or(cmp.Compare(b.rest, a.rest), cmp.Compare(current[b.dc], current[a.dc]), cmp.Compare(a.dc, b.dc))
-	})
-	sizes := map[mn.DataCentre]int64{}
-	for i, p := range parts {
-		if int64(i) < left {
-			p.size++
-		}
-		sizes[p.dc] = p.size
+	for ; sum > total; sum-- {
+		sizes[pick(sizes, func(dc mn.DataCentre) float64 {
+			if sizes[dc] == 0 {
+				return math.Inf(-1)
+			}
+			return -(demand[dc] + least) / float64(sizes[dc])
+		})]--
 	}
 	return sizes
 }
+
+// pick returns the data centre with the highest score, the first by name
+// where scores are equal.
+func pick(sizes map[mn.DataCentre]int64, score func(mn.DataCentre) float64) mn.DataCentre {
+	dcs := slices.Sorted(maps.Keys(sizes))
+	best := dcs[0]
+	for _, dc := range dcs[1:] {
+		if score(dc) > score(best) {
+			best = dc
+		}
+	}
+	return best
+}
--- a/node/control.go
+++ b/node/control.go
@@ -278,7 +278,7 @@
 	if target == total {
 		return
 	}
-	for dc, size := range fleet.Divide(target, demand, current) {
+	for dc, size := range fleet.Spread(target, demand, current) {
 		if size == current[dc] {
 			continue
 		}
--- /dev/null
+++ b/procs/control_test.go
@@ -0,0 +1,315 @@
+package procs_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+	"mustardnotch/fakes"
+	"mustardnotch/procs"
+)
+
+var takeovers = flag.Int("takeovers", 1, "how often each fault of a control holder is caused and timed")
+
+// watcher follows the control stream beside the processes under test.
+type watcher struct {
+	*conf.Fold
+	void atomic.Int64
+}
+
+func watch(t *testing.T, c *procs.Cluster) *watcher {
+	w := &watcher{Fold: conf.New()}
+	w.OnRecord(func(_ mn.Offset, r *mn.Record, v conf.Verdict) {
+		if r.Claim != nil && v.Err != nil {
+			w.void.Add(1)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			b, err := c.Log().Read(ctx, mn.ControlStream, w.View().Offset+1, 512, 200)
+			if err == nil {
+				_ = w.Apply(b.Entries)
+			} else {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w
+}
+
+// after waits for a lease that ok accepts, and returns it.
+func (w *watcher) after(t *testing.T, limit mn.Millis, ok func(l mn.Lease) bool) mn.Lease {
+	t.Helper()
+	timeout := time.After(limit.Duration())
+	for {
+		changed := w.Changed()
+		if l := w.View().Holder; l.Term != 0 && ok(l) {
+			return l
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			require.FailNow(t, "no holder", "after %d ms the lease is %+v", limit, w.View().Holder)
+		}
+	}
+}
+
+// newer waits for a term after old.
+func (w *watcher) newer(t *testing.T, old mn.Term) mn.Lease {
+	t.Helper()
+	return w.after(t, 15*mn.Second, func(l mn.Lease) bool { return l.Term > old })
+}
+
+// churn changes the model's version and the size of the pool taalpers over
+// and over, so that orders flow, until the test ends or stop is called.
+func churn(t *testing.T, c *procs.Cluster, pool mn.Pool) (stop func()) {
+	pool.ID, pool.Kind, pool.Model, pool.MaxEndpoints, pool.Fencing = "taalpers", mn.PoolModel, "taalpers", 20, true
+	w := watch(t, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := int64(2); ctx.Err() == nil; i++ {
+			pool.MinEndpoints = 2 + i
+			if pool.MinEndpoints > 19 {
+				i = 2
+			}
+			r := w.View().Resources
+			edits := []mn.Edit{}
+			for _, s := range []mn.Resource{{Model: &mn.Model{ID: "taalpers", Version: fmt.Sprint(i), MaxTokens: 4096}}, {Pool: &pool}} {
+				edits = append(edits, mn.Edit{Name: s.Name(), Base: r[s.Name()].Version, Set: &s})
+			}
+			_, _ = c.Append(ctx, &mn.Record{Change: &mn.Change{Edits: edits}})
+			time.Sleep(400 * time.Millisecond)
+		}
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// requireOrders checks that the orders that took effect at platform and
+// engine went by rising terms, and that no engine got conflicting ones.
+func requireOrders(t *testing.T, c *procs.Cluster, atLeast int) {
+	t.Helper()
+	var fleet []fakes.TimedOrder
+	require.NoError(t, procs.Fetch(c.PlatformURL()+"/admin/orders", &fleet))
+	require.True(t, slices.IsSortedFunc(fleet, func(a, b fakes.TimedOrder) int { return int(a.Term - b.Term) }), "%+v", fleet)
+	require.GreaterOrEqual(t, len(fleet), atLeast)
+	holders := map[mn.Term]mn.VMID{}
+	for _, o := range fleet {
+		require.Contains(t, []mn.VMID{"", o.Holder}, holders[o.Term])
+		holders[o.Term] = o.Holder
+	}
+	given := 0
+	for _, n := range c.Nodes {
+		if n.Endpoint == nil {
+			continue
+		}
+		var orders []fakes.TimedEngineOrder
+		require.NoError(t, procs.Fetch(n.EndpointURL()+"/admin/orders", &orders))
+		given += len(orders)
+		for i, o := range orders {
+			require.False(t, o.Conflict, "%+v", o)
+			require.Zero(t, o.Cut, "%+v", o)
+			require.False(t, i > 0 && o.Fence < orders[i-1].Fence, "%+v", orders)
+		}
+	}
+	require.GreaterOrEqual(t, given, atLeast)
+}
+
+// A holder that is paused past its lease with orders under way, and then runs
+// on, gives no order that has an effect.
+func TestPausedHolderGivesNoOrders(t *testing.T) {
+	for _, fencing := range []int64{0, 1} {
+		t.Run(fmt.Sprint("engine checks fencing=", fencing), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 1, 0)
+			engine := c.Nodes["taalpers-1"].EndpointURL()
+			require.NoError(t, c.Fault(engine, fakes.ChangeMillis, 100))
+			require.NoError(t, c.Fault(engine, fakes.Fencing, fencing))
+			w := watch(t, c)
+			stop := churn(t, c, mn.Pool{})
+			for range 1 + *takeovers {
+				old := w.newer(t, 0)
+				time.Sleep(2 * time.Second)
+				p := c.Nodes[old.Holder].Proc
+				require.NoError(t, p.Pause())
+				next := w.newer(t, old.Term)
+				require.NotEqual(t, old.Holder, next.Holder)
+				time.Sleep(1500 * time.Millisecond)
+				require.NoError(t, p.Resume())
+				time.Sleep(time.Second)
+				require.Equal(t, next.Term, w.View().Holder.Term)
+			}
+			stop()
+			requireOrders(t, c, 4)
+		})
+	}
+}
+
+// A planned change of an engine waits for its open stream, which stays whole.
+func TestEngineChangeCutsNothing(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 2, 0)
+	for _, n := range []mn.VMID{"taalpers-1", "taalpers-2"} {
+		u := c.Nodes[n].EndpointURL()
+		require.NoError(t, c.Fault(u, fakes.TokenMillis, 20))
+		require.NoError(t, c.Fault(u, fakes.ChangeMillis, 300))
+	}
+	client := c.Caller(c.Nodes["entry-1"], voeringKey)
+	eventually(t, 6*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, client, "warm", 1)
+		return err
+	})
+	stop := churn(t, c, mn.Pool{})
+	results := make(chan error)
+	for i := range 8 {
+		go func() {
+			var err error
+			for j := 0; j < 8 && err == nil; j++ {
+				prompt := fmt.Sprint("ledger ", i, j)
+				var text string
+				text, _, err = generate(t.Context(), client, prompt, 60)
+				if err == nil && text != fakes.Output(prompt, 60) {
+					err = fmt.Errorf("answer differs: %q", text)
+				}
+			}
+			results <- err
+		}()
+	}
+	for range 8 {
+		require.NoError(t, <-results)
+	}
+	stop()
+	requireOrders(t, c, 2)
+}
+
+// While the log is down the lease lapses and serving goes on; then some entry
+// holds a lease again.
+func TestControlLogDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	require.NoError(t, c.Fault(c.Nodes["taalpers-1"].EndpointURL(), fakes.ChangeMillis, 100))
+	w := watch(t, c)
+	client := c.Caller(c.Nodes["entry-1"], voeringKey)
+	w.newer(t, 0)
+	eventually(t, 6*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, client, "warm", 1)
+		return err
+	})
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 1))
+	before := w.View().Holder.Last
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		_, _, err := generate(t.Context(), client, "during", 3)
+		require.NoError(t, err)
+	}
+	require.Equal(t, before, w.View().Holder.Last)
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 0))
+	w.after(t, 10*mn.Second, func(l mn.Lease) bool { return l.Last > before })
+}
+
+// Entries that start at once agree on one holder, also when the answers of
+// their appends are lost after taking effect.
+func TestRacingEntries(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, 0, 0)
+	w := watch(t, c)
+	first := w.newer(t, 0)
+	for _, n := range c.Nodes {
+		n.Proc.Kill()
+	}
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.AppendLost, 12))
+	for _, n := range c.Nodes {
+		require.NoError(t, c.StartOnly(n))
+	}
+	l := w.newer(t, first.Term)
+	time.Sleep(4 * time.Second)
+	require.Equal(t, l.Term, w.View().Holder.Term, "the first holder keeps the lease")
+	require.Greater(t, w.View().Holder.Last, l.Last)
+	t.Logf("void claims: %d", w.void.Load())
+}
+
+// A member whose VM left the list leaves the roster, one that is cut off or
+// merely missing for a moment does not.
+func TestRemoval(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 3, 0)
+	w := watch(t, c)
+	w.newer(t, 0)
+	gone, listed := c.Nodes["taalpers-1"], c.Nodes["taalpers-2"]
+	gone.Proc.Kill()
+	listed.Proc.Kill()
+	require.NoError(t, c.RemoveVM("taalpers-1"))
+	require.NoError(t, c.RemoveVM("taalpers-3"))
+	eventually(t, 15*mn.Second, func(context.Context) error {
+		if _, ok := w.View().Roster["taalpers-1"]; ok {
+			return fmt.Errorf("taalpers-1 is still in the roster")
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	require.Contains(t, w.View().Roster, mn.VMID("taalpers-2"), "dead but listed")
+	require.Contains(t, w.View().Roster, mn.VMID("taalpers-3"), "not listed but within reach")
+}
+
+// Times how long there is no holder after a kill, a pause and a graceful stop.
+// The log's next valid claim ends the time.
+func TestTakeover(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 0, 0)
+	w := watch(t, c)
+	faults := []struct {
+		name  string
+		limit mn.Millis
+		cause func(n *procs.Node) error
+		undo  func(n *procs.Node) error
+	}{
+		{"kill", 5 * mn.Second, func(n *procs.Node) error { n.Proc.Kill(); return nil }, c.Restart},
+		{"pause", 5 * mn.Second, func(n *procs.Node) error { return n.Proc.Pause() }, func(n *procs.Node) error { return n.Proc.Resume() }},
+		{"graceful stop", 2 * mn.Second, func(n *procs.Node) error { return n.Proc.Terminate() }, func(n *procs.Node) error {
+			if _, err := n.Proc.Wait(40 * mn.Second); err != nil {
+				return err
+			}
+			return c.Restart(n)
+		}},
+	}
+	for _, f := range faults {
+		var times []mn.Millis
+		for range *takeovers {
+			old := w.newer(t, 0)
+			time.Sleep(time.Duration(1500+100*(len(times)%10)) * time.Millisecond)
+			begun := time.Now()
+			require.NoError(t, f.cause(c.Nodes[old.Holder]))
+			w.newer(t, old.Term)
+			times = append(times, mn.MillisOf(time.Since(begun)))
+			require.NoError(t, f.undo(c.Nodes[old.Holder]))
+		}
+		slices.Sort(times)
+		t.Logf("%s: n=%d median=%d ms worst=%d ms void claims so far=%d", f.name, len(times), times[len(times)/2], times[len(times)-1], w.void.Load())
+		require.Less(t, times[len(times)/2], f.limit)
+	}
+	var before, after int64
+	require.NoError(t, procs.Fetch(c.PlatformURL()+"/admin/appends", &before))
+	time.Sleep(5 * time.Second)
+	require.NoError(t, procs.Fetch(c.PlatformURL()+"/admin/appends", &after))
+	t.Logf("appends a second with a holder at rest: %.1f", float64(after-before)/5)
+}
