--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -140,9 +140,9 @@
 	})
 	if err != nil {
 		counters.Add("orders_unknown", 1)
-		entry.WithField("err", err).Warn("fleet order without an answer")
+		entry.WithField("event", "fleet_order_unknown").Warn(err)
 		return
 	}
 	counters.Add("orders", 1)
-	entry.Info("fleet order given")
+	entry.WithField("event", "fleet_order").Info()
 }
--- /dev/null
+++ b/core/fleet/policy_test.go
@@ -0,0 +1,211 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/fleet"
+)
+
+// Checks the fluid model against a closed form: with all phases served alike,
+// the served share is capacity over load.
+func TestServeClosedForm(t *testing.T) {
+	tests := []struct {
+		split           fleet.Split
+		mix             fleet.Mix
+		goodput, served float64
+	}{
+		{fleet.Split{Prefill: 3, Decode: 9}, fleet.Mix{"a": {Prefill: 3, Decode: 9}}, 12, 1},
+		{fleet.Split{Prefill: 3, Decode: 9}, fleet.Mix{"a": {Prefill: 6, Decode: 6}}, 6, 0.5},
+		{fleet.Split{Mixed: 10}, fleet.Mix{"a": {Prefill: 4, Decode: 12}}, 8, 0.5},
+		{fleet.Split{Prefill: 4, Decode: 4}, fleet.Mix{"a": {Prefill: 1, Decode: 1}, "b": {Prefill: 9, Decode: 3}}, 6, 1.0 / 3},
+		{fleet.Split{}, fleet.Mix{}, 0, 1},
+		{fleet.Split{Decode: 2}, fleet.Mix{"a": {Prefill: 1, Decode: 1}}, 0, 0},
+	}
+	for _, tt := range tests {
+		s := tt.split.Serve(tt.mix, 0.8)
+		require.InDelta(t, tt.goodput, s.Goodput, 1e-6, "%+v", tt)
+		require.InDelta(t, tt.served, s.Worst, 1e-6, "%+v", tt)
+	}
+}
+
+// pool is a pool whose engines are away for five seconds at a change.
+type pool struct {
+	engines []fleet.EngineInfo
+	away    map[mn.VMID]mn.Millis
+	changes map[mn.VMID]int
+}
+
+func newPool(prefill, decode, mixed int) *pool {
+	p := &pool{away: map[mn.VMID]mn.Millis{}, changes: map[mn.VMID]int{}}
+	add := func(n int, r mn.EngineRole) {
+		for range n {
+			p.engines = append(p.engines, fleet.EngineInfo{VM: mn.VMID(fmt.Sprint("vm", len(p.engines))), Role: r})
+		}
+	}
+	add(prefill, mn.EnginePrefill)
+	add(decode, mn.EngineDecode)
+	add(mixed, mn.EngineMixed)
+	return p
+}
+
+func (p *pool) serving(now mn.Millis) (fleet.Split, []fleet.EngineInfo) {
+	var s fleet.Split
+	var in []fleet.EngineInfo
+	for _, e := range p.engines {
+		if now < p.away[e.VM] {
+			continue
+		}
+		in = append(in, e)
+		switch e.Role {
+		case mn.EnginePrefill:
+			s.Prefill++
+		case mn.EngineDecode:
+			s.Decode++
+		default:
+			s.Mixed++
+		}
+	}
+	return s, in
+}
+
+func (p *pool) order(now mn.Millis, c fleet.RoleChange) {
+	for i := range p.engines {
+		if p.engines[i].VM == c.VM {
+			p.engines[i].Role = c.To
+			p.away[c.VM] = now + 5*mn.Second
+			p.changes[c.VM]++
+		}
+	}
+}
+
+// run serves ten minutes in which the prefill share moves from 1/4 to 3/4
+// within two minutes, and returns the mean goodput and the worst share.
+func (p *pool) run(roles *fleet.Roles) (goodput, worst float64) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	forecasts := map[mn.CustomerID]*fleet.Forecast{}
+	shares := map[mn.CustomerID]float64{}
+	const steps = 600
+	for s := range steps {
+		now := mn.Millis(s) * mn.Second
+		share := 0.25 + 0.5*math.Min(math.Max(float64(s-120)/120, 0), 1)
+		mix, ahead := fleet.Mix{}, fleet.Mix{}
+		for c, size := range map[mn.CustomerID]float64{"bank": 5, "notary": 4, "tax": 1, "press": 0.5, "floor": 0.5} {
+			noise := 0.9 + 0.2*rnd.Float64()
+			mix[c] = fleet.Load{Prefill: size * share * noise, Decode: size * (1 - share) * noise}
+			if forecasts[c] == nil {
+				forecasts[c] = &fleet.Forecast{Level: 0.2, Trend: 0.05}
+			}
+			forecasts[c].Add(now, mix[c])
+			ahead[c] = forecasts[c].At(20 * mn.Second)
+		}
+		split, in := p.serving(now)
+		v := split.Serve(mix, 0.8)
+		goodput += v.Goodput / steps
+		for c := range mix {
+			shares[c] += v.Worst / steps
+		}
+		if roles == nil || len(in) < len(p.engines) {
+			continue
+		}
+		if c, ok := roles.Next(in, ahead); ok {
+			p.order(now, c)
+			roles.Changed(c, ahead)
+		}
+	}
+	worst = 1
+	for _, v := range shares {
+		worst = min(worst, v)
+	}
+	return goodput, worst
+}
+
+// Against static roles, on the same loads: more goodput, a better-served
+// worst customer, and at most one role change an engine for the shift of mix.
+func TestRolesFollowTheMix(t *testing.T) {
+	for name, make := range map[string]func() *pool{
+		"dedicated": func() *pool { return newPool(3, 9, 0) },
+		"mixed":     func() *pool { return newPool(0, 0, 12) },
+	} {
+		static, staticWorst := make().run(nil)
+		p := make()
+		goodput, worst := p.run(fleet.NewRoles(fleet.DefaultRoleSettings()))
+		total := 0
+		for vm, n := range p.changes {
+			require.LessOrEqual(t, n, 2, "%s: one change at the start and one for the shift", vm)
+			total += n
+		}
+		t.Logf("%s: goodput %.2f against %.2f, worst share %.2f against %.2f, %d changes", name, goodput, static, worst, staticWorst, total)
+		require.Greater(t, goodput, static*1.02)
+		require.Greater(t, worst, staticWorst)
+	}
+}
+
+// Noise about a steady mix changes no roles and no sizes.
+func TestNoFlapping(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	roles := fleet.NewRoles(fleet.DefaultRoleSettings())
+	sizer := fleet.NewSizer(fleet.DefaultSizeSettings())
+	p := newPool(6, 6, 0)
+	current, orders := int64(8), 0
+	for s := range 3600 {
+		noise := 0.8 + 0.4*rnd.Float64()
+		_, in := p.serving(0)
+		_, ok := roles.Next(in, fleet.Mix{"a": {Prefill: 5 * noise, Decode: 5 * (2 - noise)}})
+		require.False(t, ok)
+		target := sizer.Target(mn.Millis(s)*mn.Second, 5.9*noise, current, 2, 20)
+		if target != current {
+			orders++
+			current = target
+		}
+	}
+	require.LessOrEqual(t, orders, 4)
+	require.LessOrEqual(t, current, int64(10))
+}
+
+// A pool follows demand up at once and down after the quiet time, and pays
+// less than one of a fixed size for the same service.
+func TestSizeFollowsDemand(t *testing.T) {
+	sizer := fleet.NewSizer(fleet.DefaultSizeSettings())
+	current, orders, short := int64(2), 0, 0
+	var paid, fixed float64
+	for s := range 7200 {
+		load := 6 + 5*math.Sin(2*math.Pi*float64(s)/3600)
+		target := sizer.Target(mn.Millis(s)*mn.Second, load, current, 2, 20)
+		if target != current {
+			orders++
+			current = target
+		}
+		if float64(current) < load {
+			short++
+		}
+		paid += float64(current)
+		fixed += math.Ceil(11 / 0.75)
+	}
+	t.Logf("%.0f engine-seconds against %.0f, %d orders", paid, fixed, orders)
+	require.Zero(t, short)
+	require.Less(t, paid, 0.8*fixed)
+	require.Less(t, orders, 64)
+}
+
+func TestSpread(t *testing.T) {
+	tests := []struct {
+		total         int64
+		demand        map[mn.DataCentre]float64
+		current, want map[mn.DataCentre]int64
+	}{
+		{4, map[mn.DataCentre]float64{"a": 3, "b": 1}, map[mn.DataCentre]int64{"a": 2, "b": 2}, map[mn.DataCentre]int64{"a": 2, "b": 2}},
+		{6, map[mn.DataCentre]float64{"a": 4, "b": 1}, map[mn.DataCentre]int64{"a": 2, "b": 2}, map[mn.DataCentre]int64{"a": 4, "b": 2}},
+		{2, map[mn.DataCentre]float64{"a": 4, "b": 1}, map[mn.DataCentre]int64{"a": 2, "b": 2}, map[mn.DataCentre]int64{"a": 1, "b": 1}},
+		{4, map[mn.DataCentre]float64{"a": 0, "b": 0}, nil, map[mn.DataCentre]int64{"a": 2, "b": 2}},
+		{3, nil, nil, map[mn.DataCentre]int64{}},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, fleet.Spread(tt.total, tt.demand, tt.current), "%+v", tt)
+	}
+}
--- a/core/fleet/roles.go
+++ b/core/fleet/roles.go
@@ -12,7 +12,8 @@
 	Horizon mn.Millis
 	// Away is for how long a change takes an engine out of service.
 	Away mn.Millis
-	// Gain is the share of goodput by which a change has to pay at least.
+	// Gain is by how much a change has to raise goodput at least, on average
+	// over the horizon, in engines.
 	Gain float64
 	// Shift is by how much the prefill share has to move before an engine may
 	// change its role again.
@@ -23,7 +24,7 @@
 
 // DefaultRoleSettings returns the settings of a production system.
 func DefaultRoleSettings() RoleSettings {
-	return RoleSettings{Horizon: 60 * mn.Second, Away: 5 * mn.Second, Gain: 0.02, Shift: 0.2, Efficiency: 0.8}
+	return RoleSettings{Horizon: 60 * mn.Second, Away: 5 * mn.Second, Gain: 0.08, Shift: 0.35, Efficiency: 0.8}
 }
 
 // EngineInfo is what the policy knows of an engine in service.
@@ -58,7 +59,7 @@
 func (r *Roles) Next(engines []EngineInfo, mix Mix) (RoleChange, bool) {
 	now := split(engines)
 	base := now.Serve(mix, r.settings.Efficiency)
-	best := r.settings.Gain * math.Max(base.Goodput, 1) * float64(r.settings.Horizon)
+	best := r.settings.Gain * float64(r.settings.Horizon)
 	var found RoleChange
 	for _, from := range roles {
 		vm, ok := r.candidate(engines, from, mix)
@@ -76,7 +77,7 @@
 	return found, found.VM != ""
 }
 
-var roles = []mn.EngineRole{mn.EngineMixed, mn.EnginePrefill, mn.EngineDecode}
+var roles = []mn.EngineRole{mn.EnginePrefill, mn.EngineDecode, mn.EngineMixed}
 
 func split(engines []EngineInfo) Split {
 	var s Split
--- a/core/fleet/size.go
+++ b/core/fleet/size.go
@@ -94,8 +94,8 @@
 	}
 	for ; sum > total; sum-- {
 		sizes[pick(sizes, func(dc mn.DataCentre) float64 {
-			if sizes[dc] == 0 {
-				return math.Inf(-1)
+			if sizes[dc] <= 1 { // A data centre's last endpoint goes last.
+				return -math.MaxFloat64 * float64(2-sizes[dc]) / 2
 			}
 			return -(demand[dc] + least) / float64(sizes[dc])
 		})]--
--- a/core/lease/elect.go
+++ b/core/lease/elect.go
@@ -243,7 +243,7 @@
 	e.mu.Unlock()
 	if holds && !e.held {
 		e.held = true
-		e.log.WithField("term", term).Info("control lease held")
+		e.log.WithFields(logrus.Fields{"event": "lease_held", "term": term}).Info()
 	}
 }
 
@@ -257,7 +257,7 @@
 	e.held = false
 	if term != 0 {
 		counters.Add("lost", 1)
-		e.log.WithFields(logrus.Fields{"term": term, "holder": l.Holder}).Warn("control lease lost")
+		e.log.WithFields(logrus.Fields{"event": "lease_lost", "term": term, "holder": l.Holder}).Warn()
 	}
 }
 
@@ -269,7 +269,7 @@
 	if term, _, ok := e.Held(); !ok {
 		e.held = false
 		counters.Add("lapsed", 1)
-		e.log.WithField("term", term).Warn("control lease lapsed")
+		e.log.WithFields(logrus.Fields{"event": "lease_lapsed", "term": term}).Warn()
 	}
 }
 
@@ -305,6 +305,6 @@
 		counters.Add(what+"_void", 1)
 	default:
 		counters.Add(what+"_unknown", 1)
-		e.log.WithFields(logrus.Fields{"record": what, "err": err}).Warn("lease record not written")
+		e.log.WithFields(logrus.Fields{"event": "lease_record_unknown", "record": what}).Warn(err)
 	}
 }
--- a/core/order/gate.go
+++ b/core/order/gate.go
@@ -144,12 +144,21 @@
 	case mn.AsError(err).Outcome == mn.OutcomeNotRun:
 		g.abandon()
 	}
-	g.log.WithFields(logrus.Fields{
-		"term": o.Term, "sequence": o.Sequence, "role": o.Target.Role, "version": o.Target.Version, "err": err,
-	}).Info("order given to engine")
+	g.note(o, err)
 	return err
 }
 
+func (g *Gate) note(o mn.Order, err error) {
+	entry := g.log.WithFields(logrus.Fields{
+		"event": "engine_order", "term": o.Term, "sequence": o.Sequence, "role": o.Target.Role, "version": o.Target.Version,
+	})
+	if err != nil {
+		entry.Warn(err)
+		return
+	}
+	entry.Info()
+}
+
 // call speaks to the engine. The caller's context does not end the call: a
 // call cut short would leave its result unknown.
 func (g *Gate) call(ctx context.Context, o mn.Order) error {
--- a/node/control.go
+++ b/node/control.go
@@ -177,7 +177,7 @@
 	r := &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: c.self.VM}
 	r.Remove = &mn.Removal{VM: m.VM, Incarnation: m.Incarnation, Term: term}
 	_, err := c.writer.Write(ctx, r)
-	c.log.WithField("event", "member_removed").WithField("member", m.VM).WithField("err", err).Info()
+	c.note("member_removed", m.VM, err)
 	delete(c.missing, m.Incarnation)
 }
 
@@ -230,8 +230,16 @@
 	if err == nil {
 		err = c.issuer.Change(ctx, c.agents.Taker(m.Addr), target)
 	}
-	c.log.WithField("event", "engine_change").WithField("agent", m.VM).
-		WithField("role", target.Role).WithField("version", target.Version).WithField("err", err).Info()
+	c.note("engine_change", m.VM, err)
+}
+
+func (c *control) note(event string, member mn.VMID, err error) {
+	entry := c.log.WithField("event", event).WithField("member", member)
+	if err != nil {
+		entry.Warn(err)
+		return
+	}
+	entry.Info()
 }
 
 // resize orders endpoints for pools that declare a largest size.
