--- a/io/caller/prefill.go
+++ b/io/caller/prefill.go
@@ -38,6 +38,7 @@
 		DeadlineMs:  r.DeadlineMs,
 		Offset:      r.Offset,
 		Entry:       r.Entry,
+		Agent:       string(m.Incarnation),
 		Traceparent: spans.Inject(ctx),
 		Generation:  &meshpb.GenerationBody{Prompt: r.Generation.Prompt, Priority: r.Generation.Priority, PrefillOnly: true},
 	}
