--- a/core/fleet/policy_test.go
+++ b/core/fleet/policy_test.go
@@ -193,6 +193,14 @@
 	require.Less(t, orders, 64)
 }
 
+// What operators declare holds at once, whatever the load was before.
+func TestSizeKeepsDeclaredBounds(t *testing.T) {
+	sizer := fleet.NewSizer(fleet.DefaultSizeSettings())
+	require.EqualValues(t, 12, sizer.Target(0, 9, 4, 2, 20))
+	require.EqualValues(t, 5, sizer.Target(mn.Second, 9, 12, 2, 5))
+	require.EqualValues(t, 7, sizer.Target(2*mn.Second, 0, 5, 7, 20))
+}
+
 func TestSpread(t *testing.T) {
 	tests := []struct {
 		total         int64
--- a/core/fleet/size.go
+++ b/core/fleet/size.go
@@ -61,13 +61,14 @@
 	for now-s.needs[0].at > s.settings.Quiet {
 		s.needs = s.needs[1:]
 	}
-	if size >= current {
-		return size
-	}
+	target := max(size, min(current, s.needs[0].size))
 	if now-s.begun < s.settings.Quiet {
-		return max(current, low)
+		target = max(size, current)
+	}
+	if high > 0 {
+		target = min(target, high)
 	}
-	return min(current, s.needs[0].size)
+	return target
 }
 
 // Spread returns sizes by data centre that add up to total. It starts from the
--- a/procs/control_test.go
+++ b/procs/control_test.go
@@ -77,18 +77,16 @@
 
 // churn changes the model's version and the size of the pool taalpers over
 // and over, so that orders flow, until the test ends or stop is called.
-func churn(t *testing.T, c *procs.Cluster, pool mn.Pool) (stop func()) {
-	pool.ID, pool.Kind, pool.Model, pool.MaxEndpoints, pool.Fencing = "taalpers", mn.PoolModel, "taalpers", 20, true
+func churn(t *testing.T, c *procs.Cluster) (stop func()) {
+	pool := mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers", Fencing: true}
 	w := watch(t, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for i := int64(2); ctx.Err() == nil; i++ {
-			pool.MinEndpoints = 2 + i
-			if pool.MinEndpoints > 19 {
-				i = 2
-			}
+			pool.MinEndpoints = 2 + i%7
+			pool.MaxEndpoints = pool.MinEndpoints
 			r := w.View().Resources
 			edits := []mn.Edit{}
 			for _, s := range []mn.Resource{{Model: &mn.Model{ID: "taalpers", Version: fmt.Sprint(i), MaxTokens: 4096}}, {Pool: &pool}} {
@@ -134,6 +132,7 @@
 		}
 	}
 	require.GreaterOrEqual(t, given, atLeast)
+	t.Logf("%d fleet orders, %d engine orders, %d terms", len(fleet), given, len(holders))
 }
 
 // A holder that is paused past its lease with orders under way, and then runs
@@ -147,7 +146,7 @@
 			require.NoError(t, c.Fault(engine, fakes.ChangeMillis, 100))
 			require.NoError(t, c.Fault(engine, fakes.Fencing, fencing))
 			w := watch(t, c)
-			stop := churn(t, c, mn.Pool{})
+			stop := churn(t, c)
 			for range 1 + *takeovers {
 				old := w.newer(t, 0)
 				time.Sleep(2 * time.Second)
@@ -180,7 +179,7 @@
 		_, _, err := generate(ctx, client, "warm", 1)
 		return err
 	})
-	stop := churn(t, c, mn.Pool{})
+	stop := churn(t, c)
 	results := make(chan error)
 	for i := range 8 {
 		go func() {
