--- a/procs/control_test.go
+++ b/procs/control_test.go
@@ -13,7 +13,10 @@
 
 	mn "mustardnotch"
 	"mustardnotch/core/conf"
+	"mustardnotch/core/order"
 	"mustardnotch/fakes"
+	"mustardnotch/io/agent"
+	"mustardnotch/io/wire"
 	"mustardnotch/procs"
 )
 
@@ -165,6 +168,91 @@
 	}
 }
 
+// Orders of a holder that is cut off, and that reach the agent only once
+// another holder gives orders, have no effect.
+func TestLateOrdersHaveNoEffect(t *testing.T) {
+	t.Parallel()
+	c, err := procs.New(binDir, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	c.Links = true
+	declare(t, c)
+	for i := range 3 {
+		_, err := c.AddEntry(fmt.Sprint("entry-", i+1), "tiel-a")
+		require.NoError(t, err)
+	}
+	engine, err := c.AddModel("taalpers-1", "tiel-a", "taalpers", "taalpers")
+	require.NoError(t, err)
+	require.NoError(t, c.Fault(engine.EndpointURL(), fakes.ChangeMillis, 50))
+	w := watch(t, c)
+	stop := churn(t, c)
+	for i := range 2 + *takeovers {
+		old := w.newer(t, 0)
+		time.Sleep(time.Duration(1500+130*(i%8)) * time.Millisecond)
+		n := c.Nodes[old.Holder]
+		c.Isolate(n)
+		w.newer(t, old.Term)
+		time.Sleep(2 * time.Second)
+		c.Rejoin(n)
+	}
+	time.Sleep(2 * time.Second)
+	stop()
+	requireOrders(t, c, 3)
+}
+
+// An order stamped under a term, and sent when the holder of that term has been
+// replaced, its life has passed, or the agent has restarted, has no effect.
+func TestOrderInHand(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	n := c.Nodes["taalpers-1"]
+	w := watch(t, c)
+	old := w.newer(t, 0)
+	conns := wire.NewConns("")
+	defer conns.Close()
+	taker := agent.New(conns).Taker(n.VM.Addr)
+	var inHand mn.Order
+	eventually(t, 10*mn.Second, func(ctx context.Context) error {
+		s, err := taker.Stamp(ctx, old.Term)
+		if err == nil && s.Busy {
+			err = fmt.Errorf("the engine's state has not settled")
+		}
+		inHand = mn.Order{
+			Term: old.Term, Sequence: 1 << 40, Stamp: s.Stamp, Life: mn.Minute, Incarnation: s.Incarnation,
+			Target: mn.EngineTarget{Role: mn.EngineDecode, Model: "taalpers", Version: "1"},
+		}
+		return err
+	})
+	late := inHand
+	late.Life = 100
+	time.Sleep(200 * time.Millisecond)
+	requireRefused(t, mn.OrderExpired, taker.Order(t.Context(), late))
+
+	require.NoError(t, c.Nodes[old.Holder].Proc.Pause())
+	next := w.newer(t, old.Term)
+	time.Sleep(time.Second)
+	requireRefused(t, mn.OrderStale, taker.Order(t.Context(), inHand))
+	_, err := taker.Stamp(t.Context(), old.Term)
+	requireRefused(t, mn.OrderStale, err)
+
+	n.Proc.Kill()
+	require.NoError(t, c.Restart(n))
+	inHand.Term = next.Term
+	requireRefused(t, order.Foreign, taker.Order(t.Context(), inHand))
+	require.NoError(t, c.Nodes[old.Holder].Proc.Resume())
+
+	var orders []fakes.TimedEngineOrder
+	require.NoError(t, procs.Fetch(n.EndpointURL()+"/admin/orders", &orders))
+	require.Empty(t, orders)
+}
+
+func requireRefused(t *testing.T, code mn.Code, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, code, mn.CodeOf(err), "%v", err)
+	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+}
+
 // A planned change of an engine waits for its open stream, which stays whole.
 func TestEngineChangeCutsNothing(t *testing.T) {
 	t.Parallel()
