--- a/cmds/call.go
+++ b/cmds/call.go
@@ -18,7 +18,7 @@
 		Description: example("mustardnotch call --entry http://127.0.0.1:7001 --key KEY --model taalpers --prompt 'check spec 12'") +
 			"\n   mustardnotch call --entry http://127.0.0.1:7001 --key KEY --pool orderbalie --path book --body 'reel 7'",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "entry", Usage: "base `URL` of an entry", Required: true},
+			&cli.StringSliceFlag{Name: "entry", Usage: "base `URL` of an entry; with several, they are tried in turn", Required: true},
 			&cli.StringFlag{Name: "key", Usage: "the caller's `KEY`", Sources: cli.EnvVars("MUSTARDNOTCH_KEY")},
 			&cli.StringFlag{Name: "model", Usage: "generate with this `MODEL`"},
 			&cli.StringFlag{Name: "prompt", Usage: "prompt `TEXT`"},
@@ -30,7 +30,7 @@
 			&cli.DurationFlag{Name: "deadline", Usage: "`TIME` within which the answer is wanted"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			client := caller.NewClient(c.String("entry"), c.String("key"))
+			client := caller.NewSteady(c.StringSlice("entry"), c.String("key"), mn.NewSystemClock())
 			switch {
 			case c.String("model") != "" && c.String("pool") == "":
 				return generate(ctx, c, client)
@@ -42,7 +42,7 @@
 	}
 }
 
-func generate(ctx context.Context, c *cli.Command, client *caller.Client) error {
+func generate(ctx context.Context, c *cli.Command, client *caller.Steady) error {
 	w := c.Root().Writer
 	return client.Generate(ctx, &apipb.GenerateRequest{
 		Model:      c.String("model"),
@@ -59,16 +59,17 @@
 	})
 }
 
-func callPlain(ctx context.Context, c *cli.Command, client *caller.Client) error {
-	key := c.String("idempotency_key")
+func callPlain(ctx context.Context, c *cli.Command, client *caller.Steady) error {
+	key, attempt := c.String("idempotency_key"), int32(0)
 	if key == "" {
-		key = string(mn.NewRequestID())
+		key, attempt = string(mn.NewRequestID()), 1
 	}
 	resp, err := client.Call(ctx, &apipb.CallRequest{
 		Pool:           c.String("pool"),
 		Path:           c.String("path"),
 		Body:           []byte(c.String("body")),
 		IdempotencyKey: key,
+		Attempt:        attempt,
 		DeadlineMs:     c.Duration("deadline").Milliseconds(),
 	})
 	if err != nil {
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -50,9 +50,27 @@
 	if err != nil {
 		return FromConnect(err)
 	}
+	return receive(stream, m.Prefix, m.AfterSequence, sink)
+}
+
+// Resume goes on with a generation whose stream broke, of which the text had
+// was received. It returns as Generate does.
+func (c *Client) Resume(ctx context.Context, m *apipb.ResumeRequest, had string, sink func(*apipb.GenerateChunk) error) error {
+	req := connect.NewRequest(m)
+	c.sign(req.Header())
+	stream, err := c.rpc.Resume(ctx, req)
+	if err != nil {
+		return FromConnect(err)
+	}
+	return receive(stream, had, m.AfterSequence, sink)
+}
+
+// receive passes the chunks after sequence on and checks the whole answer.
+func receive(stream *connect.ServerStreamForClient[apipb.GenerateChunk], had string, sequence int64, sink func(*apipb.GenerateChunk) error) error {
 	defer stream.Close()
 	sum := sha256.New()
-	var length, sequence int64
+	sum.Write([]byte(had))
+	length := int64(len(had))
 	for stream.Receive() {
 		chunk := stream.Msg()
 		sum.Write([]byte(chunk.Text))
--- /dev/null
+++ b/io/caller/steady.go
@@ -0,0 +1,177 @@
+package caller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/core/calls"
+	"mustardnotch/core/poison"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// tryLimit bounds one try of a call. The next try, through another entry,
+	// finds a call that still runs by its key.
+	tryLimit = 5 * mn.Second
+	// chunkLimit bounds the wait for the next chunk of a generation before it
+	// is resumed on a new connection, firstChunkLimit that for the first.
+	chunkLimit      = 3 * mn.Second
+	firstChunkLimit = 15 * mn.Second
+	// fruitless bounds the tries in a row that bring nothing.
+	fruitless = 40
+)
+
+// Steady is a client of several entries that retries and resumes by itself.
+// Through it a call runs at most once, and a generation goes on where it broke
+// off. It is safe for concurrent use.
+type Steady struct {
+	clients []*Client
+	clock   mn.Clock
+}
+
+// NewSteady returns a client that tries the entries at bases in turn.
+func NewSteady(bases []string, key string, clock mn.Clock) *Steady {
+	s := &Steady{clock: clock}
+	for _, b := range bases {
+		s.clients = append(s.clients, NewClient(b, key))
+	}
+	return s
+}
+
+// finalCodes are failures that a retry with the same key finds again.
+var finalCodes = map[mn.Code]bool{
+	mn.KeyTooOld:           true,
+	mn.EndpointFailed:      true,
+	poison.EndpointCrashed: true,
+	calls.AnswerNotKept:    true,
+	mn.Cancelled:           true,
+	mn.Quarantined:         true,
+}
+
+func worthRetry(err *mn.Error) bool {
+	if finalCodes[err.Code] {
+		return false
+	}
+	return err.Code.Doc().Severity == mn.SeverityRetry || err.Code == mn.OutcomeNotKnown || err.Code == mn.Internal
+}
+
+// Call runs one call until it has an answer, the outcome is certain, or ctx is
+// done. It makes an idempotency key if m has none.
+func (s *Steady) Call(ctx context.Context, m *apipb.CallRequest) (*apipb.CallResponse, error) {
+	m = proto.CloneOf(m)
+	if m.IdempotencyKey == "" {
+		m.IdempotencyKey = string(mn.NewRequestID())
+		m.Attempt = 1
+	}
+	backoff := newBackoff()
+	outcome := mn.OutcomeNotRun
+	for try := 0; ; try++ {
+		resp, err := s.try(ctx, s.clients[try%len(s.clients)], m)
+		if err == nil {
+			return resp, nil
+		}
+		e := mn.AsError(err)
+		if e.Outcome != mn.OutcomeNotRun && !wire.NeverSent(err) {
+			outcome = e.Outcome
+			m.Attempt = int32(try + 2)
+		} else if !wire.NeverSent(err) {
+			outcome = mn.OutcomeNotRun
+		}
+		if !worthRetry(e) && !wire.NeverSent(err) || try >= fruitless || s.clock.Sleep(ctx, backoff.Next(e)) != nil {
+			return nil, e.WithOutcome(outcome)
+		}
+	}
+}
+
+func (s *Steady) try(ctx context.Context, c *Client, m *apipb.CallRequest) (*apipb.CallResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryLimit.Duration())
+	defer cancel()
+	return c.Call(ctx, m)
+}
+
+// flow is one generation with what has arrived of it.
+type flow struct {
+	steady  *Steady
+	request *apipb.GenerateRequest
+	sink    func(*apipb.GenerateChunk) error
+	text    strings.Builder
+	token   string
+	after   int64
+	tokens  int64
+	sinkErr error
+}
+
+// Generate streams a generation into sink, resuming it where it broke off. It
+// returns nil only after an end marker that matches all that sink got.
+func (s *Steady) Generate(ctx context.Context, m *apipb.GenerateRequest, sink func(*apipb.GenerateChunk) error) error {
+	f := &flow{steady: s, request: m, sink: sink}
+	backoff := newBackoff()
+	idle := 0
+	for try := 0; ; try++ {
+		before := f.after
+		err := f.try(ctx, s.clients[try%len(s.clients)])
+		if err == nil || f.sinkErr != nil || ctx.Err() != nil {
+			return err
+		}
+		e := mn.AsError(err)
+		if e.Code == mn.UnknownRequest || e.Code == poison.EndpointCrashed || e.Code == mn.EndpointFailed || e.Code == mn.Cancelled {
+			f.token = ""
+		} else if !worthRetry(e) && !wire.NeverSent(err) {
+			return err
+		}
+		idle++
+		if f.after > before {
+			idle, backoff = 0, newBackoff()
+		}
+		if idle >= fruitless || s.clock.Sleep(ctx, backoff.Next(e)) != nil {
+			return err
+		}
+	}
+}
+
+// try resumes the generation, or goes on from its text if it can't be resumed.
+func (f *flow) try(ctx context.Context, c *Client) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := firstChunkLimit
+	if f.token != "" {
+		limit = chunkLimit
+	}
+	silent := time.AfterFunc(limit.Duration(), cancel)
+	defer silent.Stop()
+	take := func(k *apipb.GenerateChunk) error {
+		silent.Reset(chunkLimit.Duration())
+		return f.take(k)
+	}
+	var err error
+	if f.token != "" {
+		err = c.Resume(ctx, &apipb.ResumeRequest{ResumeToken: f.token, AfterSequence: f.after}, f.text.String(), take)
+	} else {
+		m := proto.CloneOf(f.request)
+		m.Prefix, m.AfterSequence, m.PrefixTokens = f.text.String(), f.after, f.tokens
+		err = c.Generate(ctx, m, take)
+	}
+	if err != nil && ctx.Err() != nil && f.sinkErr == nil {
+		return mn.Errorf(mn.OutcomeNotKnown, "stream broke off or fell silent: %w", err)
+	}
+	return err
+}
+
+func (f *flow) take(k *apipb.GenerateChunk) error {
+	if err := f.sink(k); err != nil {
+		f.sinkErr = err
+		return err
+	}
+	if k.End == nil {
+		f.text.WriteString(k.Text)
+		f.after = k.Sequence
+		f.tokens += k.Tokens
+		f.token = k.ResumeToken
+	}
+	return nil
+}
--- /dev/null
+++ b/procs/book_test.go
@@ -0,0 +1,202 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+	"mustardnotch/procs"
+)
+
+const (
+	bookings    = 60
+	bookingGap  = 50 * time.Millisecond
+	bookingSpan = 150
+	bookLimit   = 20 * time.Second
+)
+
+// steady returns a client of all entries, starting with the one numbered first.
+func steady(c *procs.Cluster, key string, first, entries int) *caller.Steady {
+	var bases []string
+	for i := range entries {
+		bases = append(bases, c.Nodes[mn.VMID(fmt.Sprintf("entry-%d", (first+i)%entries+1))].Callers())
+	}
+	return caller.NewSteady(bases, key, mn.NewSystemClock())
+}
+
+// ledger counts the runs of each booking over all plain services.
+func ledger(t *testing.T, c *procs.Cluster) map[string]int {
+	t.Helper()
+	runs := map[string]int{}
+	for _, n := range c.Nodes {
+		if n.VM.Pool != "orderbalie" {
+			continue
+		}
+		data, err := os.ReadFile(n.Runs)
+		require.NoError(t, err)
+		for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+			if line != "" {
+				runs[line[strings.LastIndex(line, "\t")+1:]]++
+			}
+		}
+	}
+	return runs
+}
+
+// told is what the caller of one booking was told.
+type told struct {
+	body string
+	err  error
+}
+
+// book sends bookings at a steady pace through all entries.
+func book(ctx context.Context, c *procs.Cluster) []told {
+	var mu sync.Mutex
+	var all []told
+	var wg sync.WaitGroup
+	for i := range bookings {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, bookLimit)
+			defer cancel()
+			body := fmt.Sprintf("reel %d", i)
+			_, err := steady(c, voeringKey, i, 3).Call(ctx, &apipb.CallRequest{Pool: "orderbalie", Path: "book", Body: []byte(body)})
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, told{body, err})
+		})
+		time.Sleep(bookingGap)
+	}
+	wg.Wait()
+	return all
+}
+
+// TestBookings runs bookings through faults of every process on their way. No
+// booking runs twice, none that was answered is lost, and "not run" is true.
+func TestBookings(t *testing.T) {
+	for name, fault := range map[string]struct {
+		strike  func(t *testing.T, c *procs.Cluster)
+		unknown int
+	}{
+		"no fault": {func(*testing.T, *procs.Cluster) {}, 0},
+		"entry killed": {func(t *testing.T, c *procs.Cluster) {
+			c.Nodes["entry-1"].Proc.Kill()
+		}, 0},
+		"agent killed and restarted": {func(t *testing.T, c *procs.Cluster) {
+			c.Nodes["orderbalie-1"].Proc.Kill()
+			time.Sleep(300 * time.Millisecond)
+			require.NoError(t, c.Restart(c.Nodes["orderbalie-1"]))
+		}, 8},
+		"endpoint killed and restarted": {func(t *testing.T, c *procs.Cluster) {
+			c.Nodes["orderbalie-1"].Endpoint.Kill()
+			time.Sleep(300 * time.Millisecond)
+			require.NoError(t, c.StartEndpoint(c.Nodes["orderbalie-1"]))
+		}, 8},
+		"endpoint crashes before a run": {func(t *testing.T, c *procs.Cluster) {
+			crash(t, c, fakes.CrashBefore)
+		}, 8},
+		"endpoint crashes after a run": {func(t *testing.T, c *procs.Cluster) {
+			crash(t, c, fakes.CrashAfter)
+		}, 8},
+		"answers lost": {func(t *testing.T, c *procs.Cluster) {
+			require.NoError(t, c.Fault(c.Nodes["orderbalie-1"].EndpointURL(), fakes.AnswerLost, 2))
+		}, 2},
+		"agent paused": {func(t *testing.T, c *procs.Cluster) {
+			pause(t, c.Nodes["orderbalie-1"].Proc)
+		}, 0},
+		"entry paused": {func(t *testing.T, c *procs.Cluster) {
+			pause(t, c.Nodes["entry-1"].Proc)
+		}, 0},
+		"endpoint paused": {func(t *testing.T, c *procs.Cluster) {
+			pause(t, c.Nodes["orderbalie-1"].Endpoint)
+		}, 0},
+		"log down, agent leaves and is replaced": {func(t *testing.T, c *procs.Cluster) {
+			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 1))
+			time.Sleep(500 * time.Millisecond)
+			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 0))
+			replace(t, c, "orderbalie-1")
+		}, 0},
+		"agents leave in turn": {func(t *testing.T, c *procs.Cluster) {
+			replace(t, c, "orderbalie-1")
+			replace(t, c, "orderbalie-2")
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 0, 3)
+			for _, n := range c.Nodes {
+				if n.VM.Pool == "orderbalie" {
+					require.NoError(t, c.Fault(n.EndpointURL(), fakes.CallMillis, bookingSpan))
+				}
+			}
+			eventually(t, 6*mn.Second, func(ctx context.Context) error {
+				_, err := steady(c, voeringKey, 0, 3).Call(ctx, &apipb.CallRequest{Pool: "orderbalie", Path: "book", Body: []byte("warm")})
+				return err
+			})
+			done := make(chan []told)
+			go func() { done <- book(t.Context(), c) }()
+			time.Sleep(bookings / 3 * bookingGap)
+			fault.strike(t, c)
+			all := <-done
+			check(t, ledger(t, c), all, fault.unknown)
+		})
+	}
+}
+
+func check(t *testing.T, runs map[string]int, all []told, allowed int) {
+	t.Helper()
+	for body, n := range runs {
+		require.Equal(t, 1, n, body)
+	}
+	unknown, notRun := 0, 0
+	for _, b := range all {
+		quoted := fmt.Sprintf("%q", b.body)
+		switch {
+		case b.err == nil:
+			require.Equal(t, 1, runs[quoted], "%s was answered", b.body)
+		case mn.AsError(b.err).Outcome == mn.OutcomeNotRun:
+			notRun++
+			require.Zero(t, runs[quoted], "%s: %v", b.body, b.err)
+		default:
+			unknown++
+			t.Logf("unknown: %v", b.err)
+		}
+	}
+	t.Logf("%d bookings: %d unknown, %d not run", len(all), unknown, notRun)
+	require.LessOrEqual(t, unknown, allowed)
+	require.LessOrEqual(t, notRun, 0)
+}
+
+func crash(t *testing.T, c *procs.Cluster, fault string) {
+	n := c.Nodes["orderbalie-1"]
+	require.NoError(t, c.Fault(n.EndpointURL(), fault, 1))
+	require.Eventually(t, func() bool { return !n.Endpoint.Running() }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, c.StartEndpoint(n))
+}
+
+// pause stops p for longer than any timeout between processes.
+func pause(t *testing.T, p *procs.Proc) {
+	require.NoError(t, p.Pause())
+	time.Sleep(7 * time.Second)
+	require.NoError(t, p.Resume())
+}
+
+// replace ends an agent by a planned shutdown and starts it anew.
+func replace(t *testing.T, c *procs.Cluster, vm mn.VMID) {
+	n := c.Nodes[vm]
+	require.NoError(t, n.Proc.Terminate())
+	code, err := n.Proc.Wait(10 * mn.Second)
+	require.NoError(t, err)
+	require.Zero(t, code)
+	require.NoError(t, c.Restart(n))
+}
