--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -86,6 +86,7 @@
 		Weight:    r.Weight,
 		Prompt:    r.Generation.Prompt,
 		MaxTokens: r.Generation.MaxTokens,
+		Prefilled: r.Generation.KvHandle != "",
 		Avoid:     g.avoid,
 	}
 	if d, ok := ctx.Deadline(); ok {
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -38,6 +38,7 @@
 		PrefixSequence: m.AfterSequence,
 		PrefixTokens:   m.PrefixTokens,
 	}
+	s.prefill(ctx, r)
 	sink := func(vm mn.VMID, f *meshpb.Frame) error {
 		if f.End != nil {
 			s.record(r, f.End)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -34,6 +34,7 @@
 	Currency    mn.Currency
 	Scheduler   mn.Scheduler
 	Recorder    mn.Recorder
+	Loads       Loads
 	Tracer      trace.Tracer
 	Log         *logrus.Entry
 	// Engine or Plain is the endpoint, the other is nil.
@@ -184,6 +185,7 @@
 	if g := r.Generation; g != nil {
 		w.Prompt = g.Prompt
 		w.MaxTokens = g.MaxTokens
+		w.Prefilled = g.KvHandle != ""
 	}
 	return w
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -9,6 +9,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/core/retry"
+	"mustardnotch/core/route"
 	"mustardnotch/io/agent"
 	"mustardnotch/io/caller"
 	"mustardnotch/setup"
@@ -18,6 +19,8 @@
 type Entry struct {
 	*base
 	callers *http.Server
+	table   *route.Table
+	agents  *agent.Client
 }
 
 // NewEntry returns an entry with settings s that logs to log.
@@ -26,7 +29,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Entry{base: b}, nil
+	routing := route.DefaultSettings(s.DataCentre)
+	routing.Policy = route.Policy(s.Router)
+	return &Entry{
+		base:   b,
+		table:  route.New(b.clock, b.fold, routing),
+		agents: agent.New(b.conns),
+	}, nil
 }
 
 // Run serves until ctx is done, then leaves gracefully: it stops new work,
@@ -46,6 +55,7 @@
 	e.callers = serveHTTP(run, g, ls[0], mux)
 	serveHTTP(run, g, ls[3], e.debugHandler())
 	g.Go(func() error { return e.follow(run) })
+	g.Go(func() error { return newFeeds(e.base, e.table, e.agents).run(run) })
 	g.Go(func() error {
 		if err := e.join(run); err != nil {
 			return err
@@ -90,9 +100,9 @@
 		Views:    e.fold,
 		Currency: alwaysCurrent{},
 		Limiter:  unlimited{},
-		Router:   newRobin(e.fold),
+		Router:   e.table,
 		Recorder: unrecorded{},
-		Agents:   agent.New(e.conns),
+		Agents:   e.agents,
 		Retries:  retry.New(retry.DefaultConfig(), e.clock),
 		Poisons:  newTracker(e.base),
 		Tracer:   e.tracer,
