--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -40,7 +40,7 @@
 	defer conn.Close()
 	stream, err := meshpb.NewDRPCAgentClient(conn).Submit(ctx, r)
 	if err != nil {
-		return linkError(addr, err)
+		return c.linkError(ctx, addr, err)
 	}
 	defer stream.Close()
 	var prefix string
@@ -49,7 +49,7 @@
 		prefix = r.Generation.Prefix
 		first = r.Generation.PrefixSequence
 	}
-	return receive(ctx, cancel, addr, stream, newChecker(prefix, first), sink)
+	return c.receive(ctx, cancel, addr, stream, newChecker(prefix, first), sink)
 }
 
 // frameReceiver is the part of a drpc stream that receive needs.
@@ -57,18 +57,15 @@
 	Recv() (*meshpb.Frame, error)
 }
 
-var (
-	errSilent = errors.New("no frame or heartbeat within the limit")
-	errNoEnd  = errors.New("stream ended without an end marker")
-)
+var errNoEnd = errors.New("stream ended without an end marker")
 
-func receive(ctx context.Context, cancel context.CancelCauseFunc, addr string, in frameReceiver, k *checker, sink func(*meshpb.Frame) error) error {
-	watchdog := time.AfterFunc(silenceLimit.Duration(), func() { cancel(errSilent) })
+func (c *Client) receive(ctx context.Context, cancel context.CancelCauseFunc, addr string, in frameReceiver, k *checker, sink func(*meshpb.Frame) error) error {
+	watchdog := time.AfterFunc(silenceLimit.Duration(), func() { cancel(wire.ErrSilent) })
 	defer watchdog.Stop()
 	for {
 		f, err := in.Recv()
 		if err != nil {
-			return recvError(ctx, addr, err)
+			return c.recvError(ctx, addr, err)
 		}
 		watchdog.Reset(silenceLimit.Duration())
 		if f.Failure != nil {
@@ -89,24 +86,25 @@
 	}
 }
 
-func recvError(ctx context.Context, addr string, err error) error {
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return linkError(addr, errSilent)
+func (c *Client) recvError(ctx context.Context, addr string, err error) error {
+	if errors.Is(err, io.EOF) && ctx.Err() == nil {
+		err = errNoEnd
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	return c.linkError(ctx, addr, err)
+}
+
+// linkError wraps a failure of the connection to an agent, or the end of ctx.
+func (c *Client) linkError(ctx context.Context, addr string, err error) error {
+	silent := errors.Is(context.Cause(ctx), wire.ErrSilent)
+	switch {
+	case silent:
+		err = wire.ErrSilent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return mn.Errorf(mn.DeadlineExceeded, "waiting for the agent at %s: %w", addr, err)
-	}
-	if ctx.Err() != nil {
+	case ctx.Err() != nil:
 		return mn.Errorf(mn.Cancelled, "waiting for the agent at %s: %w", addr, err)
 	}
-	if errors.Is(err, io.EOF) {
-		return linkError(addr, errNoEnd)
-	}
-	return linkError(addr, err)
-}
-
-// linkError wraps a failure of the connection to an agent.
-func linkError(addr string, err error) error {
+	c.conns.Drop(addr)
 	link := &wire.LinkError{Addr: addr, Err: err}
 	if wire.NeverSent(err) {
 		return mn.Errorf(mn.NoEndpoint, "%w", link)
--- a/io/agent/load.go
+++ b/io/agent/load.go
@@ -6,6 +6,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
 )
 
 // Watch passes on the load reports of the agent at addr, one each interval,
@@ -17,16 +18,16 @@
 	defer conn.Close()
 	stream, err := meshpb.NewDRPCAgentClient(conn).Load(ctx, &meshpb.LoadRequest{IntervalMs: int64(interval)})
 	if err != nil {
-		return linkError(addr, err)
+		return c.linkError(ctx, addr, err)
 	}
 	defer stream.Close()
 	limit := (silenceLimit + interval).Duration()
-	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(limit, func() { cancel(wire.ErrSilent) })
 	defer watchdog.Stop()
 	for {
 		r, err := stream.Recv()
 		if err != nil {
-			return recvError(ctx, addr, err)
+			return c.recvError(ctx, addr, err)
 		}
 		watchdog.Reset(limit)
 		sink(r)
--- a/io/agent/settle.go
+++ b/io/agent/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	mn "mustardnotch"
 	"mustardnotch/core/calls"
@@ -21,10 +22,10 @@
 	defer conn.Close()
 	stream, err := meshpb.NewDRPCAgentClient(conn).Attach(ctx, r)
 	if err != nil {
-		return linkError(addr, err)
+		return c.linkError(ctx, addr, err)
 	}
 	defer stream.Close()
-	return receive(ctx, cancel, addr, stream, newChecker(had, r.AfterSequence), sink)
+	return c.receive(ctx, cancel, addr, stream, newChecker(had, r.AfterSequence), sink)
 }
 
 // Resume is like Attach for a reader that has not seen the frames before, so
@@ -36,12 +37,12 @@
 	defer conn.Close()
 	stream, err := meshpb.NewDRPCAgentClient(conn).Attach(ctx, r)
 	if err != nil {
-		return linkError(addr, err)
+		return c.linkError(ctx, addr, err)
 	}
 	defer stream.Close()
 	k := newChecker("", r.AfterSequence)
 	k.partial = true
-	return receive(ctx, cancel, addr, stream, k, sink)
+	return c.receive(ctx, cancel, addr, stream, k, sink)
 }
 
 // Settle asks the agent at addr what became of a request.
@@ -52,7 +53,7 @@
 	defer conn.Close()
 	reply, err := meshpb.NewDRPCAgentClient(conn).Settle(ctx, r)
 	if err != nil {
-		return nil, linkError(addr, err)
+		return nil, c.replyError(ctx, addr, err)
 	}
 	return reply, nil
 }
@@ -65,7 +66,17 @@
 	defer conn.Close()
 	reply, err := meshpb.NewDRPCAgentClient(conn).Handover(ctx, wire.MemoryOf(pool, memory))
 	if err != nil {
-		return linkError(addr, err)
+		return c.replyError(ctx, addr, err)
 	}
 	return wire.ErrorOf(reply.Failure)
 }
+
+// replyError is like linkError for a call whose own time limit has the meaning
+// of silence.
+func (c *Client) replyError(ctx context.Context, addr string, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.conns.Drop(addr)
+		return mn.Errorf(mn.OutcomeNotKnown, "%w", &wire.LinkError{Addr: addr, Err: wire.ErrSilent})
+	}
+	return c.linkError(ctx, addr, err)
+}
--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -135,6 +135,9 @@
 		}
 		attach := &meshpb.AttachRequest{Id: r.Id, Customer: r.Customer, KeyHash: r.KeyHash, AfterSequence: g.sequence}
 		err = s.Agents.Attach(ctx, m.Addr, attach, g.text.String(), pass)
+		if errors.Is(err, wire.ErrSilent) {
+			break
+		}
 	}
 	if err != nil {
 		spans.Fail(span, err)
--- a/io/caller/steady.go
+++ b/io/caller/steady.go
@@ -24,6 +24,9 @@
 	firstChunkLimit = 15 * mn.Second
 	// fruitless bounds the tries in a row that bring nothing.
 	fruitless = 40
+	// resumeTries bounds the tries in a row to resume a generation before it is
+	// started again from what has arrived.
+	resumeTries = 3
 )
 
 // Steady is a client of several entries that retries and resumes by itself.
@@ -133,6 +136,9 @@
 		if f.after > before {
 			idle, backoff = 0, newBackoff()
 		}
+		if idle >= resumeTries {
+			f.token = ""
+		}
 		if idle >= fruitless || s.clock.Sleep(ctx, backoff.Next(e)) != nil {
 			return err
 		}
--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -32,15 +33,25 @@
 
 // Conns pools drpc connections by address. One call uses one connection.
 type Conns struct {
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *drpcpool.Pool[peer, drpcpool.Conn]
 	dialer net.Dialer
+
+	mu     sync.Mutex
+	epochs map[string]int64
+}
+
+// peer names the connections to one address since some were last dropped.
+type peer struct {
+	addr  string
+	epoch int64
 }
 
 // NewConns returns an empty pool. Connections come from the IP address of
 // local, the ip:port on which the process serves its peers; empty for any.
 func NewConns(local string) *Conns {
 	c := &Conns{
-		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		epochs: map[string]int64{},
+		pool: drpcpool.New[peer, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration.Duration(),
 			KeyCapacity: idlePerPeer,
 		}),
@@ -54,14 +65,25 @@
 
 // Get returns a connection to addr that dials when it is first used.
 func (c *Conns) Get(ctx context.Context, addr string) drpcpool.Conn {
-	return c.pool.Get(ctx, addr, c.dial)
+	c.mu.Lock()
+	p := peer{addr, c.epochs[addr]}
+	c.mu.Unlock()
+	return c.pool.Get(ctx, p, c.dial)
+}
+
+// Drop has later calls to addr use new connections only: once one connection
+// has fallen silent, idle ones that are as old may have too.
+func (c *Conns) Drop(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.epochs[addr]++
 }
 
 // Close closes all idle connections.
 func (c *Conns) Close() error { return c.pool.Close() }
 
-func (c *Conns) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
-	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
+func (c *Conns) dial(ctx context.Context, p peer) (drpcpool.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +135,10 @@
 // Unwrap returns the cause.
 func (e *LinkError) Unwrap() error { return e.Err }
 
+// ErrSilent is the cause of a LinkError where neither a message nor a heartbeat
+// came within the limit.
+var ErrSilent = errors.New("no frame or heartbeat within the limit")
+
 // IsLink says whether err is a failure of the connection to a peer.
 func IsLink(err error) bool {
 	var e *LinkError
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -225,10 +225,10 @@
 	}
 	n.VM.Addr = fmt.Sprintf("%s:%d", n.IP, peersLinkPort)
 	var err error
-	if n.PeersLink, err = newLink(n.VM.Addr, fmt.Sprintf("%s:%d", n.IP, peersPort)); err != nil {
+	if n.PeersLink, err = NewLink(n.VM.Addr, fmt.Sprintf("%s:%d", n.IP, peersPort)); err != nil {
 		return err
 	}
-	n.PlatformLink, err = newLink(fmt.Sprintf("%s:%d", n.IP, platLinkPort), c.platformAddr())
+	n.PlatformLink, err = NewLink(fmt.Sprintf("%s:%d", n.IP, platLinkPort), c.platformAddr())
 	return err
 }
 
--- a/procs/link.go
+++ b/procs/link.go
@@ -34,8 +34,8 @@
 // allSources stands for connections from any address.
 const allSources = "*"
 
-// newLink forwards connections from addr to target.
-func newLink(addr, target string) (*Link, error) {
+// NewLink forwards connections from addr to target.
+func NewLink(addr, target string) (*Link, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -46,9 +46,16 @@
 // each, a model pool "taalpers" and a plain pool "orderbalie" whose calls may
 // not be repeated, and ends everything with the test.
 func newCluster(t *testing.T, entries, models, plains int) *procs.Cluster {
+	t.Helper()
+	return newClusterWith(t, false, entries, models, plains)
+}
+
+// newClusterWith is like newCluster, on request with links between processes.
+func newClusterWith(t *testing.T, links bool, entries, models, plains int) *procs.Cluster {
 	t.Helper()
 	c, err := procs.New(binDir, t.TempDir())
 	require.NoError(t, err)
+	c.Links = links
 	t.Cleanup(func() {
 		c.Close()
 		if t.Failed() {
--- /dev/null
+++ b/procs/stream_test.go
@@ -0,0 +1,173 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+	"mustardnotch/procs"
+)
+
+const (
+	streamTokens = 120
+	strikeAt     = 30
+)
+
+// generator is a client of one entry or of several.
+type generator interface {
+	Generate(ctx context.Context, m *apipb.GenerateRequest, sink func(*apipb.GenerateChunk) error) error
+}
+
+// stream runs one generation and calls strike with the agent's VM once strikeAt
+// chunks have come. It fails unless the answer is whole.
+func stream(t *testing.T, client generator, prompt string, strike func(agent mn.VMID)) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+	defer cancel()
+	var text strings.Builder
+	var next int64
+	var end *apipb.EndMarker
+	began := time.Now()
+	err := client.Generate(ctx, &apipb.GenerateRequest{Model: "taalpers", Prompt: prompt, MaxTokens: streamTokens}, func(k *apipb.GenerateChunk) error {
+		if k.End != nil {
+			end = k.End
+			return nil
+		}
+		next++
+		require.Equal(t, next, k.Sequence)
+		text.WriteString(k.Text)
+		if next == strikeAt {
+			go strike(mn.VMID(strings.Split(k.ResumeToken, "/")[1]))
+		}
+		return nil
+	})
+	require.NoError(t, err, "after %d chunks and %d ms", next, time.Since(began).Milliseconds())
+	require.Equal(t, fakes.Output(prompt, streamTokens), text.String())
+	require.EqualValues(t, streamTokens, end.OutputTokens)
+	t.Logf("whole after %d ms", time.Since(began).Milliseconds())
+}
+
+// TestStreams opens a stream across faults of every process on its way and
+// across every planned change. The answer comes whole, each part once.
+func TestStreams(t *testing.T) {
+	for name, test := range map[string]struct {
+		// plain uses a client without retries: a planned change cuts nothing.
+		plain  bool
+		strike func(t *testing.T, c *procs.Cluster, agent *procs.Node)
+	}{
+		"no fault": {true, func(*testing.T, *procs.Cluster, *procs.Node) {}},
+		"agent leaves": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			require.NoError(t, agent.Proc.Terminate())
+		}},
+		"entry leaves": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			require.NoError(t, c.Nodes["entry-1"].Proc.Terminate())
+		}},
+		"entry killed": {false, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			c.Nodes["entry-1"].Proc.Kill()
+		}},
+		"agent killed": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			agent.Proc.Kill()
+		}},
+		"engine killed": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			agent.Endpoint.Kill()
+		}},
+		"engine killed, then entry": {false, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			agent.Endpoint.Kill()
+			time.Sleep(300 * time.Millisecond)
+			c.Nodes["entry-1"].Proc.Kill()
+		}},
+		"entry and agent killed at once": {false, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			agent.Proc.Kill()
+			c.Nodes["entry-1"].Proc.Kill()
+		}},
+		"connection to the agent silent": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			agent.PeersLink.Silence()
+		}},
+		"agent paused": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			require.NoError(t, agent.Proc.Pause())
+		}},
+		"entry paused": {false, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			require.NoError(t, c.Nodes["entry-1"].Proc.Pause())
+		}},
+		"log down, agent leaves": {true, func(t *testing.T, c *procs.Cluster, agent *procs.Node) {
+			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 1))
+			require.NoError(t, agent.Proc.Terminate())
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newClusterWith(t, true, 2, 2, 0)
+			for _, n := range c.Nodes {
+				if n.Endpoint != nil {
+					require.NoError(t, c.Fault(n.EndpointURL(), fakes.TokenMillis, 20))
+				}
+			}
+			eventually(t, 6*mn.Second, func(ctx context.Context) error {
+				_, _, err := generate(ctx, c.Caller(c.Nodes["entry-1"], voeringKey), "warm", 1)
+				return err
+			})
+			var client generator = steady(c, voeringKey, 0, 2)
+			if test.plain {
+				client = c.Caller(c.Nodes["entry-1"], voeringKey)
+			}
+			stream(t, client, "check spec of "+name, func(agent mn.VMID) { test.strike(t, c, c.Nodes[agent]) })
+		})
+	}
+}
+
+// TestSilentCallerConnection has the caller's own connection fall silent.
+func TestSilentCallerConnection(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	require.NoError(t, c.Fault(c.Nodes["taalpers-1"].EndpointURL(), fakes.TokenMillis, 20))
+	near := c.Nodes["entry-1"]
+	addr := near.IP + ":7011"
+	link, err := procs.NewLink(addr, strings.TrimPrefix(near.Callers(), "http://"))
+	require.NoError(t, err)
+	defer link.Close()
+	client := caller.NewSteady([]string{"http://" + addr, c.Nodes["entry-2"].Callers()}, voeringKey, mn.NewSystemClock())
+	eventually(t, 6*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, c.Caller(near, voeringKey), "warm", 1)
+		return err
+	})
+	stream(t, client, "check spec", func(mn.VMID) { link.Silence() })
+}
+
+// TestPoisonIsContained sends a request that crashes every engine that runs it,
+// again and again through all entries. It ends two engines and no more, and
+// requests beside it are served.
+func TestPoisonIsContained(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 4, 0)
+	client := steady(c, voeringKey, 0, 2)
+	eventually(t, 6*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, c.Caller(c.Nodes["entry-1"], voeringKey), "warm", 1)
+		return err
+	})
+	codes := map[mn.Code]int{}
+	for i := range 10 {
+		one := c.Caller(c.Nodes[mn.VMID(fmt.Sprintf("entry-%d", i%2+1))], voeringKey)
+		_, _, err := generate(t.Context(), one, fakes.PoisonPrompt+" spec", 20)
+		require.Error(t, err)
+		codes[mn.CodeOf(err)]++
+	}
+	require.Equal(t, 10, codes[mn.Quarantined], "%v", codes)
+	dead := 0
+	for _, n := range c.Nodes {
+		if n.Endpoint != nil && !n.Endpoint.Running() {
+			dead++
+		}
+	}
+	require.Equal(t, 2, dead)
+	for i := range 20 {
+		stream(t, client, fmt.Sprint("innocent ", i), func(mn.VMID) {})
+	}
+}
