--- a/procs/book_test.go
+++ b/procs/book_test.go
@@ -125,6 +125,13 @@
 			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 0))
 			replace(t, c, "orderbalie-1")
 		}, 0},
+		"log down for six seconds, entry killed": {func(t *testing.T, c *procs.Cluster) {
+			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 1))
+			time.Sleep(500 * time.Millisecond)
+			c.Nodes["entry-1"].Proc.Kill()
+			time.Sleep(5500 * time.Millisecond)
+			require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 0))
+		}, 0},
 		"agents leave in turn": {func(t *testing.T, c *procs.Cluster) {
 			replace(t, c, "orderbalie-1")
 			replace(t, c, "orderbalie-2")
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -45,16 +45,16 @@
 // newCluster starts a platform and entries, declares two customers with a key
 // each, a model pool "taalpers" and a plain pool "orderbalie" whose calls may
 // not be repeated, and ends everything with the test.
-func newCluster(t *testing.T, entries, models, plains int) *procs.Cluster {
+func newCluster(t testing.TB, entries, models, plains int) *procs.Cluster {
 	t.Helper()
 	return newClusterWith(t, false, entries, models, plains)
 }
 
 // slots bounds the clusters that run at once.
-var slots = make(chan struct{}, 4)
+var slots = make(chan struct{}, 3)
 
 // newClusterWith is like newCluster, on request with links between processes.
-func newClusterWith(t *testing.T, links bool, entries, models, plains int) *procs.Cluster {
+func newClusterWith(t testing.TB, links bool, entries, models, plains int) *procs.Cluster {
 	t.Helper()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
@@ -87,7 +87,7 @@
 }
 
 // declare writes the resources that newCluster describes to the log.
-func declare(t *testing.T, c *procs.Cluster) {
+func declare(t testing.TB, c *procs.Cluster) {
 	t.Helper()
 	_, err := c.Declare(t.Context(),
 		mn.Resource{Customer: &mn.Customer{ID: "voering", Rate: 1000, Burst: 1000}},
@@ -103,7 +103,7 @@
 }
 
 // eventually retries f until it returns nil or limit has passed.
-func eventually(t *testing.T, limit mn.Millis, f func(ctx context.Context) error) {
+func eventually(t testing.TB, limit mn.Millis, f func(ctx context.Context) error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), limit.Duration())
 	defer cancel()
