--- /dev/null
+++ b/core/conf/change.go
@@ -0,0 +1,125 @@
+package conf
+
+import (
+	"maps"
+
+	mn "mustardnotch"
+)
+
+// foldChange applies all edits of c to v, or none of them.
+func foldChange(v *mn.View, off mn.Offset, c *mn.Change) *mn.Error {
+	edited := map[mn.ResourceName]bool{}
+	for _, e := range c.Edits {
+		if edited[e.Name] {
+			return mn.Errorf(mn.BadResource, "%s is edited twice in one change", e.Name)
+		}
+		edited[e.Name] = true
+		if err := checkEdit(v, e); err != nil {
+			return err
+		}
+	}
+	resources := maps.Clone(v.Resources)
+	for _, e := range c.Edits {
+		if e.Set == nil {
+			delete(resources, e.Name)
+			continue
+		}
+		resources[e.Name] = mn.Versioned{Resource: *e.Set, Version: off}
+	}
+	keys, err := checkReferences(resources)
+	if err != nil {
+		return err
+	}
+	v.Resources = resources
+	v.Keys = keys
+	return nil
+}
+
+func checkEdit(v *mn.View, e mn.Edit) *mn.Error {
+	have := v.Resources[e.Name]
+	if have.Version != e.Base {
+		return mn.Errorf(mn.Conflict, "%s is at version %d, the change is based on version %d", e.Name, have.Version, e.Base)
+	}
+	if e.Set == nil {
+		return nil
+	}
+	if e.Set.Name() != e.Name {
+		return mn.Errorf(mn.BadResource, "edit of %q sets %q", e.Name, e.Set.Name())
+	}
+	return checkWithdrawn(v, have.Resource.Key, e.Set.Key)
+}
+
+// checkWithdrawn refuses to bring a withdrawn key back, under its own name or
+// another.
+func checkWithdrawn(v *mn.View, old, set *mn.Key) *mn.Error {
+	if set == nil {
+		return nil
+	}
+	revives := v.Keys[set.Hash].Withdrawn && !set.Withdrawn
+	if old != nil && old.Withdrawn && set.Hash != old.Hash {
+		revives = true
+	}
+	if revives {
+		return mn.Errorf(mn.BadResource, "key %s is withdrawn, which can't be undone; issue another key", set.Name)
+	}
+	return nil
+}
+
+// checkReferences checks that every key belongs to a declared customer and
+// every pool to a declared model, and returns the keys by their hash.
+func checkReferences(resources map[mn.ResourceName]mn.Versioned) (map[mn.KeyHash]mn.Key, *mn.Error) {
+	keys := map[mn.KeyHash]mn.Key{}
+	for name, r := range resources {
+		if want := reference(r.Resource); want.Name != "" {
+			if _, ok := resources[want]; !ok {
+				return nil, mn.Errorf(mn.BadResource, "%s needs %s, which is not declared", name, want)
+			}
+		}
+		k := r.Resource.Key
+		if k == nil {
+			continue
+		}
+		if other, ok := keys[k.Hash]; ok {
+			return nil, mn.Errorf(mn.BadResource, "keys %q and %q have the same hash", k.Name, other.Name)
+		}
+		keys[k.Hash] = *k
+	}
+	return keys, nil
+}
+
+// reference returns the name of the resource that r can't do without.
+func reference(r mn.Resource) mn.ResourceName {
+	switch {
+	case r.Key != nil:
+		return mn.ResourceName{Kind: mn.KindCustomer, Name: string(r.Key.Customer)}
+	case r.Pool != nil && r.Pool.Kind == mn.PoolModel:
+		return mn.ResourceName{Kind: mn.KindModel, Name: string(r.Pool.Model)}
+	}
+	return mn.ResourceName{}
+}
+
+// Check tells whether c would be accepted on top of v.
+func Check(v *mn.View, c *mn.Change) error {
+	next := *v
+	if err := foldChange(&next, v.Offset+1, c); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Removes says whether r takes something away that a process could go on
+// using if it did not know of r: a key, a resource, a member, or a share.
+func Removes(r *mn.Record) bool {
+	if r.Leave != nil || r.Remove != nil || r.Share != nil {
+		return true
+	}
+	if r.Change == nil {
+		return false
+	}
+	for _, e := range r.Change.Edits {
+		if e.Set == nil || e.Base != 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/conf/field.go
@@ -0,0 +1,164 @@
+package conf
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+
+	mn "mustardnotch"
+)
+
+const (
+	maxRate      = 1e6
+	maxWeight    = 1e3
+	maxTokens    = 1 << 30
+	maxEndpoints = 1e5
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_.-]{0,62}$`)
+
+const nameWanted = "1 to 63 of a-z, 0-9, '_', '.' and '-', starting with a letter or digit"
+
+// field is one line of a section in a resource file.
+type field struct {
+	name     string
+	wanted   string
+	required bool
+	get      func(r *mn.Resource) string
+	// set returns false for a value other than what is wanted.
+	set func(r *mn.Resource, value string) bool
+}
+
+// fields lists the lines of each kind's section in the order of printing.
+var fields = map[mn.ResourceKind][]field{
+	mn.KindCustomer: {
+		number("rate", 0, maxRate, true, func(r *mn.Resource) *float64 { return &r.Customer.Rate }),
+		number("burst", 1, maxRate, true, func(r *mn.Resource) *float64 { return &r.Customer.Burst }),
+		number("weight", 0, maxWeight, false, func(r *mn.Resource) *float64 { return &r.Customer.Weight }),
+	},
+	mn.KindModel: {
+		word("version", true, func(r *mn.Resource) *string { return &r.Model.Version }),
+		count("max_tokens", 1, maxTokens, true, func(r *mn.Resource) *int64 { return &r.Model.MaxTokens }),
+	},
+	mn.KindPool: {
+		poolKind(),
+		word("model", false, func(r *mn.Resource) *mn.ModelID { return &r.Pool.Model }),
+		flag("open", func(r *mn.Resource) *bool { return &r.Pool.Open }),
+		flag("repeatable", func(r *mn.Resource) *bool { return &r.Pool.Repeatable }),
+		flag("fencing", func(r *mn.Resource) *bool { return &r.Pool.Fencing }),
+		count("min_endpoints", 0, maxEndpoints, false, func(r *mn.Resource) *int64 { return &r.Pool.MinEndpoints }),
+		count("max_endpoints", 0, maxEndpoints, false, func(r *mn.Resource) *int64 { return &r.Pool.MaxEndpoints }),
+	},
+	mn.KindKey: {
+		keyHash(),
+		word("customer", true, func(r *mn.Resource) *mn.CustomerID { return &r.Key.Customer }),
+		flag("withdrawn", func(r *mn.Resource) *bool { return &r.Key.Withdrawn }),
+	},
+}
+
+// newResource returns an empty resource of that name.
+func newResource(n mn.ResourceName) (mn.Resource, bool) {
+	switch n.Kind {
+	case mn.KindCustomer:
+		return mn.Resource{Customer: &mn.Customer{ID: mn.CustomerID(n.Name)}}, true
+	case mn.KindModel:
+		return mn.Resource{Model: &mn.Model{ID: mn.ModelID(n.Name)}}, true
+	case mn.KindPool:
+		return mn.Resource{Pool: &mn.Pool{ID: mn.PoolID(n.Name)}}, true
+	case mn.KindKey:
+		return mn.Resource{Key: &mn.Key{Name: n.Name}}, true
+	}
+	return mn.Resource{}, false
+}
+
+func number(name string, low, high float64, required bool, at func(*mn.Resource) *float64) field {
+	return field{
+		name:     name,
+		wanted:   fmt.Sprintf("a number from %g to %g", low, high),
+		required: required,
+		get: func(r *mn.Resource) string {
+			return strconv.FormatFloat(*at(r), 'g', -1, 64)
+		},
+		set: func(r *mn.Resource, value string) bool {
+			x, err := strconv.ParseFloat(value, 64)
+			if err != nil || math.IsNaN(x) || x < low || x > high {
+				return false
+			}
+			*at(r) = x
+			return true
+		},
+	}
+}
+
+func count(name string, low, high int64, required bool, at func(*mn.Resource) *int64) field {
+	return field{
+		name:     name,
+		wanted:   fmt.Sprintf("a whole number from %d to %d", low, high),
+		required: required,
+		get: func(r *mn.Resource) string {
+			return strconv.FormatInt(*at(r), 10)
+		},
+		set: func(r *mn.Resource, value string) bool {
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil || n < low || n > high {
+				return false
+			}
+			*at(r) = n
+			return true
+		},
+	}
+}
+
+func word[S ~string](name string, required bool, at func(*mn.Resource) *S) field {
+	return field{
+		name:     name,
+		wanted:   nameWanted,
+		required: required,
+		get:      func(r *mn.Resource) string { return string(*at(r)) },
+		set: func(r *mn.Resource, value string) bool {
+			*at(r) = S(value)
+			return namePattern.MatchString(value)
+		},
+	}
+}
+
+func flag(name string, at func(*mn.Resource) *bool) field {
+	return field{
+		name:   name,
+		wanted: "true or false",
+		get:    func(r *mn.Resource) string { return strconv.FormatBool(*at(r)) },
+		set: func(r *mn.Resource, value string) bool {
+			*at(r) = value == "true"
+			return value == "true" || value == "false"
+		},
+	}
+}
+
+func poolKind() field {
+	return field{
+		name:     "kind",
+		wanted:   "model or plain",
+		required: true,
+		get:      func(r *mn.Resource) string { return string(r.Pool.Kind) },
+		set: func(r *mn.Resource, value string) bool {
+			r.Pool.Kind = mn.PoolKind(value)
+			return r.Pool.Kind == mn.PoolModel || r.Pool.Kind == mn.PoolPlain
+		},
+	}
+}
+
+func keyHash() field {
+	return field{
+		name:     "hash",
+		wanted:   "a SHA-256 as 64 lower-case hexadecimal digits",
+		required: true,
+		get:      func(r *mn.Resource) string { return string(r.Key.Hash) },
+		set: func(r *mn.Resource, value string) bool {
+			sum, err := hex.DecodeString(value)
+			r.Key.Hash = mn.KeyHash(value)
+			return err == nil && len(sum) == 32 && hex.EncodeToString(sum) == value
+		},
+	}
+}
--- /dev/null
+++ b/core/conf/file.go
@@ -0,0 +1,174 @@
+package conf
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	mn "mustardnotch"
+)
+
+// baseField is the line that names the version a section was based on.
+const baseField = "base"
+
+// noChildSections is a delimiter that no section's name contains, so that no
+// section inherits from another.
+const noChildSections = "\x00"
+
+// Declared is one section of a resource file.
+type Declared struct {
+	Resource mn.Resource
+	// Based says whether the section names the version it was based on, Base.
+	Based bool
+	Base  mn.Offset
+}
+
+// ParseResources reads a resource file. Errors have code [mn.BadResource] and
+// name file, section, line's name, and what was expected.
+func ParseResources(file string, data []byte) ([]Declared, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		AllowNonUniqueSections:     true,
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		ChildSectionDelimiter:      noChildSections,
+		KeyValueDelimiters:         "=",
+	}, data)
+	if err != nil {
+		return nil, mn.Errorf(mn.BadResource, "%s: %w", file, err)
+	}
+	var all []Declared
+	have := map[mn.ResourceName]bool{}
+	for _, s := range f.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		d, err := parseSection(s)
+		if err != nil {
+			return nil, mn.Errorf(mn.BadResource, "%s: section [%s]: %w", file, s.Name(), err)
+		}
+		name := d.Resource.Name()
+		if have[name] {
+			return nil, mn.Errorf(mn.BadResource, "%s: section [%s] appears twice", file, s.Name())
+		}
+		have[name] = true
+		all = append(all, d)
+	}
+	return all, nil
+}
+
+func parseSection(s *ini.Section) (Declared, error) {
+	name, err := ParseName(s.Name())
+	if err != nil {
+		return Declared{}, err
+	}
+	r, _ := newResource(name)
+	d := Declared{Resource: r}
+	for _, k := range s.Keys() {
+		if n := len(k.ValueWithShadows()); n > 1 {
+			return d, fmt.Errorf("%s: given %d times, want once", k.Name(), n)
+		}
+		if err := setField(&d, name.Kind, k.Name(), k.Value()); err != nil {
+			return d, err
+		}
+	}
+	for _, f := range fields[name.Kind] {
+		if f.required && !s.HasKey(f.name) {
+			return d, fmt.Errorf("%s: missing, want %s", f.name, f.wanted)
+		}
+	}
+	return d, checkPool(r.Pool)
+}
+
+// ParseName reads a resource's name as a section writes it, "KIND NAME".
+func ParseName(s string) (mn.ResourceName, error) {
+	kind, name, _ := strings.Cut(s, " ")
+	n := mn.ResourceName{Kind: mn.ResourceKind(kind), Name: name}
+	if _, ok := newResource(n); !ok {
+		return n, fmt.Errorf("kind %q: want customer, key, model or pool, then a space and the name", kind)
+	}
+	if !namePattern.MatchString(name) {
+		return n, fmt.Errorf("name %q: want %s", name, nameWanted)
+	}
+	return n, nil
+}
+
+func setField(d *Declared, kind mn.ResourceKind, name, value string) error {
+	if name == baseField {
+		return setBase(d, value)
+	}
+	for _, f := range fields[kind] {
+		if f.name != name {
+			continue
+		}
+		if !f.set(&d.Resource, value) {
+			return fmt.Errorf("%s = %q: want %s", name, value, f.wanted)
+		}
+		return nil
+	}
+	return fmt.Errorf("%s: unknown, want one of %s", name, fieldNames(kind))
+}
+
+func setBase(d *Declared, value string) error {
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n < 0 {
+		return fmt.Errorf("%s = %q: want the version that get printed", baseField, value)
+	}
+	d.Based = true
+	d.Base = mn.Offset(n)
+	return nil
+}
+
+func fieldNames(kind mn.ResourceKind) string {
+	var names []string
+	for _, f := range fields[kind] {
+		names = append(names, f.name)
+	}
+	return strings.Join(append(names, baseField), ", ")
+}
+
+func checkPool(p *mn.Pool) error {
+	switch {
+	case p == nil:
+		return nil
+	case p.Kind == mn.PoolModel && p.Model == "":
+		return fmt.Errorf("model: missing, want the name of the model that a pool of kind model serves")
+	case p.Kind == mn.PoolPlain && p.Model != "":
+		return fmt.Errorf("model = %q: want none in a pool of kind plain", p.Model)
+	case p.MaxEndpoints != 0 && p.MinEndpoints > p.MaxEndpoints:
+		return fmt.Errorf("min_endpoints = %d: want at most max_endpoints, %d", p.MinEndpoints, p.MaxEndpoints)
+	}
+	return nil
+}
+
+// CheckResource makes the checks of [ParseResources] on a resource that did
+// not come from a file.
+func CheckResource(r mn.Resource) error {
+	_, err := ParseResources("resource", PrintResources([]mn.Versioned{{Resource: r}}))
+	return err
+}
+
+// PrintResources writes resources as a file that [ParseResources] reads back.
+func PrintResources(resources []mn.Versioned) []byte {
+	var b strings.Builder
+	for i, r := range resources {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		name := r.Resource.Name()
+		fmt.Fprintf(&b, "[%s]\n", name)
+		if r.Version != 0 {
+			fmt.Fprintf(&b, "%s = %d\n", baseField, r.Version)
+		}
+		empty, _ := newResource(name)
+		for _, f := range fields[name.Kind] {
+			if v := f.get(&r.Resource); f.required || v != f.get(&empty) {
+				fmt.Fprintf(&b, "%s = %s\n", f.name, v)
+			}
+		}
+	}
+	return []byte(b.String())
+}
--- a/core/conf/fold.go
+++ b/core/conf/fold.go
@@ -1,8 +1,7 @@
-// Package conf folds the control stream of the platform's log into views of
-// the declared configuration, the roster and the control lease.
 package conf
 
 import (
+	"errors"
 	"maps"
 	"sync"
 
@@ -10,8 +9,15 @@
 	"mustardnotch/core/lease"
 )
 
-// seenLimit bounds how many record ids a fold remembers to drop repeats.
-const seenLimit = 8192
+const (
+	// seenLimit bounds how many record ids a fold remembers to drop repeats.
+	seenLimit = 2048
+	// tailLimit bounds how many records a fold keeps for relaying.
+	tailLimit = 4096
+)
+
+// ErrGap says that entries don't follow on the fold's offset.
+var ErrGap = errors.New("log entries have a gap")
 
 // Verdict says what became of a record.
 type Verdict struct {
@@ -21,6 +27,10 @@
 	Err *mn.Error
 }
 
+// Hook is called for a record after it was folded. It must not block and must
+// not call the fold.
+type Hook func(off mn.Offset, r *mn.Record, v Verdict)
+
 // Fold turns records into views. It is safe for concurrent use.
 type Fold struct {
 	mu      sync.Mutex
@@ -28,20 +38,31 @@
 	changed chan struct{}
 	seen    map[mn.RecordID]bool
 	order   []mn.RecordID
-	hooks   []func(off mn.Offset, r *mn.Record, v Verdict)
+	tail    []mn.LogEntry
+	hooks   []Hook
+	waiters map[mn.RecordID]chan Verdict
+	kept    kept
+	rosters []rosterAt
 }
 
 // New returns a fold before the first record.
 func New() *Fold {
 	return &Fold{
-		view: &mn.View{
-			Resources: map[mn.ResourceName]mn.Versioned{},
-			Keys:      map[mn.KeyHash]mn.Key{},
-			Roster:    map[mn.VMID]mn.Member{},
-			Leaving:   map[mn.VMID]mn.Incarnation{},
-		},
+		view:    emptyView(),
 		changed: make(chan struct{}),
 		seen:    map[mn.RecordID]bool{},
+		waiters: map[mn.RecordID]chan Verdict{},
+		kept:    newKept(),
+		rosters: []rosterAt{{}},
+	}
+}
+
+func emptyView() *mn.View {
+	return &mn.View{
+		Resources: map[mn.ResourceName]mn.Versioned{},
+		Keys:      map[mn.KeyHash]mn.Key{},
+		Roster:    map[mn.VMID]mn.Member{},
+		Leaving:   map[mn.VMID]mn.Incarnation{},
 	}
 }
 
@@ -59,17 +80,49 @@
 	return f.changed
 }
 
-// OnRecord has hook called for every record from now on, in log order, after
-// it was folded. Hooks must not block and must not call the fold.
-func (f *Fold) OnRecord(hook func(off mn.Offset, r *mn.Record, v Verdict)) {
+// OnRecord has hook called for every record from now on, in log order. What a
+// snapshot holds besides the view (intents, poisons, shares) is given to hook
+// as records of their own, both now and when a snapshot is restored.
+func (f *Fold) OnRecord(hook Hook) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hooks = append(f.hooks, hook)
+	f.kept.replay(f.view.Offset, hook)
+}
+
+// Await returns a channel that receives the verdict on the first record of
+// that id which is folded from now on. The caller calls stop when done.
+func (f *Fold) Await(id mn.RecordID) (verdicts <-chan Verdict, stop func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ch := make(chan Verdict, 1)
+	f.waiters[id] = ch
+	return ch, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.waiters, id)
+	}
+}
+
+// Since returns the records from offset from on that the fold still keeps, at
+// most limit of them. It returns false if the first of them is gone.
+func (f *Fold) Since(from mn.Offset, limit int) ([]mn.LogEntry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from > f.view.Offset {
+		return nil, true
+	}
+	if len(f.tail) == 0 || from < f.tail[0].Offset {
+		return nil, false
+	}
+	rest := f.tail[from-f.tail[0].Offset:]
+	return rest[:min(limit, len(rest))], true
 }
 
 // Apply folds the entries in. Entries at or below the view's offset are
-// dropped, so that relays may overlap. An entry that can't be decoded stops
-// the fold before it, with the error of [mn.DecodeRecord].
+// dropped, so that sources may overlap. Entries that leave a gap are refused
+// with [ErrGap]. An entry that can't be decoded stops the fold before it, with
+// the error of [mn.DecodeRecord].
 func (f *Fold) Apply(entries []mn.LogEntry) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,46 +132,83 @@
 		if e.Offset <= f.view.Offset {
 			continue
 		}
-		r, err := mn.DecodeRecord(e.Data)
-		if err != nil {
-			failed = err
+		if failed = f.applyNext(e); failed != nil {
 			break
 		}
-		f.applyOne(e.Offset, r)
 	}
 	if f.view != before {
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.wake()
 	}
 	return failed
 }
 
-func (f *Fold) applyOne(off mn.Offset, r *mn.Record) {
-	next := clone(f.view)
-	next.Offset = off
-	verdict := Verdict{Offset: off, ID: r.ID}
+func (f *Fold) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Fold) applyNext(e mn.LogEntry) error {
+	if e.Offset != f.view.Offset+1 {
+		return ErrGap
+	}
+	r, err := mn.DecodeRecord(e.Data)
+	if err != nil {
+		return err
+	}
+	next := *f.view
+	next.Offset = e.Offset
+	verdict := Verdict{Offset: e.Offset, ID: r.ID}
 	if f.seen[r.ID] {
-		verdict.Err = mn.Errorf(mn.Conflict, "record %s at offset %d repeats an earlier one", r.ID, off)
+		verdict.Err = mn.Errorf(mn.Conflict, "record %s at offset %d repeats an earlier one", r.ID, e.Offset)
 	} else {
-		f.remember(r.ID)
-		verdict.Err = fold(next, off, r)
+		f.remember(r)
+		verdict.Err = fold(&next, e.Offset, r)
+	}
+	if joinsOrLeaves(r) && verdict.Err == nil {
+		f.keepRoster(&next)
+	}
+	f.view = &next
+	f.keepTail(e)
+	if verdict.Err == nil {
+		f.kept.keep(r)
+	}
+	f.tell(e.Offset, r, verdict)
+	return nil
+}
+
+func (f *Fold) keepTail(e mn.LogEntry) {
+	f.tail = append(f.tail, e)
+	if len(f.tail) > tailLimit {
+		f.tail = f.tail[1:]
+	}
+}
+
+func (f *Fold) tell(off mn.Offset, r *mn.Record, v Verdict) {
+	if ch, ok := f.waiters[r.ID]; ok {
+		ch <- v
+		delete(f.waiters, r.ID)
 	}
-	f.view = next
 	for _, h := range f.hooks {
-		h(off, r, verdict)
+		h(off, r, v)
 	}
 }
 
-func (f *Fold) remember(id mn.RecordID) {
-	f.seen[id] = true
-	f.order = append(f.order, id)
+// remember notes r's id. Records of the lease are idempotent by themselves
+// and are too many to remember.
+func (f *Fold) remember(r *mn.Record) {
+	if r.Claim != nil || r.Renewal != nil || r.Release != nil || r.Snapshot != nil {
+		return
+	}
+	f.seen[r.ID] = true
+	f.order = append(f.order, r.ID)
 	if len(f.order) > seenLimit {
 		delete(f.seen, f.order[0])
 		f.order = f.order[1:]
 	}
 }
 
-// fold applies r to v, which no other goroutine sees yet.
+// fold applies r to v, which no other goroutine sees yet. A snapshot changes
+// nothing: whoever folds it in its turn has already folded what it covers.
 func fold(v *mn.View, off mn.Offset, r *mn.Record) *mn.Error {
 	var valid bool
 	if v.Holder, valid = lease.Fold(v.Holder, off, r); !valid {
@@ -128,19 +218,32 @@
 	case r.Change != nil:
 		return foldChange(v, off, r.Change)
 	case r.Join != nil:
-		v.Roster = maps.Clone(v.Roster)
-		v.Roster[r.Join.VM] = *r.Join
+		foldJoin(v, r.Join)
 	case r.Leave != nil:
 		foldLeave(v, r.Leave)
 	case r.Remove != nil:
-		if r.Remove.Term != v.Holder.Term {
-			return mn.Errorf(mn.OrderStale, "removal of %s has term %d, lease has %d", r.Remove.VM, r.Remove.Term, v.Holder.Term)
+		if err := checkTerm(v, r.Remove.Term); err != nil {
+			return err
 		}
 		removeMember(v, r.Remove.VM, r.Remove.Incarnation)
+	case r.Intent != nil:
+		return checkTerm(v, r.Intent.Term)
 	}
 	return nil
 }
 
+func checkTerm(v *mn.View, term mn.Term) *mn.Error {
+	if term == v.Holder.Term {
+		return nil
+	}
+	return mn.Errorf(mn.OrderStale, "record has term %d, the lease has %d", term, v.Holder.Term)
+}
+
+func foldJoin(v *mn.View, m *mn.Member) {
+	v.Roster = maps.Clone(v.Roster)
+	v.Roster[m.VM] = *m
+}
+
 func foldLeave(v *mn.View, d *mn.Departure) {
 	if v.Roster[d.VM].Incarnation != d.Incarnation {
 		return
@@ -162,35 +265,3 @@
 	v.Leaving = maps.Clone(v.Leaving)
 	delete(v.Leaving, vm)
 }
-
-func foldChange(v *mn.View, off mn.Offset, c *mn.Change) *mn.Error {
-	for _, e := range c.Edits {
-		if have := v.Resources[e.Name].Version; have != e.Base {
-			return mn.Errorf(mn.Conflict, "%s is at version %d, the change is based on version %d", e.Name, have, e.Base)
-		}
-		if e.Set != nil && e.Set.Name() != e.Name {
-			return mn.Errorf(mn.BadResource, "edit of %q sets %q", e.Name, e.Set.Name())
-		}
-	}
-	v.Resources = maps.Clone(v.Resources)
-	v.Keys = maps.Clone(v.Keys)
-	for _, e := range c.Edits {
-		if k := v.Resources[e.Name].Resource.Key; k != nil {
-			delete(v.Keys, k.Hash)
-		}
-		if e.Set == nil {
-			delete(v.Resources, e.Name)
-			continue
-		}
-		v.Resources[e.Name] = mn.Versioned{Resource: *e.Set, Version: off}
-		if k := e.Set.Key; k != nil {
-			v.Keys[k.Hash] = *k
-		}
-	}
-	return nil
-}
-
-func clone(v *mn.View) *mn.View {
-	c := *v
-	return &c
-}
--- /dev/null
+++ b/core/conf/plan.go
@@ -0,0 +1,75 @@
+package conf
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	mn "mustardnotch"
+)
+
+// Plan returns the change that makes v declare what is declared and no longer
+// declare what remove names. Resources that are so already are left out.
+func Plan(v *mn.View, declared []Declared, remove []mn.ResourceName) (mn.Change, error) {
+	var c mn.Change
+	for _, d := range declared {
+		name := d.Resource.Name()
+		have := v.Resources[name]
+		if have.Version != 0 && len(differences(have.Resource, d.Resource)) == 0 {
+			continue
+		}
+		e := mn.Edit{Name: name, Base: have.Version, Set: &d.Resource}
+		if d.Based {
+			e.Base = d.Base
+		}
+		c.Edits = append(c.Edits, e)
+	}
+	for _, name := range remove {
+		have, ok := v.Resources[name]
+		if !ok {
+			return c, mn.Errorf(mn.BadResource, "%s is not declared, so it can't be removed", name)
+		}
+		c.Edits = append(c.Edits, mn.Edit{Name: name, Base: have.Version})
+	}
+	slices.SortStableFunc(c.Edits, func(a, b mn.Edit) int { return compareNames(a.Name, b.Name) })
+	return c, nil
+}
+
+// Describe says for each edit of c what it changes in v.
+func Describe(v *mn.View, c mn.Change) []string {
+	var lines []string
+	for _, e := range c.Edits {
+		lines = append(lines, describeEdit(v, e))
+	}
+	return lines
+}
+
+func describeEdit(v *mn.View, e mn.Edit) string {
+	have, ok := v.Resources[e.Name]
+	switch {
+	case e.Set == nil:
+		return fmt.Sprintf("remove %s", e.Name)
+	case !ok:
+		empty, _ := newResource(e.Name)
+		return fmt.Sprintf("add %s: %s", e.Name, strings.Join(differences(empty, *e.Set), ", "))
+	default:
+		return fmt.Sprintf("change %s: %s", e.Name, strings.Join(differences(have.Resource, *e.Set), ", "))
+	}
+}
+
+// differences lists the fields in which two resources of one name differ.
+func differences(a, b mn.Resource) []string {
+	empty, _ := newResource(b.Name())
+	var all []string
+	for _, f := range fields[b.Name().Kind] {
+		from, to := f.get(&a), f.get(&b)
+		switch {
+		case from == to:
+		case from == f.get(&empty):
+			all = append(all, fmt.Sprintf("%s = %s", f.name, to))
+		default:
+			all = append(all, fmt.Sprintf("%s %s -> %s", f.name, from, to))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/core/conf/snap.go
@@ -0,0 +1,174 @@
+package conf
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	mn "mustardnotch"
+)
+
+// poisonLimit bounds how many crash records a fold keeps.
+const poisonLimit = 512
+
+type intentKey struct {
+	pool       mn.PoolID
+	dataCentre mn.DataCentre
+}
+
+type shareKey struct {
+	customer mn.CustomerID
+	to       mn.VMID
+}
+
+// kept holds what snapshots carry besides the view.
+type kept struct {
+	intents map[intentKey]mn.Intent
+	shares  map[shareKey]mn.Share
+	poisons []mn.Poison
+}
+
+func newKept() kept {
+	return kept{intents: map[intentKey]mn.Intent{}, shares: map[shareKey]mn.Share{}}
+}
+
+func (k *kept) keep(r *mn.Record) {
+	switch {
+	case r.Intent != nil:
+		k.intents[intentKey{r.Intent.Pool, r.Intent.DataCentre}] = *r.Intent
+	case r.Share != nil:
+		delete(k.shares, shareKey{r.Share.Customer, r.Share.From})
+		k.shares[shareKey{r.Share.Customer, r.Share.To}] = *r.Share
+	case r.Poison != nil:
+		k.poisons = append(k.poisons, *r.Poison)
+		k.poisons = k.poisons[max(0, len(k.poisons)-poisonLimit):]
+	}
+}
+
+// replay gives hook what is kept as records at offset off.
+func (k *kept) replay(off mn.Offset, hook Hook) {
+	give := func(r mn.Record) {
+		hook(off, &r, Verdict{Offset: off})
+	}
+	for _, i := range k.sortedIntents() {
+		give(mn.Record{Version: mn.RecordVersion, Intent: &i})
+	}
+	for _, s := range k.sortedShares() {
+		give(mn.Record{Version: mn.RecordVersion, Share: &s})
+	}
+	for _, p := range k.poisons {
+		give(mn.Record{Version: mn.RecordVersion, Poison: &p})
+	}
+}
+
+func (k *kept) sortedIntents() []mn.Intent {
+	return slices.SortedFunc(maps.Values(k.intents), func(a, b mn.Intent) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+}
+
+func (k *kept) sortedShares() []mn.Share {
+	return slices.SortedFunc(maps.Values(k.shares), func(a, b mn.Share) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.To, b.To))
+	})
+}
+
+// Snapshot returns the state as of the fold's offset. Two folds of the same
+// prefix return the same.
+func (f *Fold) Snapshot() mn.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.view
+	return mn.Snapshot{
+		AsOf:      v.Offset,
+		Resources: SortedResources(v),
+		Roster: slices.SortedFunc(maps.Values(v.Roster), func(a, b mn.Member) int {
+			return cmp.Compare(a.VM, b.VM)
+		}),
+		Leaving: sortedLeaving(v),
+		Lease:   v.Holder,
+		Seen:    slices.Clone(f.order),
+		Intents: f.kept.sortedIntents(),
+		Poisons: slices.Clone(f.kept.poisons),
+		Shares:  f.kept.sortedShares(),
+	}
+}
+
+func sortedLeaving(v *mn.View) []mn.Departure {
+	var all []mn.Departure
+	for vm, inc := range v.Leaving {
+		all = append(all, mn.Departure{VM: vm, Incarnation: inc})
+	}
+	slices.SortFunc(all, func(a, b mn.Departure) int { return cmp.Compare(a.VM, b.VM) })
+	return all
+}
+
+// Restore takes s over if it is ahead of the fold, and says whether it was. A
+// stale snapshot changes nothing.
+func (f *Fold) Restore(s mn.Snapshot) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.AsOf <= f.view.Offset {
+		return false
+	}
+	f.view = viewOf(s)
+	f.order = slices.Clone(s.Seen)
+	f.seen = make(map[mn.RecordID]bool, len(s.Seen))
+	for _, id := range s.Seen {
+		f.seen[id] = true
+	}
+	f.tail = nil
+	f.rosters = []rosterAt{{offset: s.AsOf, members: f.view.Roster}}
+	f.kept = keptOf(s)
+	for _, h := range f.hooks {
+		f.kept.replay(s.AsOf, h)
+	}
+	f.wake()
+	return true
+}
+
+func viewOf(s mn.Snapshot) *mn.View {
+	v := emptyView()
+	v.Offset = s.AsOf
+	v.Holder = s.Lease
+	for _, r := range s.Resources {
+		v.Resources[r.Resource.Name()] = r
+		if k := r.Resource.Key; k != nil {
+			v.Keys[k.Hash] = *k
+		}
+	}
+	for _, m := range s.Roster {
+		v.Roster[m.VM] = m
+	}
+	for _, d := range s.Leaving {
+		v.Leaving[d.VM] = d.Incarnation
+	}
+	return v
+}
+
+func keptOf(s mn.Snapshot) kept {
+	k := newKept()
+	k.poisons = slices.Clone(s.Poisons)
+	for _, i := range s.Intents {
+		k.intents[intentKey{i.Pool, i.DataCentre}] = i
+	}
+	for _, x := range s.Shares {
+		k.shares[shareKey{x.Customer, x.To}] = x
+	}
+	return k
+}
+
+// SortedResources returns the resources of v by kind and name.
+func SortedResources(v *mn.View) []mn.Versioned {
+	return slices.SortedFunc(maps.Values(v.Resources), func(a, b mn.Versioned) int {
+		return compareNames(a.Resource.Name(), b.Resource.Name())
+	})
+}
+
+func compareNames(a, b mn.ResourceName) int {
+	return cmp.Or(cmp.Compare(kindOrder(a.Kind), kindOrder(b.Kind)), cmp.Compare(a.Name, b.Name))
+}
+
+func kindOrder(k mn.ResourceKind) int {
+	return slices.Index([]mn.ResourceKind{mn.KindCustomer, mn.KindModel, mn.KindPool, mn.KindKey}, k)
+}
