Follow the control stream from several sources; prove currency

Cause: every process took its view for current, so a withdrawn key went on working in a process that was cut off.

A process is current for 3 s from before it asked the log, a majority, or a current peer. Removing changes are acknowledged once established: no majority of any roster since the last established offset is without a member told.

Seen failing first: also with any answer for a majority, without folding what was heard, with peers that forget, with evidence stamped after the answer, and with passed-on evidence not aged.

--- /dev/null
+++ b/core/feed/snap.go
@@ -0,0 +1,97 @@
+package feed
+
+import (
+	"context"
+	"sync"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+)
+
+const (
+	// snapshotRecords is after how many records the holder writes a snapshot.
+	snapshotRecords = 2000
+	// snapshotEvery is the longest time between snapshots.
+	snapshotEvery   = 15 * mn.Minute
+	snapshotCheck   = 1 * mn.Second
+	snapshotTimeout = 10 * mn.Second
+)
+
+// Snapshots writes snapshots of a fold to the control stream while the process
+// holds control.
+type Snapshots struct {
+	fold      *conf.Fold
+	writer    *Writer
+	clock     mn.Clock
+	first     func() mn.Offset
+	establish func(ctx context.Context, off mn.Offset) error
+
+	mu   sync.Mutex
+	last snapshotSeen
+}
+
+// snapshotSeen is the last snapshot that was folded.
+type snapshotSeen struct {
+	asOf mn.Offset
+	at   mn.Millis
+	any  bool
+}
+
+// NewSnapshots returns a writer of snapshots. First returns the lowest offset
+// that the log keeps. A snapshot is written only once establish has confirmed
+// the offset that it is as of, so whoever starts from it need not know of
+// earlier rosters.
+func NewSnapshots(fold *conf.Fold, writer *Writer, clock mn.Clock, first func() mn.Offset,
+	establish func(ctx context.Context, off mn.Offset) error) *Snapshots {
+	s := &Snapshots{fold: fold, writer: writer, clock: clock, first: first, establish: establish}
+	fold.OnRecord(s.note)
+	return s
+}
+
+func (s *Snapshots) note(_ mn.Offset, r *mn.Record, _ conf.Verdict) {
+	if r.Snapshot == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = snapshotSeen{asOf: r.Snapshot.AsOf, at: s.clock.Now(), any: true}
+}
+
+// Run writes a snapshot whenever one is due and holds returns true, until ctx
+// is done.
+func (s *Snapshots) Run(ctx context.Context, holds func() bool) error {
+	for ctx.Err() == nil {
+		if holds() && s.due() {
+			s.write(ctx)
+		}
+		_ = s.clock.Sleep(ctx, snapshotCheck)
+	}
+	return ctx.Err()
+}
+
+// due says whether the last snapshot is old, or in the older half of what the
+// log keeps. A process that has folded none writes one at once.
+func (s *Snapshots) due() bool {
+	s.mu.Lock()
+	last := s.last
+	s.mu.Unlock()
+	head, first := s.fold.View().Offset, s.first()
+	if head == 0 {
+		return false
+	}
+	return !last.any ||
+		s.clock.Now()-last.at >= snapshotEvery ||
+		head-last.asOf >= snapshotRecords ||
+		first > 1 && last.asOf < first+(head-first)/2
+}
+
+func (s *Snapshots) write(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout.Duration())
+	defer cancel()
+	snap := s.fold.Snapshot()
+	if err := s.establish(ctx, snap.AsOf); err != nil {
+		return
+	}
+	// A failure leaves the snapshot due, so the next check tries again.
+	_, _ = s.writer.Append(ctx, mn.Record{Snapshot: &snap})
+}
--- /dev/null
+++ b/core/fresh/fresh_test.go
@@ -0,0 +1,131 @@
+package fresh
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+)
+
+// answers is a peer that always answers the same, after a delay.
+type answers struct {
+	clock *mn.ManualClock
+	delay mn.Millis
+	Answer
+}
+
+func (a answers) Hear(context.Context, mn.Member, Told) (Answer, error) {
+	a.clock.Advance(a.delay)
+	return a.Answer, nil
+}
+
+// pair returns a monitor of process a in a roster of a and b.
+func pair(t *testing.T, clock *mn.ManualClock, b Answer, delay mn.Millis) (*Monitor, *conf.Fold) {
+	f := conf.New()
+	for i, vm := range []mn.VMID{"a", "b"} {
+		r := mn.Record{Version: 1, ID: mn.NewRecordID(), Join: &mn.Member{VM: vm, Incarnation: "1", Role: mn.RoleEntry}}
+		data, err := mn.EncodeRecord(&r)
+		require.NoError(t, err)
+		require.NoError(t, f.Apply([]mn.LogEntry{{Offset: mn.Offset(i + 1), Data: data}}))
+	}
+	b.VM = "b"
+	params := DefaultParams()
+	params.Timeout = 5
+	return New("a", "1", f, clock, answers{clock, delay, b}, params), f
+}
+
+// TestEvidenceIsAsOldAsTheQuestion checks that a slow answer, a peer's own old
+// evidence, a pause and a peer that restarted never make a process current.
+func TestEvidenceIsAsOldAsTheQuestion(t *testing.T) {
+	tests := []struct {
+		name  string
+		delay mn.Millis
+		b     Answer
+		want  mn.Millis // age of the evidence, -1 for none
+	}{
+		{"slow answer", 1200, Answer{Incarnation: "1", Offset: 2}, 1200},
+		{"too slow an answer", 3000, Answer{Incarnation: "1", Offset: 2}, 3000},
+		{"restarted peer", 0, Answer{Incarnation: "2", Offset: 2}, -1},
+		{"peer that knows more", 0, Answer{Incarnation: "1", Offset: 3}, -1},
+		{"peer that is current", 100, Answer{Incarnation: "2", Offset: 2, Current: true, Age: 2000}, 2100},
+		{"current peer that knows more", 0, Answer{Incarnation: "2", Offset: 3, Current: true}, -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := mn.NewManualClock(50_000)
+			m, _ := pair(t, clock, tt.b, tt.delay)
+			m.askAll(t.Context())
+			age, ok := m.Age()
+			require.Equal(t, tt.want >= 0, ok)
+			if ok {
+				require.Equal(t, tt.want, age)
+			}
+			current := ok && tt.want < DefaultParams().Life
+			require.Equal(t, current, m.Current() == nil)
+			clock.Advance(DefaultParams().Life)
+			require.Equal(t, mn.NotCurrent, mn.CodeOf(m.Current()), "after a pause")
+			require.Equal(t, mn.OutcomeNotRun, mn.AsError(m.Current()).Outcome)
+		})
+	}
+}
+
+// TestUnreadableRecordIsNotCurrent checks that a process which can't read a
+// record refuses, though its peers can't read it either.
+func TestUnreadableRecordIsNotCurrent(t *testing.T) {
+	clock := mn.NewManualClock(50_000)
+	m, _ := pair(t, clock, Answer{Incarnation: "1", Offset: 2}, 0)
+	m.askAll(t.Context())
+	require.NoError(t, m.Current())
+	m.Fail(mn.Errorf(mn.UnknownRecord, "version 2"))
+	m.askAll(t.Context())
+	require.ErrorContains(t, m.Current(), "version 2")
+}
+
+// TestGuardEndsSessions checks that open sessions end when their key is
+// withdrawn, and those of entries when the process is no longer current.
+func TestGuardEndsSessions(t *testing.T) {
+	clock := mn.NewManualClock(50_000)
+	m, f := pair(t, clock, Answer{Incarnation: "1", Offset: 2}, 0)
+	m.NoteHead(clock.Now(), 2)
+	g := NewGuard(f, m, clock)
+	set := func(withdrawn bool, base mn.Offset) {
+		customer := mn.Resource{Customer: &mn.Customer{ID: "c", Rate: 1, Burst: 1}}
+		key := mn.Resource{Key: &mn.Key{Name: "k", Hash: "h", Customer: "c", Withdrawn: withdrawn}}
+		r := mn.Record{Version: 1, ID: mn.NewRecordID(), Change: &mn.Change{Edits: []mn.Edit{
+			{Name: customer.Name(), Base: base, Set: &customer}, {Name: key.Name(), Base: base, Set: &key},
+		}}}
+		data, err := mn.EncodeRecord(&r)
+		require.NoError(t, err)
+		require.NoError(t, f.Apply([]mn.LogEntry{{Offset: f.View().Offset + 1, Data: data}}))
+	}
+	set(false, 0)
+	open, session := g.Hold(t.Context(), "h")
+	stale, staleSession := g.HoldStale(t.Context(), "h")
+	g.sweep()
+	require.NoError(t, open.Err())
+
+	clock.Advance(DefaultParams().Life)
+	require.Equal(t, mn.NotCurrent, mn.CodeOf(session.Err()), "before the sweep")
+	g.sweep()
+	require.Equal(t, mn.NotCurrent, mn.CodeOf(CauseOf(open, open.Err())))
+	require.NoError(t, stale.Err())
+
+	set(true, 3)
+	g.sweep()
+	require.Equal(t, mn.KeyWithdrawn, mn.CodeOf(CauseOf(stale, stale.Err())))
+	require.Equal(t, mn.OutcomeUnknown, mn.AsError(context.Cause(stale)).Outcome)
+	_, err := g.Check("h")
+	require.Equal(t, mn.NotCurrent, mn.CodeOf(err))
+	m.NoteHead(clock.Now(), 4)
+	_, err = g.Check("h")
+	require.Equal(t, mn.KeyWithdrawn, mn.CodeOf(err))
+	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+	session.Close()
+	staleSession.Close()
+	left, cut := g.Sessions()
+	require.Zero(t, left)
+	require.EqualValues(t, 2, cut)
+}
--- /dev/null
+++ b/core/fresh/model_test.go
@@ -0,0 +1,295 @@
+package fresh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+)
+
+// modelRounds multiplies the checks that rapid makes by default.
+const modelRounds = 10
+
+// process is one process of the model, with its own fold and monitor.
+type process struct {
+	mn.Member
+	fold    *conf.Fold
+	monitor *Monitor
+	dead    bool
+}
+
+// removal is an acknowledged removal of a key.
+type removal struct {
+	offset mn.Offset
+	at     mn.Millis
+}
+
+// fleet is a set of processes on one clock, with a log and a network that the
+// test breaks. Everything runs in one goroutine but for hearing itself.
+type fleet struct {
+	t         *rapid.T
+	clock     *mn.ManualClock
+	log       []mn.LogEntry
+	processes []*process
+	// group tells the sides of a partition apart; the log is on side logSide.
+	group   map[mn.VMID]int
+	logSide int
+	logDown bool
+	removed []removal
+	runs    int
+	steps   int
+}
+
+func (f *fleet) Hear(_ context.Context, to mn.Member, told Told) (Answer, error) {
+	f.t.Helper()
+	for _, p := range f.processes {
+		if p.Addr != to.Addr {
+			continue
+		}
+		if p.dead || f.group[p.VM] != f.group[told.VM] {
+			break
+		}
+		return p.monitor.Answer(told), nil
+	}
+	return Answer{}, errors.New("unreachable")
+}
+
+// interrupted has run happen once in a round of asker, before the first answer
+// or after it.
+type interrupted struct {
+	*fleet
+	asker *process
+	run   func()
+	late  bool
+	once  sync.Once
+}
+
+func (i *interrupted) Hear(ctx context.Context, to mn.Member, told Told) (a Answer, err error) {
+	answered := false
+	i.once.Do(func() {
+		i.asker.monitor.hearer = i.fleet
+		if i.late {
+			answered = true
+			a, err = i.fleet.Hear(ctx, to, told)
+		}
+		i.run()
+	})
+	if answered {
+		return a, err
+	}
+	return i.fleet.Hear(ctx, to, told)
+}
+
+func (f *fleet) append(r mn.Record) mn.Offset {
+	r.Version = mn.RecordVersion
+	r.ID = mn.NewRecordID()
+	data, err := mn.EncodeRecord(&r)
+	require.NoError(f.t, err)
+	off := mn.Offset(len(f.log) + 1)
+	f.log = append(f.log, mn.LogEntry{Offset: off, Data: data})
+	return off
+}
+
+func (f *fleet) readsLog(p *process) bool {
+	return !p.dead && !f.logDown && f.group[p.VM] == f.logSide
+}
+
+// start runs a new process on vm, in place of the one there, and has it join.
+func (f *fleet) start(vm mn.VMID) *process {
+	f.runs++
+	p := &process{
+		Member: mn.Member{
+			VM: vm, Incarnation: mn.Incarnation(fmt.Sprint(f.runs)),
+			Role: mn.RoleEntry, Addr: fmt.Sprintf("%s-%d", vm, f.runs),
+		},
+		fold: conf.New(),
+	}
+	params := DefaultParams()
+	params.Timeout = 1
+	p.monitor = New(vm, p.Incarnation, p.fold, f.clock, f, params)
+	for i, old := range f.processes {
+		if old.VM == vm {
+			old.dead = true
+			f.processes[i] = p
+			return p
+		}
+	}
+	f.processes = append(f.processes, p)
+	return p
+}
+
+func (f *fleet) join(p *process) {
+	if f.readsLog(p) {
+		f.append(mn.Record{Join: &p.Member})
+	}
+}
+
+func (f *fleet) read(p *process) {
+	if !f.readsLog(p) {
+		return
+	}
+	stamp := f.clock.Now()
+	require.NoError(f.t, p.fold.Apply(f.log))
+	p.monitor.NoteHead(stamp, mn.Offset(len(f.log)))
+}
+
+func (f *fleet) relay(from, to *process) {
+	if from.dead || to.dead || f.group[from.VM] != f.group[to.VM] {
+		return
+	}
+	if from.fold.View().Offset == 0 {
+		return
+	}
+	entries, ok := from.fold.Since(to.fold.View().Offset+1, 1000)
+	if !ok {
+		to.fold.Restore(from.fold.Snapshot())
+		return
+	}
+	require.NoError(f.t, to.fold.Apply(entries))
+}
+
+// withdraw appends a removal and has p acknowledge it if it can.
+func (f *fleet) withdraw(p *process) {
+	if !f.readsLog(p) {
+		return
+	}
+	off := f.append(mn.Record{Poison: &mn.Poison{Fingerprint: "stands for a withdrawn key"}})
+	f.read(p)
+	f.round(p)
+	if p.monitor.Established() >= off {
+		f.removed = append(f.removed, removal{off, f.clock.Now()})
+	}
+}
+
+func (f *fleet) round(p *process) {
+	if !p.dead {
+		p.monitor.askAll(f.t.Context())
+	}
+}
+
+func (f *fleet) pick(name string) *process {
+	return rapid.SampledFrom(f.processes).Draw(f.t, name)
+}
+
+// draw chooses the next step, and returns the function that takes it.
+func (f *fleet) draw() func() {
+	p, q := f.pick("process"), f.pick("other process")
+	switch rapid.IntRange(0, 12).Draw(f.t, "step") {
+	case 0, 1:
+		return func() { f.read(p) }
+	case 2:
+		return func() { f.round(p) }
+	case 3:
+		run, late := f.draw(), rapid.Bool().Draw(f.t, "late")
+		return func() { f.interrupt(p, run, late, func() { f.round(p) }) }
+	case 4:
+		run, late := f.draw(), rapid.Bool().Draw(f.t, "late")
+		return func() {
+			f.interrupt(p, run, late, func() { p.monitor.ask(f.t.Context(), []mn.Member{q.Member}) })
+		}
+	case 5:
+		return func() { f.relay(q, p) }
+	case 6:
+		return func() { f.withdraw(p) }
+	case 7:
+		span := rapid.SampledFrom([]mn.Millis{100, 1000, 3000}).Draw(f.t, "span")
+		return func() { f.clock.Advance(span) }
+	case 8:
+		side := rapid.IntRange(0, 1).Draw(f.t, "side")
+		return func() { f.group[p.VM] = side }
+	case 9:
+		side := rapid.IntRange(0, 1).Draw(f.t, "log side")
+		down := rapid.Bool().Draw(f.t, "log down")
+		return func() { f.logSide, f.logDown = side, down }
+	case 10:
+		vm := mn.VMID(fmt.Sprintf("vm%d", rapid.IntRange(0, 6).Draw(f.t, "vm")))
+		return func() { f.start(vm) }
+	case 11:
+		return func() { f.join(p) }
+	default:
+		return func() { f.stop(p) }
+	}
+}
+
+// interrupt has run happen in the middle of what p asks.
+func (f *fleet) interrupt(p *process, run func(), late bool, ask func()) {
+	if p.dead {
+		return
+	}
+	p.monitor.hearer = &interrupted{fleet: f, asker: p, run: run, late: late}
+	ask()
+	p.monitor.hearer = f
+}
+
+// stop ends p for good, after which it is removed from the roster if the log
+// is there to say so.
+func (f *fleet) stop(p *process) {
+	if len(f.processes) < 3 {
+		return
+	}
+	p.dead = true
+	if !f.logDown {
+		f.append(mn.Record{Leave: &mn.Departure{VM: p.VM, Incarnation: p.Incarnation, Done: true}})
+	}
+}
+
+// check fails if a process acts, or could act again, on a state from before an
+// acknowledged removal for longer than it may.
+func (f *fleet) check() {
+	now := f.clock.Now()
+	for _, p := range f.processes {
+		if p.dead {
+			continue
+		}
+		folded := p.fold.View().Offset
+		for _, r := range f.removed {
+			if folded >= r.offset {
+				continue
+			}
+			if p.monitor.proved && p.monitor.evidence > r.at {
+				f.t.Fatalf("%s has evidence of %d with offset %d; offset %d was acknowledged at %d",
+					p.Addr, p.monitor.evidence, folded, r.offset, r.at)
+			}
+			if now >= r.at+DefaultParams().Life {
+				require.Error(f.t, p.monitor.Current(), "%s is current at offset %d, %d was acknowledged", p.Addr, folded, r.offset)
+			}
+		}
+	}
+}
+
+// TestNoProcessIsCurrentPastAnAcknowledgedRemoval breaks a fleet in every way
+// the model knows: cuts, log outages, pauses in the middle of a round, joins,
+// departures and restarts, with removals acknowledged all the while.
+func TestNoProcessIsCurrentPastAnAcknowledgedRemoval(t *testing.T) {
+	acknowledged, steps := 0, 0
+	for range modelRounds {
+		rapid.Check(t, func(t *rapid.T) {
+			f := runModel(t)
+			acknowledged += len(f.removed)
+			steps += f.steps
+		})
+	}
+	t.Logf("%d removals acknowledged in %d steps", acknowledged, steps)
+}
+
+func runModel(t *rapid.T) *fleet {
+	f := &fleet{t: t, clock: mn.NewManualClock(10_000), group: map[mn.VMID]int{}}
+	for i := range rapid.IntRange(2, 5).Draw(t, "processes") {
+		p := f.start(mn.VMID(fmt.Sprintf("vm%d", i)))
+		f.join(p)
+		f.read(p)
+	}
+	for range rapid.IntRange(10, 120).Draw(t, "steps") {
+		f.draw()()
+		f.check()
+		f.steps++
+	}
+	return f
+}
--- /dev/null
+++ b/core/fresh/monitor.go
@@ -0,0 +1,241 @@
+package fresh
+
+import (
+	"context"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+// NotEstablished is the code of a change that is in the log while it could not
+// be confirmed that a majority of the processes knows of it.
+const NotEstablished mn.Code = 411
+
+func init() {
+	mn.RegisterCode(mn.CodeDoc{
+		Code: NotEstablished, Title: "change not established", Since: "0.1",
+		Severity: mn.SeverityOperator, Outcome: mn.OutcomeRan,
+		Text: "The change is in the log, but a majority of the processes could not be told of it in time. " +
+			"Processes that can read the log follow it already. Repeat the command until it succeeds.",
+	})
+}
+
+// Params sets how fast a process notices that it is not current.
+type Params struct {
+	// Life is how long evidence lasts. A withdrawn key stops working Life
+	// after its withdrawal was acknowledged, in every process.
+	Life mn.Millis
+	// Period is the time between rounds of hearing from peers.
+	Period mn.Millis
+	// Timeout bounds the wait for one peer's answer.
+	Timeout mn.Millis
+	// Anchors is how many entries hear from a majority on behalf of all.
+	Anchors int
+}
+
+// DefaultParams keeps withdrawal well within five seconds.
+func DefaultParams() Params {
+	return Params{
+		Life:    3 * mn.Second,
+		Period:  400 * mn.Millisecond,
+		Timeout: 600 * mn.Millisecond,
+		Anchors: 3,
+	}
+}
+
+// Told is what one process tells another about the control stream.
+type Told struct {
+	VM          mn.VMID
+	Incarnation mn.Incarnation
+	Offset      mn.Offset
+	Established mn.Offset
+}
+
+// Answer is what a process answers when it is told something.
+type Answer struct {
+	VM          mn.VMID
+	Incarnation mn.Incarnation
+	// Offset is the highest offset the process knows of, folded or not.
+	Offset      mn.Offset
+	Established mn.Offset
+	// Current says that the process is current; Age is then how old its
+	// evidence was when it answered.
+	Current bool
+	Age     mn.Millis
+}
+
+// Hearer tells a peer something and returns its answer.
+type Hearer interface {
+	Hear(ctx context.Context, to mn.Member, told Told) (Answer, error)
+}
+
+// Folds is the fold of the control stream, as [conf.Fold] implements it.
+type Folds interface {
+	mn.Views
+	// Rosters returns every roster in force at offset after or later, and
+	// whether the fold remembers them all.
+	Rosters(after mn.Offset) ([]map[mn.VMID]mn.Member, bool)
+}
+
+// Monitor implements [mn.Currency] for one process.
+type Monitor struct {
+	vm          mn.VMID
+	incarnation mn.Incarnation
+	folds       Folds
+	clock       mn.Clock
+	hearer      Hearer
+	params      Params
+	kick        chan struct{}
+
+	mu          sync.Mutex
+	evidence    mn.Millis
+	proved      bool
+	known       mn.Offset
+	established mn.Offset
+	advanced    chan struct{}
+	failed      error
+	failedAt    mn.Offset
+}
+
+// New returns a monitor that is not current.
+func New(vm mn.VMID, incarnation mn.Incarnation, folds Folds, clock mn.Clock, hearer Hearer, params Params) *Monitor {
+	return &Monitor{
+		vm:          vm,
+		incarnation: incarnation,
+		folds:       folds,
+		clock:       clock,
+		hearer:      hearer,
+		params:      params,
+		kick:        make(chan struct{}, 1),
+		advanced:    make(chan struct{}),
+	}
+}
+
+// Current implements [mn.Currency].
+func (m *Monitor) Current() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentLocked()
+}
+
+func (m *Monitor) currentLocked() error {
+	if m.failed != nil && m.folds.View().Offset <= m.failedAt {
+		return notCurrent("%w", m.failed)
+	}
+	if !m.proved {
+		return notCurrent("the process has not yet caught up with the log or its peers")
+	}
+	if age := m.clock.Now() - m.evidence; age >= m.params.Life {
+		return notCurrent("last heard from the log or a majority of peers %d ms ago", age)
+	}
+	return nil
+}
+
+func notCurrent(format string, args ...any) error {
+	return mn.Errorf(mn.NotCurrent, format, args...).WithRetry(200 * mn.Millisecond)
+}
+
+// Age returns how old the evidence is, and false if there is none.
+func (m *Monitor) Age() (mn.Millis, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now() - m.evidence, m.proved
+}
+
+// Known returns the highest offset that the process knows of.
+func (m *Monitor) Known() mn.Offset {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.known, m.folds.View().Offset)
+}
+
+// Established returns the highest offset known to be established.
+func (m *Monitor) Established() mn.Offset {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.established
+}
+
+// NoteHead records that a read of the log which was sent at stamp returned
+// head. The caller has folded what the read returned.
+func (m *Monitor) NoteHead(stamp mn.Millis, head mn.Offset) {
+	folded := m.folds.View().Offset
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known = max(m.known, head)
+	if folded >= head {
+		m.proveLocked(stamp)
+	}
+}
+
+func (m *Monitor) proveLocked(stamp mn.Millis) {
+	if !m.proved || stamp > m.evidence {
+		m.evidence = stamp
+		m.proved = true
+	}
+}
+
+// Fail makes the process not current until its fold goes on, such as when the
+// log holds a record that it can't read.
+func (m *Monitor) Fail(err error) {
+	folded := m.folds.View().Offset
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = err
+	m.failedAt = folded
+}
+
+// Answer records what a peer told and answers it.
+func (m *Monitor) Answer(t Told) Answer {
+	folded := m.folds.View().Offset
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known = max(m.known, t.Offset)
+	m.noteEstablishedLocked(t.Established)
+	return Answer{
+		VM:          m.vm,
+		Incarnation: m.incarnation,
+		Offset:      max(m.known, folded),
+		Established: m.established,
+		Current:     m.currentLocked() == nil,
+		Age:         m.clock.Now() - m.evidence,
+	}
+}
+
+// NoteEstablished records that off is established, as a peer or a snapshot
+// says.
+func (m *Monitor) NoteEstablished(off mn.Offset) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteEstablishedLocked(off)
+}
+
+func (m *Monitor) noteEstablishedLocked(off mn.Offset) {
+	if off <= m.established {
+		return
+	}
+	m.established = off
+	close(m.advanced)
+	m.advanced = make(chan struct{})
+}
+
+// Establish waits until off is established. The caller has folded off.
+func (m *Monitor) Establish(ctx context.Context, off mn.Offset) error {
+	for {
+		m.mu.Lock()
+		done, advanced := m.established >= off, m.advanced
+		m.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case m.kick <- struct{}{}:
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return mn.Errorf(NotEstablished, "offset %d is in the log; only offset %d is known to a majority", off, m.Established())
+		case <-advanced:
+		}
+	}
+}
