--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -66,6 +66,10 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			applyCommand(),
+			getCommand(),
+			watchCommand(),
+			keyCommand(),
 			callCommand(),
 			loadCommand(),
 			checkCommand(),
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	mn "mustardnotch"
+	"mustardnotch/core/fresh"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/spans"
@@ -41,6 +42,7 @@
 	Clock    mn.Clock
 	Views    mn.Views
 	Currency mn.Currency
+	Guard    *fresh.Guard
 	Limiter  mn.Limiter
 	Router   mn.Router
 	Recorder mn.Recorder
@@ -133,15 +135,11 @@
 	if !ok || key == "" {
 		return identity{}, mn.Errorf(mn.Unauthenticated, "header authorization: want \"Bearer KEY\"")
 	}
-	v := s.Views.View()
-	k, ok := v.Keys[mn.HashKey(key)]
-	if !ok {
-		return identity{}, mn.Errorf(mn.Unauthenticated, "no such key")
-	}
-	if k.Withdrawn {
-		return identity{}, mn.Errorf(mn.KeyWithdrawn, "key %q", k.Name).WithOutcome(mn.OutcomeNotRun)
+	k, err := s.Guard.Check(mn.HashKey(key))
+	if err != nil {
+		return identity{}, err
 	}
-	c, ok := v.Customer(k.Customer)
+	c, ok := s.Views.View().Customer(k.Customer)
 	if !ok {
 		return identity{}, mn.Errorf(mn.Unauthenticated, "customer %q of key %q is not declared", k.Customer, k.Name)
 	}
--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	mn "mustardnotch"
+	"mustardnotch/core/fresh"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/spans"
@@ -97,6 +98,7 @@
 	}
 	m, done, err := s.Router.Route(ctx, work)
 	if err != nil {
+		g.avoid = crashedAt(r)
 		return err
 	}
 	err = g.runAt(ctx, m)
@@ -113,6 +115,16 @@
 	return err
 }
 
+// crashedAt returns the VMs whose endpoints r crashed. Other agents that failed
+// may be tried again once none is left.
+func crashedAt(r *meshpb.Request) []mn.VMID {
+	var vms []mn.VMID
+	for _, c := range r.Crashes {
+		vms = append(vms, mn.VMID(c.Vm))
+	}
+	return vms
+}
+
 func (g *generation) runAt(ctx context.Context, m mn.Member) error {
 	s, r := g.server, g.request
 	ctx, span := s.Tracer.Start(ctx, "entry.submit")
@@ -179,6 +191,8 @@
 	if err != nil {
 		return mn.AsError(err).WithOutcome(mn.OutcomeUnknown)
 	}
+	ctx, session := s.Guard.Hold(ctx, id.hash)
+	defer session.Close()
 	member, ok := v.Roster[mn.VMID(parts[1])]
 	if !ok {
 		return mn.Errorf(mn.UnknownRequest, "no agent on VM %q", parts[1])
@@ -187,6 +201,9 @@
 	r.Id = parts[2]
 	after := m.AfterSequence
 	sink := func(f *meshpb.Frame) error {
+		if err := session.Err(); err != nil {
+			return errors.Join(errSink, err)
+		}
 		if f.End != nil {
 			s.record(r, f.End)
 		}
@@ -202,10 +219,10 @@
 		attach := &meshpb.AttachRequest{Id: r.Id, Customer: r.Customer, KeyHash: r.KeyHash, AfterSequence: after}
 		err := s.Agents.Resume(ctx, member.Addr, attach, sink)
 		if err == nil || errors.Is(err, errSink) || !wire.IsLink(err) || try == attachTries {
-			return err
+			return fresh.CauseOf(ctx, err)
 		}
 		if s.Clock.Sleep(ctx, firstPause) != nil {
-			return err
+			return fresh.CauseOf(ctx, err)
 		}
 	}
 }
--- a/io/caller/job.go
+++ b/io/caller/job.go
@@ -97,13 +97,17 @@
 func (j *job) target(ctx context.Context) (mn.Member, func(error), error) {
 	r := j.request
 	if !j.keyed() {
-		return j.server.Router.Route(ctx, mn.Work{
+		m, done, err := j.server.Router.Route(ctx, mn.Work{
 			ID:       mn.RequestID(r.Id),
 			Customer: mn.CustomerID(r.Customer),
 			Pool:     mn.PoolID(r.Pool),
 			Weight:   r.Weight,
 			Avoid:    j.avoid,
 		})
+		if err != nil {
+			j.avoid = crashedAt(r)
+		}
+		return m, done, err
 	}
 	m, err := j.home()
 	return m, func(error) {}, err
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	mn "mustardnotch"
+	"mustardnotch/core/fresh"
 	"mustardnotch/gen/apipb"
 	"mustardnotch/gen/meshpb"
 )
@@ -23,6 +24,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, session := s.Guard.Hold(ctx, id.hash)
+	defer session.Close()
 	maxTokens, err := checkGenerate(v, m, found)
 	if err != nil {
 		return err
@@ -40,12 +43,15 @@
 	}
 	s.prefill(ctx, r)
 	sink := func(vm mn.VMID, f *meshpb.Frame) error {
+		if err := session.Err(); err != nil {
+			return err
+		}
 		if f.End != nil {
 			s.record(r, f.End)
 		}
 		return out.Send(chunkOf(pool.ID, vm, r.Id, f))
 	}
-	return s.runGeneration(ctx, r, sink)
+	return fresh.CauseOf(ctx, s.runGeneration(ctx, r, sink))
 }
 
 func checkGenerate(v *mn.View, m *apipb.GenerateRequest, found bool) (int64, error) {
@@ -88,6 +94,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, session := s.Guard.Hold(ctx, id.hash)
+	defer session.Close()
 	if !found || pool.Kind != mn.PoolPlain {
 		return nil, mn.Errorf(mn.UnknownPool, "pool %q", m.Pool)
 	}
@@ -99,7 +107,11 @@
 	if err := s.Limiter.Admit(ctx, id.customer, s.deadline(span)); err != nil {
 		return j.answer(j.verdict(ctx, err))
 	}
-	return j.answer(j.run(ctx))
+	err = fresh.CauseOf(ctx, j.run(ctx))
+	if cut := session.Err(); err == nil && cut != nil {
+		err = mn.AsError(cut).WithOutcome(mn.OutcomeRan)
+	}
+	return j.answer(err)
 }
 
 func (s *Server) request(id identity, pool mn.PoolID, deadline int64, off mn.Offset) *meshpb.Request {
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -67,6 +67,11 @@
 		c.Finish(nil, notStarted(err))
 		return
 	}
+	if err := s.mayRun(r); err != nil {
+		stay.Leave(false)
+		c.Finish(nil, notStarted(err))
+		return
+	}
 	if err := c.Start(); err != nil {
 		stay.Leave(false)
 		return
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/core/calls"
+	"mustardnotch/core/fresh"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/replay"
 	"mustardnotch/core/spans"
@@ -32,6 +33,7 @@
 	Clock       mn.Clock
 	Views       mn.Views
 	Currency    mn.Currency
+	Guard       *fresh.Guard
 	Scheduler   mn.Scheduler
 	Recorder    mn.Recorder
 	Loads       Loads
@@ -123,7 +125,7 @@
 }
 
 func (s *Server) run(ctx context.Context, r *meshpb.Request, out *sender) error {
-	if err := s.admit(r); err != nil {
+	if err := s.admit(ctx, r); err != nil {
 		return err
 	}
 	for _, c := range r.Crashes {
@@ -138,7 +140,7 @@
 	return mn.Errorf(mn.BadRequest, "endpoint of pool %q does not serve this kind of request", s.Pool)
 }
 
-func (s *Server) admit(r *meshpb.Request) error {
+func (s *Server) admit(ctx context.Context, r *meshpb.Request) error {
 	if s.draining.Load() && r.IdempotencyKey == "" {
 		return mn.Errorf(mn.Draining, "agent %s is leaving", s.VM)
 	}
@@ -148,6 +150,14 @@
 	if r.Id == "" || mn.PoolID(r.Pool) != s.Pool {
 		return mn.Errorf(mn.BadRequest, "request %q for pool %q reached an agent of pool %q", r.Id, r.Pool, s.Pool)
 	}
+	if err := s.Guard.Await(ctx, mn.Offset(r.Offset)); err != nil {
+		return err
+	}
+	return s.mayRun(r)
+}
+
+// mayRun says whether the request may reach the endpoint as things stand now.
+func (s *Server) mayRun(r *meshpb.Request) error {
 	if err := s.Currency.Current(); err != nil {
 		return err
 	}
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 
 	mn "mustardnotch"
 	"mustardnotch/core/calls"
+	"mustardnotch/core/fresh"
 	"mustardnotch/core/replay"
 	"mustardnotch/gen/meshpb"
 	"mustardnotch/io/wire"
@@ -77,7 +79,9 @@
 	if err != nil {
 		return err
 	}
-	return answer.Read(ctx, mn.Sequence(r.AfterSequence), s.recorded(r.Customer, out.send))
+	ctx, session := s.Guard.HoldStale(ctx, mn.KeyHash(r.KeyHash))
+	defer session.Close()
+	return fresh.CauseOf(ctx, answer.Read(ctx, mn.Sequence(r.AfterSequence), s.recorded(r.Customer, out.send)))
 }
 
 type frames = replay.Answer[*meshpb.Frame]
@@ -86,6 +90,8 @@
 	defer answer.End()
 	ctx, cancel := s.detach(ctx, r)
 	defer cancel()
+	ctx, session := s.Guard.HoldStale(ctx, mn.KeyHash(r.KeyHash))
+	defer session.Close()
 	go s.cancelIdle(ctx, cancel, answer)
 	err := s.runAtEngine(ctx, r, c, answer)
 	if err != nil {
@@ -114,13 +120,17 @@
 	var tokens int64
 	release, err := s.Scheduler.Acquire(ctx, s.work(r))
 	if err != nil {
-		return notStarted(err)
+		return notStarted(fresh.CauseOf(ctx, err))
 	}
 	defer func() { release(tokens) }()
 	stay, err := s.Ward.Enter(ctx, fingerprint(r))
 	if err != nil {
 		return notStarted(err)
 	}
+	if err := s.mayRun(r); err != nil {
+		stay.Leave(false)
+		return err
+	}
 	if err := c.Start(); err != nil {
 		stay.Leave(false)
 		return err
@@ -128,7 +138,7 @@
 	end, err := s.stream(ctx, r, answer, &tokens)
 	err = s.leave(ctx, stay, err)
 	if err != nil {
-		return ended(ctx, err)
+		return ended(ctx, fresh.CauseOf(ctx, err))
 	}
 	answer.Append(&meshpb.Frame{End: end}, frameOverhead)
 	return nil
@@ -136,10 +146,10 @@
 
 // ended tells a generation that its own context ended from one that failed.
 func ended(ctx context.Context, err error) error {
-	switch ctx.Err() {
-	case nil:
+	switch {
+	case ctx.Err() == nil || mn.CodeOf(err) == mn.KeyWithdrawn:
 		return err
-	case context.DeadlineExceeded:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return mn.Errorf(mn.DeadlineExceeded, "generating: %w", err)
 	}
 	return mn.Errorf(mn.Cancelled, "generating: %w", err)
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/core/feed"
+	"mustardnotch/core/fresh"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// relaySilence is how long a relay may be silent before it is given up; the
+// server sends a heartbeat each heartbeatPeriod.
+const relaySilence = 1500 * time.Millisecond
+
+// Client talks to peers.
+type Client struct {
+	vm    mn.VMID
+	conns *wire.Conns
+}
+
+// NewClient returns a client for the process on vm. Its connections, which come
+// from [wire.NewProbes], are closed once a call on them fails or times out.
+func NewClient(vm mn.VMID, conns *wire.Conns) *Client {
+	return &Client{vm: vm, conns: conns}
+}
+
+// service returns a client of the peer at addr. Its connection is dialled when
+// it is first called.
+func (c *Client) service(ctx context.Context, addr string) meshpb.DRPCPeerClient {
+	return meshpb.NewDRPCPeerClient(c.conns.Get(ctx, addr))
+}
+
+// Hear implements [fresh.Hearer].
+func (c *Client) Hear(ctx context.Context, to mn.Member, told fresh.Told) (fresh.Answer, error) {
+	reply, err := c.hear(ctx, to, told, false)
+	if err != nil {
+		return fresh.Answer{}, err
+	}
+	return fresh.Answer{
+		VM:          mn.VMID(reply.Vm),
+		Incarnation: mn.Incarnation(reply.Incarnation),
+		Offset:      mn.Offset(reply.Offset),
+		Established: mn.Offset(reply.Established),
+		Current:     reply.Current,
+		Age:         mn.Millis(reply.AgeMs),
+	}, nil
+}
+
+// Status asks a peer for its state, for operators.
+func (c *Client) Status(ctx context.Context, to mn.Member, told fresh.Told) (*meshpb.HearReply, error) {
+	return c.hear(ctx, to, told, true)
+}
+
+func (c *Client) hear(ctx context.Context, to mn.Member, told fresh.Told, status bool) (*meshpb.HearReply, error) {
+	reply, err := c.service(ctx, to.Addr).Hear(ctx, &meshpb.HearRequest{
+		Vm:          string(told.VM),
+		Incarnation: string(told.Incarnation),
+		Offset:      int64(told.Offset),
+		Established: int64(told.Established),
+		Status:      status,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("hear from %s at %s: %w", to.VM, to.Addr, err)
+	}
+	return reply, nil
+}
+
+// Relay implements [feed.Relayer].
+func (c *Client) Relay(ctx context.Context, to mn.Member, from mn.Offset, sink func(feed.Batch) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(relaySilence, func() {
+		cancel(fmt.Errorf("relay from %s: silent for %s", to.Addr, relaySilence))
+	})
+	defer silence.Stop()
+	stream, err := c.service(ctx, to.Addr).Relay(ctx, &meshpb.RelayRequest{From: int64(from), Vm: string(c.vm)})
+	if err != nil {
+		return fmt.Errorf("relay from %s: %w", to.Addr, err)
+	}
+	defer stream.Close()
+	for {
+		msg, err := stream.Recv()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				return cause
+			}
+			return fmt.Errorf("relay from %s: %w", to.Addr, err)
+		}
+		silence.Reset(relaySilence)
+		b, err := batchOf(msg)
+		if err != nil {
+			return fmt.Errorf("relay from %s: %w", to.Addr, err)
+		}
+		if err := sink(b); err != nil {
+			return err
+		}
+	}
+}
+
+func batchOf(msg *meshpb.RelayBatch) (feed.Batch, error) {
+	b := feed.Batch{Head: mn.Offset(msg.Head)}
+	for _, e := range msg.Entries {
+		b.Entries = append(b.Entries, mn.LogEntry{Offset: mn.Offset(e.Offset), Data: e.Data})
+	}
+	if len(msg.Snapshot) == 0 {
+		return b, nil
+	}
+	b.Snapshot = &mn.Snapshot{}
+	if err := json.Unmarshal(msg.Snapshot, b.Snapshot); err != nil {
+		return b, fmt.Errorf("snapshot: %w", err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"storj.io/drpc"
+
+	mn "mustardnotch"
+	"mustardnotch/core/conf"
+	"mustardnotch/core/fresh"
+	"mustardnotch/gen/meshpb"
+)
+
+const (
+	relayLimit = 256
+	// heartbeatPeriod is the longest time between batches of a relay.
+	heartbeatPeriod = 400 * time.Millisecond
+)
+
+// Borrower lends out parts of a customer's rate.
+type Borrower interface {
+	Borrow(ctx context.Context, in *meshpb.BorrowRequest) (*meshpb.BorrowReply, error)
+}
+
+// StatusFunc returns what the process says of itself to operators. Offset and
+// Refusing are filled in by the server.
+type StatusFunc func() *meshpb.Status
+
+// Server answers peers.
+type Server struct {
+	meshpb.DRPCPeerUnimplementedServer
+	fold     *conf.Fold
+	monitor  *fresh.Monitor
+	status   StatusFunc
+	borrower Borrower
+	stop     <-chan struct{}
+}
+
+// NewServer returns a server for one process. It answers no more once stop is
+// closed.
+// A nil borrower lends nothing.
+func NewServer(fold *conf.Fold, monitor *fresh.Monitor, status StatusFunc, borrower Borrower, stop <-chan struct{}) *Server {
+	return &Server{fold: fold, monitor: monitor, status: status, borrower: borrower, stop: stop}
+}
+
+// Register adds the Peer service to mux.
+func (s *Server) Register(mux drpc.Mux) error {
+	return meshpb.DRPCRegisterPeer(mux, s)
+}
+
+// errLeft is the answer of a process that has left the roster. Others count on
+// it not to speak any more.
+var errLeft = errors.New("the process has left")
+
+// Hear implements the Peer service.
+func (s *Server) Hear(_ context.Context, in *meshpb.HearRequest) (*meshpb.HearReply, error) {
+	select {
+	case <-s.stop:
+		return nil, errLeft
+	default:
+	}
+	a := s.monitor.Answer(fresh.Told{
+		VM:          mn.VMID(in.Vm),
+		Incarnation: mn.Incarnation(in.Incarnation),
+		Offset:      mn.Offset(in.Offset),
+		Established: mn.Offset(in.Established),
+	})
+	reply := &meshpb.HearReply{
+		Vm:          string(a.VM),
+		Incarnation: string(a.Incarnation),
+		Offset:      int64(a.Offset),
+		Established: int64(a.Established),
+		Current:     a.Current,
+		AgeMs:       int64(a.Age),
+	}
+	if in.Status {
+		reply.Status = s.Status()
+	}
+	return reply, nil
+}
+
+// Status returns what the process says of itself to operators.
+func (s *Server) Status() *meshpb.Status {
+	st := &meshpb.Status{}
+	if s.status != nil {
+		st = s.status()
+	}
+	st.Offset = int64(s.fold.View().Offset)
+	if err := s.monitor.Current(); err != nil {
+		st.Refusing = mn.AsError(err).Detail
+	}
+	return st
+}
+
+// Borrow implements the Peer service.
+func (s *Server) Borrow(ctx context.Context, in *meshpb.BorrowRequest) (*meshpb.BorrowReply, error) {
+	if s.borrower == nil {
+		return &meshpb.BorrowReply{}, nil
+	}
+	return s.borrower.Borrow(ctx, in)
+}
+
+// Relay implements the Peer service.
+func (s *Server) Relay(in *meshpb.RelayRequest, stream meshpb.DRPCPeer_RelayStream) error {
+	next := mn.Offset(in.From)
+	for {
+		changed := s.fold.Changed()
+		batch, err := s.batch(&next)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(batch); err != nil {
+			return err
+		}
+		if next <= s.fold.View().Offset {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-time.After(heartbeatPeriod):
+		case <-s.stop:
+			return nil
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+// batch returns what follows from offset next on, and advances next past it.
+func (s *Server) batch(next *mn.Offset) (*meshpb.RelayBatch, error) {
+	batch := &meshpb.RelayBatch{Head: int64(s.monitor.Known())}
+	entries, ok := s.fold.Since(*next, relayLimit)
+	if !ok {
+		snap := s.fold.Snapshot()
+		data, err := json.Marshal(&snap)
+		if err != nil {
+			return nil, err
+		}
+		batch.Snapshot = data
+		*next = snap.AsOf + 1
+		return batch, nil
+	}
+	for _, e := range entries {
+		batch.Entries = append(batch.Entries, &meshpb.RelayEntry{Offset: int64(e.Offset), Data: e.Data})
+		*next = e.Offset + 1
+	}
+	return batch, nil
+}
--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -23,10 +23,10 @@
 	idlePerPeer    = 256
 )
 
-func managerOptions() drpcmanager.Options {
+func managerOptions(soft bool) drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
-		SoftCancel: true,
+		SoftCancel: soft,
 	}
 }
 
@@ -34,12 +34,15 @@
 type Conns struct {
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	dialer net.Dialer
+	// soft keeps a connection on which a call was cancelled.
+	soft bool
 }
 
 // NewConns returns an empty pool. Connections come from the IP address of
 // local, the ip:port on which the process serves its peers; empty for any.
 func NewConns(local string) *Conns {
 	c := &Conns{
+		soft: true,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration.Duration(),
 			KeyCapacity: idlePerPeer,
@@ -52,6 +55,14 @@
 	return c
 }
 
+// NewProbes is like [NewConns], but closes a connection on which a call was
+// cancelled or timed out, so that one which went silent is not used again.
+func NewProbes(local string) *Conns {
+	c := NewConns(local)
+	c.soft = false
+	return c
+}
+
 // Get returns a connection to addr that dials when it is first used.
 func (c *Conns) Get(ctx context.Context, addr string) drpcpool.Conn {
 	return c.pool.Get(ctx, addr, c.dial)
@@ -65,12 +76,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions(c.soft)}), nil
 }
 
 // Serve serves h on l until ctx is done.
 func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
-	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions(true)}).Serve(ctx, l)
 }
 
 // FailureOf returns err as it crosses between processes, nil for nil.
--- a/node/agent.go
+++ b/node/agent.go
@@ -34,6 +34,7 @@
 	}
 	a := &Agent{base: b}
 	a.server = entry.New(a.serverConfig())
+	a.config.status = a.queue.status
 	a.guard()
 	return a, nil
 }
@@ -45,7 +46,8 @@
 		Pool:        a.self.Pool,
 		Clock:       a.clock,
 		Views:       a.fold,
-		Currency:    alwaysCurrent{},
+		Currency:    a.config.monitor,
+		Guard:       a.config.guard,
 		Recorder:    unrecorded{},
 		Tracer:      a.tracer,
 		Log:         a.log,
@@ -74,6 +76,9 @@
 	if err := meshpb.DRPCRegisterAgent(mux, a.server); err != nil {
 		return err
 	}
+	if err := a.registerPeer(mux); err != nil {
+		return err
+	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
@@ -84,7 +89,7 @@
 	g.Go(func() error { return a.queue.poll(run) })
 	g.Go(func() error { return a.takeOrders(run) })
 	g.Go(func() error {
-		if err := a.join(run); err != nil {
+		if err := a.becomeReady(run, g); err != nil {
 			return err
 		}
 		a.ready.Store(true)
@@ -116,6 +121,7 @@
 		a.log.WithField("event", "drain_incomplete").Warn(err)
 	}
 	a.keeper.leaveLate(drain)
+	a.config.retire()
 	a.depart(ctx, true)
 	a.log.WithField("event", "left").Info()
 	_ = a.spans.Close(drain)
--- a/node/base.go
+++ b/node/base.go
@@ -31,8 +31,6 @@
 	grace = 1500 * mn.Millisecond
 	// readWait is how long a read of the log waits for a new record.
 	readWait = 1 * mn.Second
-	// readLimit bounds the records of one read of the log.
-	readLimit = 512
 	// retryPause is the pause after a failed call to the platform.
 	retryPause = 200 * mn.Millisecond
 	// farewell bounds what a leaving process still does once drained.
@@ -47,6 +45,7 @@
 	log      *logrus.Entry
 	plat     *plat.Client
 	fold     *conf.Fold
+	config   *config
 	conns    *wire.Conns
 	spans    *spans.Provider
 	tracer   trace.Tracer
@@ -61,7 +60,7 @@
 		return nil, err
 	}
 	clock := mn.NewSystemClock()
-	return &base{
+	b := &base{
 		settings: s,
 		self: mn.Member{
 			VM:          s.VM,
@@ -79,25 +78,9 @@
 		spans:  sp,
 		tracer: sp.Tracer("mustardnotch"),
 		begun:  clock.Now(),
-	}, nil
-}
-
-// follow reads the control stream into the fold until ctx is done.
-func (b *base) follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		batch, err := b.plat.Read(ctx, mn.ControlStream, b.fold.View().Offset+1, readLimit, readWait)
-		if err == nil {
-			err = b.fold.Apply(batch.Entries)
-		}
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			b.log.WithField("event", "read_failed").Warn(err)
-			_ = b.clock.Sleep(ctx, retryPause)
-		}
 	}
-	return nil
+	b.config = newConfig(b)
+	return b, nil
 }
 
 // join appends the process to the roster and waits until the fold has it.
@@ -181,10 +164,11 @@
 		fmt.Fprintf(w, "live=true uptime_ms=%d\n", b.clock.Now()-b.begun)
 	})
 	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !b.ready.Load() || b.leaving.Load() {
+		current := b.config.monitor.Current() == nil
+		if !b.ready.Load() || b.leaving.Load() || !current {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		fmt.Fprintf(w, "ready=%t leaving=%t offset=%d\n", b.ready.Load(), b.leaving.Load(), b.fold.View().Offset)
+		fmt.Fprintf(w, "ready=%t leaving=%t current=%t offset=%d\n", b.ready.Load(), b.leaving.Load(), current, b.fold.View().Offset)
 	})
 	return mux
 }
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,258 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	mn "mustardnotch"
+	"mustardnotch/core/feed"
+	"mustardnotch/core/fresh"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/oper"
+	"mustardnotch/io/peer"
+	"mustardnotch/io/wire"
+)
+
+const (
+	// relayCount is from how many peers a process follows the control stream.
+	relayCount = 2
+	// anyPeerEvery is after how many tries of entries another peer is tried.
+	anyPeerEvery = 3
+	// joinPatience is how long a process waits to be in the roster before it
+	// counts as ready without, as it must where the log is down.
+	joinPatience = 2 * mn.Second
+)
+
+// config is a process's part in following the configuration.
+type config struct {
+	monitor  *fresh.Monitor
+	guard    *fresh.Guard
+	writer   *feed.Writer
+	follower *feed.Follower
+	peers    *peer.Client
+	probes   *wire.Conns
+	// status and borrower, if set before the process runs, answer peers.
+	status   peer.StatusFunc
+	borrower peer.Borrower
+	left     chan struct{}
+	leave    sync.Once
+}
+
+func newConfig(b *base) *config {
+	probes := wire.NewProbes(b.settings.Peers)
+	peers := peer.NewClient(b.self.VM, probes)
+	monitor := fresh.New(b.self.VM, b.self.Incarnation, b.fold, b.clock, peers, fresh.DefaultParams())
+	return &config{
+		monitor:  monitor,
+		guard:    fresh.NewGuard(b.fold, monitor, b.clock),
+		writer:   feed.NewWriter(b.plat, b.fold, b.self.VM, b.clock),
+		follower: feed.New(b.fold, monitor, b.clock, b.warn),
+		peers:    peers,
+		probes:   probes,
+		left:     make(chan struct{}),
+	}
+}
+
+func (b *base) warn(event string, err error) {
+	b.log.WithField("event", event).Warn(err)
+}
+
+// retire ends what the process says to peers, before the log says it has left.
+func (c *config) retire() {
+	c.leave.Do(func() { close(c.left) })
+}
+
+// registerPeer adds the Peer service to mux.
+func (b *base) registerPeer(mux drpc.Mux) error {
+	return peer.NewServer(b.fold, b.config.monitor, b.config.describe(b), b.config.borrower, b.config.left).Register(mux)
+}
+
+func (c *config) describe(b *base) peer.StatusFunc {
+	return func() *meshpb.Status {
+		st := &meshpb.Status{}
+		if c.status != nil {
+			st = c.status()
+		}
+		st.Leaving = b.leaving.Load()
+		return st
+	}
+}
+
+// follow keeps the fold and the process's currency up to date until ctx is
+// done.
+func (b *base) follow(ctx context.Context) error {
+	c := b.config
+	b.publish()
+	g, ctx := errgroup.WithContext(ctx)
+	run := func(f func() error) {
+		g.Go(func() error {
+			err := f()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		})
+	}
+	run(func() error { return c.follower.FollowLog(ctx, b.plat, b.needsLog) })
+	for range relayCount {
+		tries := 0
+		run(func() error {
+			return c.follower.FollowPeers(ctx, c.peers, func() (mn.Member, bool) {
+				tries++
+				return b.pickPeer(ctx, tries)
+			})
+		})
+	}
+	run(func() error { return c.monitor.Run(ctx) })
+	run(func() error { return c.guard.Run(ctx) })
+	snapshots := feed.NewSnapshots(b.fold, c.writer, b.clock, c.follower.First, c.monitor.Establish)
+	run(func() error { return snapshots.Run(ctx, b.holdsControl) })
+	defer c.probes.Close()
+	return g.Wait()
+}
+
+func (b *base) holdsControl() bool {
+	h := b.fold.View().Holder
+	return h.Holder == b.self.VM && h.Incarnation == b.self.Incarnation
+}
+
+// needsLog says whether the process should read the log itself: entries do,
+// and agents while entries don't keep them current.
+func (b *base) needsLog() bool {
+	if b.self.Role == mn.RoleEntry || b.config.follower.Relays() == 0 {
+		return true
+	}
+	age, ok := b.config.monitor.Age()
+	return !ok || age > fresh.DefaultParams().Life/2
+}
+
+// pickPeer returns a peer to relay from: mostly an entry, now and then any
+// member, and with an empty roster a VM of the platform's list.
+func (b *base) pickPeer(ctx context.Context, try int) (mn.Member, bool) {
+	v := b.fold.View()
+	var entries, all []mn.Member
+	for _, m := range v.Roster {
+		if m.VM == b.self.VM {
+			continue
+		}
+		all = append(all, m)
+		if m.Role == mn.RoleEntry && !v.IsLeaving(m) {
+			entries = append(entries, m)
+		}
+	}
+	if len(entries) > 0 && try%anyPeerEvery != 0 {
+		return entries[rand.IntN(len(entries))], true
+	}
+	if len(all) == 0 {
+		all = b.listed(ctx)
+	}
+	if len(all) == 0 {
+		return mn.Member{}, false
+	}
+	return all[rand.IntN(len(all))], true
+}
+
+// listed returns the peers that settings and the platform's list of VMs name.
+func (b *base) listed(ctx context.Context) []mn.Member {
+	var all []mn.Member
+	for _, a := range b.settings.Entries {
+		if a != b.self.Addr {
+			all = append(all, mn.Member{Addr: a})
+		}
+	}
+	vms, err := b.plat.ListVMs(ctx)
+	if err != nil {
+		b.warn("vm_list_failed", err)
+	}
+	for _, v := range vms {
+		if v.ID != b.self.VM {
+			all = append(all, mn.Member{VM: v.ID, Addr: v.Addr})
+		}
+	}
+	return all
+}
+
+// becomeReady joins the roster and returns once the process may serve: when it
+// has joined and is current, or without having joined where the log is down
+// while a majority of peers answers. Joining goes on then in g.
+func (b *base) becomeReady(ctx context.Context, g *errgroup.Group) error {
+	joined := make(chan struct{})
+	g.Go(func() error {
+		defer close(joined)
+		return b.join(ctx)
+	})
+	patience := b.clock.Now() + joinPatience
+	for ctx.Err() == nil {
+		current := b.config.monitor.Current() == nil
+		select {
+		case <-joined:
+			if current {
+				return nil
+			}
+		default:
+			if current && b.clock.Now() >= patience {
+				return nil
+			}
+		}
+		b.awaitChange(ctx, 50*mn.Millisecond)
+	}
+	return nil
+}
+
+// publish sets the metrics of configuration and currency.
+func (b *base) publish() {
+	publishInt("config_offset", func() int64 { return int64(b.fold.View().Offset) })
+	publishInt("config_established", func() int64 { return int64(b.config.monitor.Established()) })
+	publishInt("evidence_age_ms", func() int64 {
+		age, _ := b.config.monitor.Age()
+		return int64(age)
+	})
+	publishInt("sessions_open", func() int64 {
+		open, _ := b.config.guard.Sessions()
+		return open
+	})
+	publishInt("sessions_cut", func() int64 {
+		_, cut := b.config.guard.Sessions()
+		return cut
+	})
+}
+
+func publishInt(name string, f func() int64) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, expvar.Func(func() any { return f() }))
+	}
+}
+
+// operatorHandler serves operators.
+func (b *base) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(oper.New(oper.Config{
+		VM:          b.self.VM,
+		Incarnation: b.self.Incarnation,
+		Clock:       b.clock,
+		Fold:        b.fold,
+		Monitor:     b.config.monitor,
+		Writer:      b.config.writer,
+		Prober:      b.config.peers,
+		Token:       b.settings.OperatorToken,
+	}).Handler())
+	return mux
+}
+
+// status returns the load and state of the endpoint, for operators.
+func (q *queued) status() *meshpb.Status {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &meshpb.Status{
+		Running:       int64(len(q.jobs)),
+		Waiting:       q.load.Waiting,
+		EngineRole:    string(q.state.Role),
+		EngineVersion: q.state.Version,
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -40,7 +40,7 @@
 	*base
 	agents  *agent.Client
 	elector *lease.Elector
-	writer  *writer
+	writer  writer
 	issuer  *order.Issuer
 	orders  *fleet.Orders
 	sizers  map[mn.PoolID]*fleet.Sizer
@@ -54,7 +54,7 @@
 }
 
 func newControl(b *base, agents *agent.Client) *control {
-	w := newWriter(b)
+	w := writer{b.config.writer}
 	settings := lease.DefaultSettings()
 	settings.Span = b.settings.Lease
 	settings.Renew = settings.Span / 3
--- a/node/entry.go
+++ b/node/entry.go
@@ -6,12 +6,14 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
 
 	mn "mustardnotch"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/route"
 	"mustardnotch/io/agent"
 	"mustardnotch/io/caller"
+	"mustardnotch/io/wire"
 	"mustardnotch/setup"
 )
 
@@ -49,6 +51,10 @@
 	if err != nil {
 		return err
 	}
+	peers := drpcmux.New()
+	if err := e.registerPeer(peers); err != nil {
+		return err
+	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
@@ -57,11 +63,13 @@
 	mux.Handle(e.serving().Handler())
 	e.callers = serveHTTP(run, g, ls[0], mux)
 	serveHTTP(run, g, ls[3], e.debugHandler())
+	serveHTTP(run, g, ls[1], e.operatorHandler())
+	g.Go(func() error { return wire.Serve(run, ls[2], peers) })
 	g.Go(func() error { return e.follow(run) })
 	g.Go(func() error { return newFeeds(e.base, e.table, e.agents, e.control.report).run(run) })
 	g.Go(func() error { return e.control.run(run) })
 	g.Go(func() error {
-		if err := e.join(run); err != nil {
+		if err := e.becomeReady(run, g); err != nil {
 			return err
 		}
 		e.ready.Store(true)
@@ -92,6 +100,7 @@
 	if err := e.callers.Shutdown(drain); err != nil {
 		e.log.WithField("event", "drain_incomplete").Warn(err)
 	}
+	e.config.retire()
 	e.depart(ctx, true)
 	e.log.WithField("event", "left").Info()
 	_ = e.spans.Close(drain)
@@ -103,7 +112,8 @@
 		VM:       e.self.VM,
 		Clock:    e.clock,
 		Views:    e.fold,
-		Currency: alwaysCurrent{},
+		Currency: e.config.monitor,
+		Guard:    e.config.guard,
 		Limiter:  unlimited{},
 		Router:   e.table,
 		Recorder: unrecorded{},
--- a/node/feeds.go
+++ b/node/feeds.go
@@ -24,19 +24,19 @@
 	base   *base
 	table  *route.Table
 	agents *agent.Client
-	open   map[mn.VMID]feed
+	open   map[mn.VMID]openFeed
 	// report takes each load report in as well.
 	report func(vm mn.VMID, r *meshpb.LoadReport)
 }
 
-// feed is one stream of load reports.
-type feed struct {
+// openFeed is one stream of load reports.
+type openFeed struct {
 	incarnation mn.Incarnation
 	stop        context.CancelFunc
 }
 
 func newFeeds(b *base, t *route.Table, agents *agent.Client, report func(mn.VMID, *meshpb.LoadReport)) *feeds {
-	return &feeds{base: b, table: t, agents: agents, open: make(map[mn.VMID]feed), report: report}
+	return &feeds{base: b, table: t, agents: agents, open: make(map[mn.VMID]openFeed), report: report}
 }
 
 // run follows the roster until ctx is done.
@@ -70,7 +70,7 @@
 			continue
 		}
 		one, stop := context.WithCancel(ctx)
-		f.open[m.VM] = feed{m.Incarnation, stop}
+		f.open[m.VM] = openFeed{m.Incarnation, stop}
 		g.Go(func() error {
 			f.follow(one, m)
 			return nil
--- a/node/thin.go
+++ b/node/thin.go
@@ -6,12 +6,6 @@
 	mn "mustardnotch"
 )
 
-// alwaysCurrent takes every view for current.
-type alwaysCurrent struct{}
-
-// Current implements [mn.Currency].
-func (alwaysCurrent) Current() error { return nil }
-
 // unlimited admits every request.
 type unlimited struct{}
 
--- /dev/null
+++ b/procs/config_test.go
@@ -0,0 +1,371 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/fresh"
+	"mustardnotch/fakes"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/oper"
+	"mustardnotch/procs"
+)
+
+// Bounds within which a withdrawn key stops and a change is in force.
+const (
+	withdrawalBound    = 5 * time.Second
+	configurationBound = 6 * time.Second
+)
+
+// linkedCluster is like newCluster, with links between all processes.
+func linkedCluster(t *testing.T, entries, models int) *procs.Cluster {
+	t.Helper()
+	c, err := procs.New(binDir, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		c.Close()
+		if t.Failed() {
+			for _, n := range c.Nodes {
+				t.Logf("%s: %s", n.VM.ID, n.Proc.Tail(3000))
+			}
+		}
+	})
+	c.Links = true
+	declare(t, c)
+	for i := range entries {
+		_, err := c.AddEntry(fmt.Sprintf("entry-%d", i+1), "tiel-a")
+		require.NoError(t, err)
+	}
+	for i := range models {
+		n, err := c.AddModel(fmt.Sprintf("taalpers-%d", i+1), "tiel-a", "taalpers", "taalpers")
+		require.NoError(t, err)
+		require.NoError(t, c.Fault(n.EndpointURL(), fakes.TokenMillis, 20))
+	}
+	return c
+}
+
+func operator(n *procs.Node) *oper.Client { return oper.NewClient(n.Operators(), procs.OperatorToken) }
+
+// openStream is a generation that runs while a test goes on.
+type openStream struct {
+	mu     sync.Mutex
+	chunks []time.Time
+	err    error
+	ended  time.Time
+	done   chan struct{}
+}
+
+// open starts a long generation at n and waits for its first chunks.
+func open(t *testing.T, c *procs.Cluster, n *procs.Node, key string) *openStream {
+	t.Helper()
+	s := &openStream{done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		err := c.Caller(n, key).Generate(t.Context(), &apipb.GenerateRequest{Model: "taalpers", Prompt: "long ledger", MaxTokens: 4096}, func(*apipb.GenerateChunk) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.chunks = append(s.chunks, time.Now())
+			return nil
+		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.err, s.ended = err, time.Now()
+	}()
+	require.Eventually(t, func() bool { return s.count(time.Time{}) > 5 }, 10*time.Second, 10*time.Millisecond, "stream at %s", n.VM.ID)
+	return s
+}
+
+// count returns how many chunks came after since.
+func (s *openStream) count(since time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.chunks {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// requireCut waits for the stream's end, which has to come with one of codes
+// and an outcome that claims nothing.
+func (s *openStream) requireCut(t *testing.T, limit time.Time, codes ...mn.Code) {
+	t.Helper()
+	select {
+	case <-s.done:
+	case <-time.After(time.Until(limit) + 200*time.Millisecond):
+		t.Fatalf("stream is open %s after the key was withdrawn", withdrawalBound)
+	}
+	require.Contains(t, codes, mn.CodeOf(s.err), "%v", s.err)
+	require.Equal(t, mn.OutcomeUnknown, mn.AsError(s.err).Outcome)
+}
+
+// TestWithdrawnKeyStops withdraws a key while a stream of it is open at another
+// entry, with that entry in each kind of trouble.
+func TestWithdrawnKeyStops(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(c *procs.Cluster, n *procs.Node)
+		after  func(c *procs.Cluster, n *procs.Node)
+		codes  []mn.Code
+	}{
+		{"all well", nil, nil, []mn.Code{mn.KeyWithdrawn}},
+		{"entry cut off from the log", func(_ *procs.Cluster, n *procs.Node) { n.PlatformLink.Cut() }, nil, []mn.Code{mn.KeyWithdrawn}},
+		{"log down at once", nil, func(c *procs.Cluster, _ *procs.Node) {
+			_ = c.Fault(c.PlatformURL(), fakes.LogDown, 1)
+		}, []mn.Code{mn.KeyWithdrawn}},
+		{"entry cut off from all", func(c *procs.Cluster, n *procs.Node) { c.Isolate(n) }, nil, []mn.Code{mn.NotCurrent, mn.OutcomeNotKnown, mn.NoEndpoint}},
+		{"entry paused", func(_ *procs.Cluster, n *procs.Node) { _ = n.Proc.Pause() }, func(_ *procs.Cluster, n *procs.Node) {
+			time.Sleep(withdrawalBound - time.Second)
+			_ = n.Proc.Resume()
+		}, []mn.Code{mn.KeyWithdrawn, mn.NotCurrent}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := linkedCluster(t, 3, 2)
+			near, far := c.Nodes["entry-1"], c.Nodes["entry-2"]
+			kept := open(t, c, near, birligiKey)
+			streams := []*openStream{open(t, c, far, voeringKey), open(t, c, far, voeringKey)}
+			if tt.before != nil {
+				tt.before(c, far)
+			}
+			_, err := operator(near).WithdrawKey(t.Context(), "voering-1")
+			require.NoError(t, err)
+			limit := time.Now().Add(withdrawalBound)
+			if tt.after != nil {
+				tt.after(c, far)
+			}
+			for _, s := range streams {
+				s.requireCut(t, limit, tt.codes...)
+			}
+			for _, n := range []*procs.Node{near, far} {
+				_, _, err = generate(t.Context(), c.Caller(n, voeringKey), "again", 1)
+				require.Contains(t, []mn.Code{mn.KeyWithdrawn, mn.NotCurrent}, mn.CodeOf(err))
+				require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+			}
+			require.Eventually(t, func() bool { return kept.count(time.Now().Add(-time.Second)) > 0 }, 2*time.Second, 50*time.Millisecond,
+				"the other customer's stream at %s goes on: %v", near.VM.ID, kept.err)
+		})
+	}
+}
+
+// inForce returns an error unless every process of the roster has folded off.
+func inForce(ctx context.Context, client *oper.Client, off mn.Offset, processes int) error {
+	return client.Watch(ctx, 0, 1, func(r *apipb.WatchResponse) error {
+		if len(r.Processes) != processes {
+			return fmt.Errorf("%d processes, want %d", len(r.Processes), processes)
+		}
+		for _, p := range r.Processes {
+			if mn.Offset(p.Offset) < off || p.State != "current" {
+				return fmt.Errorf("%s is %s at offset %d, want %d", p.Vm, p.State, p.Offset, off)
+			}
+		}
+		return nil
+	})
+}
+
+func rateChange(client *oper.Client, t *testing.T, rate float64) mn.Change {
+	t.Helper()
+	have, err := client.Get(t.Context(), mn.KindCustomer, "voering")
+	require.NoError(t, err)
+	customer := *have[0].Resource.Customer
+	customer.Rate = rate
+	set := mn.Resource{Customer: &customer}
+	return mn.Change{Edits: []mn.Edit{{Name: set.Name(), Base: have[0].Version, Set: &set}}}
+}
+
+// TestAcceptedChangeIsInForceAndStays makes changes while appends are lost
+// before and after their effect, then ends every process and starts all anew.
+func TestAcceptedChangeIsInForceAndStays(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 2, 1)
+	client := operator(c.Nodes["entry-2"])
+	rate := 10.0
+	for _, fault := range []string{"", fakes.AppendDropped, fakes.AppendLost, fakes.LogSlow} {
+		if fault != "" {
+			value := map[string]int64{fakes.AppendDropped: 2, fakes.AppendLost: 2, fakes.LogSlow: 300}[fault]
+			require.NoError(t, c.Fault(c.PlatformURL(), fault, value))
+		}
+		rate++
+		resp, err := client.Apply(t.Context(), rateChange(client, t, rate), false)
+		require.NoError(t, err, fault)
+		limit := mn.MillisOf(configurationBound)
+		eventually(t, limit, func(ctx context.Context) error {
+			return inForce(ctx, operator(c.Nodes["entry-1"]), mn.Offset(resp.Offset), 6)
+		})
+	}
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogSlow, 0))
+
+	var wait sync.WaitGroup
+	for _, n := range c.Nodes {
+		n.Proc.Kill()
+	}
+	for _, n := range c.Nodes {
+		wait.Go(func() { require.NoError(t, c.Restart(n)) })
+	}
+	wait.Wait()
+	have, err := client.Get(t.Context(), mn.KindCustomer, "voering")
+	require.NoError(t, err)
+	require.Equal(t, rate, have[0].Resource.Customer.Rate)
+}
+
+// TestRacingOperatorsConflict has two operators change the same resource
+// through two entries at once: one is accepted, the other learns both versions.
+func TestRacingOperatorsConflict(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	clients := []*oper.Client{operator(c.Nodes["entry-1"]), operator(c.Nodes["entry-2"])}
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogSlow, 50))
+	for round := range 5 {
+		changes := []mn.Change{rateChange(clients[0], t, float64(100+round)), rateChange(clients[0], t, float64(200+round))}
+		base := changes[0].Edits[0].Base
+		errs := make([]error, 2)
+		var wait sync.WaitGroup
+		for i := range clients {
+			wait.Go(func() { _, errs[i] = clients[i].Apply(t.Context(), changes[i], false) })
+		}
+		wait.Wait()
+		if errs[0] != nil {
+			errs[0], errs[1] = errs[1], errs[0]
+		}
+		require.NoError(t, errs[0])
+		require.Equal(t, mn.Conflict, mn.CodeOf(errs[1]), "%v", errs[1])
+		require.Contains(t, errs[1].Error(), fmt.Sprintf("based on version %d", base))
+		require.Regexp(t, `is at version \d+`, errs[1].Error())
+	}
+}
+
+// TestEntriesReplacedWhileTheLogIsDown replaces every entry during an outage of
+// the log. The new one learns the configuration from agents, and serves.
+func TestEntriesReplacedWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 3, 0)
+	_, err := operator(c.Nodes["entry-1"]).WithdrawKey(t.Context(), "voering-1")
+	require.NoError(t, err)
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 1))
+	for _, name := range []mn.VMID{"entry-1", "entry-2"} {
+		c.Nodes[name].Proc.Kill()
+		require.NoError(t, c.RemoveVM(name))
+	}
+	entry, err := c.AddEntry("entry-3", "tiel-b")
+	require.NoError(t, err)
+	text, _, err := generate(t.Context(), c.Caller(entry, birligiKey), "during the outage", 5)
+	require.NoError(t, err)
+	require.Equal(t, fakes.Output("during the outage", 5), text)
+	_, _, err = generate(t.Context(), c.Caller(entry, voeringKey), "withdrawn", 5)
+	require.Equal(t, mn.KeyWithdrawn, mn.CodeOf(err))
+
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogDown, 0))
+	eventually(t, 10*mn.Second, func(ctx context.Context) error {
+		return operator(entry).Watch(ctx, 0, 1, func(r *apipb.WatchResponse) error {
+			for _, p := range r.Processes {
+				if p.Vm == "entry-3" && p.State == "current" {
+					return nil
+				}
+			}
+			return fmt.Errorf("entry-3 has not joined")
+		})
+	})
+}
+
+// TestStartAfterRecordsExpired lets the records that declared everything leave
+// the log, then starts a new entry, and at last every process anew.
+func TestStartAfterRecordsExpired(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogKeep, 30))
+	client := operator(c.Nodes["entry-1"])
+	expired := func() mn.Offset {
+		batch, err := c.Log().Read(t.Context(), mn.ControlStream, 1, 1, 0)
+		require.NoError(t, err)
+		return batch.First
+	}
+	rate := 10.0
+	for start := expired(); expired() < start+60; rate++ {
+		_, err := client.Apply(t.Context(), rateChange(client, t, rate), false)
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	entry, err := c.AddEntry("entry-3", "tiel-b")
+	require.NoError(t, err)
+	_, _, err = generate(t.Context(), c.Caller(entry, birligiKey), "late start", 1)
+	require.NoError(t, err)
+	for _, n := range c.Nodes {
+		n.Proc.Kill()
+	}
+	for _, n := range c.Nodes {
+		require.NoError(t, c.StartOnly(n))
+	}
+	eventually(t, 15*mn.Second, func(ctx context.Context) error {
+		_, _, err := generate(ctx, c.Caller(entry, birligiKey), "all anew", 1)
+		return err
+	})
+	have, err := operator(entry).Get(t.Context(), mn.KindCustomer, "voering")
+	require.NoError(t, err)
+	require.Equal(t, rate-1, have[0].Resource.Customer.Rate)
+}
+
+// TestMinorityRefuses leaves an entry with neither log nor majority: it refuses
+// truthfully within the life of its evidence, and serves again afterwards.
+func TestMinorityRefuses(t *testing.T) {
+	t.Parallel()
+	c := linkedCluster(t, 2, 1)
+	entry := c.Nodes["entry-1"]
+	c.Isolate(entry)
+	cut := time.Now()
+	client := c.Caller(entry, voeringKey)
+	eventually(t, fresh.DefaultParams().Life+mn.Second, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		_, _, err := generate(ctx, client, "cut off", 1)
+		if mn.CodeOf(err) != mn.NotCurrent {
+			return fmt.Errorf("want a refusal, got %w", err)
+		}
+		return nil
+	})
+	t.Logf("refused %s after the cut", time.Since(cut).Round(time.Millisecond))
+	_, _, err := generate(t.Context(), client, "still cut off", 1)
+	require.Equal(t, mn.NotCurrent, mn.CodeOf(err))
+	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
+	c.Rejoin(entry)
+	eventually(t, 10*mn.Second, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, _, err := generate(ctx, client, "back", 1)
+		return err
+	})
+}
+
+// TestKeysAreNeverShownAgain issues a key and looks for it everywhere.
+func TestKeysAreNeverShownAgain(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 1, 0)
+	entry := c.Nodes["entry-1"]
+	key, _, err := operator(entry).IssueKey(t.Context(), "fresh", "voering")
+	require.NoError(t, err)
+	_, _, err = generate(t.Context(), c.Caller(entry, key), "with a new key", 3)
+	require.NoError(t, err)
+	for _, n := range c.Nodes {
+		require.NotContains(t, n.Proc.Tail(1<<20), key)
+	}
+	batch, err := c.Log().Read(t.Context(), mn.ControlStream, 1, 1000, 0)
+	require.NoError(t, err)
+	for _, e := range batch.Entries {
+		require.False(t, strings.Contains(string(e.Data), key))
+	}
+	_, err = operator(entry).WithdrawKey(t.Context(), "fresh")
+	require.NoError(t, err)
+	_, _, err = generate(t.Context(), c.Caller(entry, key), "again", 3)
+	require.Equal(t, mn.KeyWithdrawn, mn.CodeOf(err))
+	_, err = oper.NewClient(entry.Operators(), "not the token").Get(t.Context(), "", "")
+	require.Equal(t, mn.Unauthenticated, mn.CodeOf(err))
+}
