--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -24,10 +24,10 @@
 	idlePerPeer    = 256
 )
 
-func managerOptions() drpcmanager.Options {
+func managerOptions(soft bool) drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
-		SoftCancel: true,
+		SoftCancel: soft,
 	}
 }
 
@@ -35,6 +35,8 @@
 type Conns struct {
 	pool   *drpcpool.Pool[peer, drpcpool.Conn]
 	dialer net.Dialer
+	// soft keeps a connection on which a call was cancelled.
+	soft bool
 
 	mu     sync.Mutex
 	epochs map[string]int64
@@ -50,6 +52,7 @@
 // local, the ip:port on which the process serves its peers; empty for any.
 func NewConns(local string) *Conns {
 	c := &Conns{
+		soft:   true,
 		epochs: map[string]int64{},
 		pool: drpcpool.New[peer, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration.Duration(),
@@ -63,6 +66,14 @@
 	return c
 }
 
+// NewProbes is like [NewConns], but closes a connection on which a call was
+// cancelled or timed out, so that one which went silent is not used again.
+func NewProbes(local string) *Conns {
+	c := NewConns(local)
+	c.soft = false
+	return c
+}
+
 // Get returns a connection to addr that dials when it is first used.
 func (c *Conns) Get(ctx context.Context, addr string) drpcpool.Conn {
 	c.mu.Lock()
@@ -87,12 +98,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions(c.soft)}), nil
 }
 
 // Serve serves h on l until ctx is done.
 func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
-	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions(true)}).Serve(ctx, l)
 }
 
 // FailureOf returns err as it crosses between processes, nil for nil.
