Retry a call whose earlier try left an agent's queue

Cause: an agent paused for longer than the silence limit cancels, when it runs on, the queued tries whose connections entries have dropped. The retry with the same key met that first try's "cancelled, not run" and passed it to the caller as a refusal. Ruled out: a wrong outcome; the booking had indeed not run.

Before: TestBookings/agent_paused 1 of 60 bookings refused, once in a run of the whole suite.

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -27,5 +27,8 @@
 	if err.Code == mn.RateExceeded || err.Code == mn.DeadlineTooShort {
 		return false
 	}
+	if err.Code == mn.Cancelled && err.Outcome == mn.OutcomeNotRun {
+		return true // an earlier try of a request left the queue with its connection
+	}
 	return err.Code.Doc().Severity == mn.SeverityRetry || err.Code == mn.OutcomeNotKnown
 }
--- /dev/null
+++ b/core/retry/policy_test.go
@@ -0,0 +1,28 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/retry"
+)
+
+func TestHelps(t *testing.T) {
+	tests := []struct {
+		err  *mn.Error
+		want bool
+	}{
+		{mn.Errorf(mn.NoEndpoint, "x"), true},
+		{mn.Errorf(mn.RateExceeded, "x"), false},
+		{mn.Errorf(mn.BadRequest, "x"), false},
+		{mn.Errorf(mn.Cancelled, "by the caller"), false},
+		// A booking was refused for good since an earlier try with its key had
+		// left the queue of an agent that had been paused.
+		{mn.Errorf(mn.Cancelled, "while queued").WithOutcome(mn.OutcomeNotRun), true},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, retry.Helps(tt.err), tt.err)
+	}
+}
