--- a/procs/control_test.go
+++ b/procs/control_test.go
@@ -78,6 +78,15 @@
 	return w.after(t, 15*mn.Second, func(l mn.Lease) bool { return l.Term > old })
 }
 
+// set appends a change of resources based on their present versions.
+func (w *watcher) set(ctx context.Context, c *procs.Cluster, resources ...mn.Resource) {
+	change := &mn.Change{}
+	for _, r := range resources {
+		change.Edits = append(change.Edits, mn.Edit{Name: r.Name(), Base: w.View().Resources[r.Name()].Version, Set: &r})
+	}
+	_, _ = c.Append(ctx, &mn.Record{Change: change})
+}
+
 // churn changes the model's version and the size of the pool taalpers over
 // and over, so that orders flow, until the test ends or stop is called.
 func churn(t *testing.T, c *procs.Cluster) (stop func()) {
@@ -90,12 +99,7 @@
 		for i := int64(2); ctx.Err() == nil; i++ {
 			pool.MinEndpoints = 2 + i%7
 			pool.MaxEndpoints = pool.MinEndpoints
-			r := w.View().Resources
-			edits := []mn.Edit{}
-			for _, s := range []mn.Resource{{Model: &mn.Model{ID: "taalpers", Version: fmt.Sprint(i), MaxTokens: 4096}}, {Pool: &pool}} {
-				edits = append(edits, mn.Edit{Name: s.Name(), Base: r[s.Name()].Version, Set: &s})
-			}
-			_, _ = c.Append(ctx, &mn.Record{Change: &mn.Change{Edits: edits}})
+			w.set(ctx, c, mn.Resource{Model: &mn.Model{ID: "taalpers", Version: fmt.Sprint(i), MaxTokens: 4096}}, mn.Resource{Pool: &pool})
 			time.Sleep(400 * time.Millisecond)
 		}
 	}()
@@ -253,6 +257,69 @@
 	require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome)
 }
 
+// Whatever is killed in the middle of orders, and whichever answers are lost
+// after taking effect, engines and platform end up as declared, without
+// conflicting orders on the way.
+func TestOrdersConverge(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 2, 0)
+	for _, id := range []mn.VMID{"taalpers-1", "taalpers-2"} {
+		require.NoError(t, c.Fault(c.Nodes[id].EndpointURL(), fakes.ChangeMillis, 400))
+		require.NoError(t, c.Fault(c.Nodes[id].EndpointURL(), fakes.OrderLost, 2))
+	}
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.FleetLost, 3))
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.AppendLost, 5))
+	w := watch(t, c)
+	stop := churn(t, c)
+	old := w.newer(t, 0)
+	time.Sleep(3 * time.Second)
+	agent, engine := c.Nodes["taalpers-1"], c.Nodes["taalpers-2"]
+	agent.Proc.Kill()
+	require.NoError(t, c.Restart(agent))
+	time.Sleep(time.Second)
+	engine.Endpoint.Kill()
+	require.NoError(t, c.StartEndpoint(engine))
+	c.Nodes[old.Holder].Proc.Kill()
+	require.NoError(t, c.Restart(c.Nodes[old.Holder]))
+	w.newer(t, old.Term)
+	time.Sleep(2 * time.Second)
+	stop()
+
+	w.set(t.Context(), c,
+		mn.Resource{Model: &mn.Model{ID: "taalpers", Version: "final", MaxTokens: 4096}},
+		mn.Resource{Pool: &mn.Pool{ID: "taalpers", Kind: mn.PoolModel, Model: "taalpers", Fencing: true, MinEndpoints: 6, MaxEndpoints: 6}})
+	eventually(t, 25*mn.Second, func(ctx context.Context) error { return asDeclared(ctx, c, "final", 6) })
+	requireOrders(t, c, 1)
+}
+
+// asDeclared returns what differs from a version at all engines and a size at
+// the platform.
+func asDeclared(ctx context.Context, c *procs.Cluster, version string, size int64) error {
+	states, err := c.Log().FleetStates(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range states {
+		size -= s.Target
+	}
+	if size != 0 {
+		return fmt.Errorf("%d endpoints are missing in %+v", size, states)
+	}
+	for _, n := range c.Nodes {
+		if n.Endpoint == nil {
+			continue
+		}
+		var s mn.EngineState
+		if err := procs.Fetch(n.EndpointURL()+"/state", &s); err != nil {
+			return err
+		}
+		if s.Changing || s.Version != version {
+			return fmt.Errorf("engine of %s is %+v", n.VM.ID, s)
+		}
+	}
+	return nil
+}
+
 // A planned change of an engine waits for its open stream, which stays whole.
 func TestEngineChangeCutsNothing(t *testing.T) {
 	t.Parallel()
