--- a/core/fleet/doc.go
+++ b/core/fleet/doc.go
@@ -6,11 +6,17 @@
 // policy; [Forecast] smooths what they decide on.
 package fleet
 
-import "expvar"
+import (
+	"expvar"
 
-// counters holds orders given to the platform, by result, role changes and
-// engine-milliseconds paid.
+	mn "mustardnotch"
+)
+
+// counters holds orders given to the platform, by result, role changes, and
+// endpoint-milliseconds paid.
 var counters = expvar.NewMap("fleet")
 
-// Count adds n to one of the package's measures.
-func Count(measure string, n int64) { counters.Add(measure, n) }
+// Paid counts what endpoints cost over a span.
+func Paid(endpoints int, span mn.Millis) {
+	counters.Add("endpoint_ms", int64(endpoints)*int64(span))
+}
--- a/node/control.go
+++ b/node/control.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +21,6 @@
 	controlPause = 500 * mn.Millisecond
 	// statePoll is the span between looks at an engine during a change.
 	statePoll = 100 * mn.Millisecond
-	// changeLimit bounds one engine's change, with the drain before it.
-	changeLimit = 60 * mn.Second
 	// goneAfter is for how long a VM has to be missing from the platform's
 	// list, and out of reach, before it leaves the roster. It exceeds the time
 	// for which a process that is cut off may count itself current.
@@ -49,8 +45,10 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
-	mu    sync.Mutex
-	loads map[mn.VMID]*meshpb.LoadReport
+	mu     sync.Mutex
+	loads  map[mn.VMID]*meshpb.LoadReport
+	meters map[mn.PoolID]*meter
+	roles  map[mn.PoolID]*fleet.Roles
 }
 
 func newControl(b *base, agents *agent.Client) *control {
@@ -72,6 +70,8 @@
 		missing: map[mn.Incarnation]mn.Millis{},
 		done:    make(chan struct{}),
 		loads:   map[mn.VMID]*meshpb.LoadReport{},
+		meters:  map[mn.PoolID]*meter{},
+		roles:   map[mn.PoolID]*fleet.Roles{},
 	}
 }
 
@@ -88,6 +88,7 @@
 		return nil
 	})
 	c.every(ctx, g, c.removeGone)
+	c.every(ctx, g, c.measure)
 	c.every(ctx, g, c.rollOut)
 	c.every(ctx, g, c.resize)
 	return g.Wait()
@@ -181,67 +182,6 @@
 	delete(c.missing, m.Incarnation)
 }
 
-// rollOut has the engines of each pool load the declared version, one engine
-// of a pool at a time.
-func (c *control) rollOut(ctx context.Context) {
-	v := c.fold.View()
-	for _, r := range v.Resources {
-		p := r.Resource.Pool
-		if p == nil || p.Kind != mn.PoolModel {
-			continue
-		}
-		if m, ok := v.Model(p.Model); ok {
-			c.rollOutPool(ctx, v.Agents(p.ID), m)
-		}
-	}
-}
-
-func (c *control) rollOutPool(ctx context.Context, agents []mn.Member, m mn.Model) {
-	slices.SortFunc(agents, func(a, b mn.Member) int { return cmp.Compare(a.VM, b.VM) })
-	var stale []mn.Member
-	targets := map[mn.VMID]mn.EngineTarget{}
-	for _, a := range agents {
-		s, err := c.issuer.State(ctx, c.agents.Taker(a.Addr))
-		if err != nil {
-			continue // An agent out of reach is no spare, and gets its order later.
-		}
-		if s.Busy || s.State.Changing {
-			return
-		}
-		targets[a.VM] = mn.EngineTarget{Role: s.State.Role, Model: m.ID, Version: m.Version}
-		if !targets[a.VM].Reached(s.State) {
-			stale = append(stale, a)
-		}
-	}
-	if len(stale) > 0 {
-		c.change(ctx, stale[0], targets[stale[0].VM])
-	}
-}
-
-// change loads the weights that the target needs, under the store's rate
-// limit, and has the engine change.
-func (c *control) change(ctx context.Context, m mn.Member, target mn.EngineTarget) {
-	ctx, cancel := context.WithTimeout(ctx, changeLimit.Duration())
-	defer cancel()
-	wait, err := c.plat.Reserve(ctx, target.Model, target.Version)
-	if err == nil {
-		err = c.clock.Sleep(ctx, wait)
-	}
-	if err == nil {
-		err = c.issuer.Change(ctx, c.agents.Taker(m.Addr), target)
-	}
-	c.note("engine_change", m.VM, err)
-}
-
-func (c *control) note(event string, member mn.VMID, err error) {
-	entry := c.log.WithField("event", event).WithField("member", member)
-	if err != nil {
-		entry.Warn(err)
-		return
-	}
-	entry.Info()
-}
-
 // resize orders endpoints for pools that declare a largest size.
 func (c *control) resize(ctx context.Context) {
 	states, err := c.orders.States(ctx)
--- /dev/null
+++ b/node/engines.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	mn "mustardnotch"
+	"mustardnotch/core/fleet"
+)
+
+const (
+	// changeLimit bounds one engine's change, with the drain before it.
+	changeLimit = 60 * mn.Second
+	// minRoleEngines is how many engines a pool needs for roles of their own.
+	minRoleEngines = 3
+)
+
+// measure follows the demand of each pool of model engines.
+func (c *control) measure(context.Context) {
+	v := c.fold.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range v.Resources {
+		p := r.Resource.Pool
+		if p == nil || p.Kind != mn.PoolModel {
+			continue
+		}
+		if c.meters[p.ID] == nil {
+			c.meters[p.ID] = newMeter()
+			c.roles[p.ID] = fleet.NewRoles(fleet.DefaultRoleSettings())
+		}
+		agents := v.Agents(p.ID)
+		c.meters[p.ID].update(c.clock.Now(), agents, c.loads)
+		fleet.Paid(len(agents), controlPause)
+	}
+}
+
+// rollOut has the engines of each pool load the declared version, one engine
+// of a pool at a time, and then take the roles that the demand asks for.
+func (c *control) rollOut(ctx context.Context) {
+	v := c.fold.View()
+	for _, r := range v.Resources {
+		p := r.Resource.Pool
+		if p == nil || p.Kind != mn.PoolModel {
+			continue
+		}
+		if m, ok := v.Model(p.Model); ok {
+			c.rollOutPool(ctx, p.ID, v.Agents(p.ID), m)
+		}
+	}
+}
+
+// rollOutPool makes at most one change.
+func (c *control) rollOutPool(ctx context.Context, pool mn.PoolID, agents []mn.Member, m mn.Model) {
+	slices.SortFunc(agents, func(a, b mn.Member) int { return cmp.Compare(a.VM, b.VM) })
+	var engines []fleet.EngineInfo
+	members := map[mn.VMID]mn.Member{}
+	var stale []fleet.EngineInfo
+	for _, a := range agents {
+		s, err := c.issuer.State(ctx, c.agents.Taker(a.Addr))
+		if err != nil {
+			continue // An agent out of reach is no spare, and gets its order later.
+		}
+		if s.Busy || s.State.Changing {
+			return
+		}
+		e := fleet.EngineInfo{VM: a.VM, Role: s.State.Role, Running: s.Running}
+		engines = append(engines, e)
+		members[a.VM] = a
+		if !(mn.EngineTarget{Role: e.Role, Model: m.ID, Version: m.Version}).Reached(s.State) {
+			stale = append(stale, e)
+		}
+	}
+	if len(stale) > 0 {
+		c.change(ctx, members[stale[0].VM], mn.EngineTarget{Role: stale[0].Role, Model: m.ID, Version: m.Version}, true)
+		return
+	}
+	if want, ok := c.wantedRole(pool, engines); ok {
+		c.change(ctx, members[want.VM], mn.EngineTarget{Role: want.To, Model: m.ID, Version: m.Version}, false)
+	}
+}
+
+// wantedRole returns the change of role that the policy wants in a pool.
+func (c *control) wantedRole(pool mn.PoolID, engines []fleet.EngineInfo) (fleet.RoleChange, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.settings.Roles != "demand" || len(engines) < minRoleEngines || c.meters[pool] == nil {
+		return fleet.RoleChange{}, false
+	}
+	mix := c.meters[pool].mix()
+	want, ok := c.roles[pool].Next(engines, mix)
+	if ok {
+		c.roles[pool].Changed(want, mix)
+	}
+	return want, ok
+}
+
+// change has the engine behind m become target. With weights set it reserves
+// the load at the weight store first, and waits for as long as that says.
+func (c *control) change(ctx context.Context, m mn.Member, target mn.EngineTarget, weights bool) {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit.Duration())
+	defer cancel()
+	err := c.reserve(ctx, target, weights)
+	if err == nil {
+		err = c.issuer.Change(ctx, c.agents.Taker(m.Addr), target)
+	}
+	c.note("engine_change", m.VM, err)
+}
+
+func (c *control) note(event string, member mn.VMID, err error) {
+	entry := c.log.WithField("event", event).WithField("member", member)
+	if err != nil {
+		entry.Warn(err)
+		return
+	}
+	entry.Info()
+}
+
+func (c *control) reserve(ctx context.Context, target mn.EngineTarget, weights bool) error {
+	if !weights {
+		return nil
+	}
+	wait, err := c.plat.Reserve(ctx, target.Model, target.Version)
+	if err != nil {
+		return err
+	}
+	return c.clock.Sleep(ctx, wait)
+}
--- a/node/queue.go
+++ b/node/queue.go
@@ -29,6 +29,7 @@
 	queue  *sched.Queue
 	limit  int64
 	cached *route.Cached
+	demand *demands
 
 	mu      sync.Mutex
 	jobs    map[mn.RequestID]*job
@@ -57,6 +58,7 @@
 		queue:  sched.New(clock, limits),
 		limit:  running,
 		cached: route.NewCached(cachedBlocks),
+		demand: newDemands(clock),
 		jobs:   make(map[mn.RequestID]*job),
 	}
 }
@@ -67,6 +69,7 @@
 	if !w.Prefilled && w.Prompt != "" {
 		j.prompt = sched.Tokens(max(promptTokens(w.Prompt)-q.cached.Tokens(w.Prompt), 1))
 	}
+	q.demand.arrive(w.Customer, int64(j.prompt), w.MaxTokens)
 	grant, err := q.queue.Acquire(ctx, sched.Job{
 		Customer: w.Customer,
 		Weight:   w.Weight,
@@ -91,6 +94,7 @@
 	}
 	prompt := j.prompt
 	q.mu.Unlock()
+	q.demand.answered(w.Customer, tokens)
 	j.grant.Done(prompt, sched.Tokens(tokens))
 }
 
@@ -183,6 +187,7 @@
 		DecodeMs:      s.Speed.DecodeMillis,
 		Backlog:       float64(s.Backlog),
 		Pace:          s.Pace,
+		Demand:        q.demand.report(),
 	}
 	end := q.dropped + int64(len(q.events))
 	start := max(after, q.dropped, end-eventsPerReport)
--- /dev/null
+++ b/procs/roles_test.go
@@ -0,0 +1,64 @@
+package procs_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes/batch"
+	"mustardnotch/procs"
+)
+
+// With roles by demand, engines take roles of their own under load, at most
+// once each, and no request fails for it.
+func TestRolesByDemand(t *testing.T) {
+	t.Parallel()
+	c, err := procs.New(binDir, t.TempDir())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	c.EngineArgs = []string{"batch"}
+	declare(t, c)
+	c.Extra = "[control]\nroles = demand\n"
+	entry, err := c.AddEntry("entry-1", "tiel-a")
+	require.NoError(t, err)
+	c.Extra = ""
+	for i := range 4 {
+		_, err := c.AddModel(fmt.Sprint("taalpers-", i+1), "tiel-a", "taalpers", "taalpers")
+		require.NoError(t, err)
+	}
+	client := c.Caller(entry, voeringKey)
+	end := time.Now().Add(22 * time.Second)
+	results := make(chan error)
+	const callers = 48
+	for i := range callers {
+		go func() {
+			var err error
+			for j := 0; time.Now().Before(end) && err == nil; j++ {
+				prompt := strings.Repeat(fmt.Sprintf("ledger %d %d. ", i, j), 400)
+				_, _, err = generate(t.Context(), client, prompt, 30)
+			}
+			results <- err
+		}()
+	}
+	for range callers {
+		require.NoError(t, <-results)
+	}
+	total := int64(0)
+	for _, n := range c.Nodes {
+		if n.Endpoint == nil {
+			continue
+		}
+		var k batch.Counters
+		var s mn.EngineState
+		require.NoError(t, procs.Fetch(n.EndpointURL()+"/admin/counters", &k))
+		require.NoError(t, procs.Fetch(n.EndpointURL()+"/state", &s))
+		t.Logf("%s: %s after %d changes, %d prompt and %d output tokens", n.VM.ID, s.Role, k.RoleChanges, k.PrefillTokens, k.OutputTokens)
+		require.LessOrEqual(t, k.RoleChanges, int64(1))
+		total += k.RoleChanges
+	}
+	require.NotZero(t, total)
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -54,6 +54,8 @@
 	Drain mn.Millis
 	// Lease is the span of the control lease.
 	Lease mn.Millis
+	// Roles is "declared", or "demand" to have engines change role with the mix.
+	Roles string
 	// Router is "cost" or, as a baseline, "round_robin".
 	Router string
 	// MaxBody bounds a request's body in bytes.
@@ -102,6 +104,10 @@
 	{"endpoint", "running", agentOnly, false, "32", "a number of requests from 1 to 4096", func(s *Settings, v string) error { return parseCount(v, 1, 4096, &s.Running) }},
 	{"operators", "token", entryOnly, true, "", "a token of at least 16 characters", parseToken},
 	{"control", "lease", entryOnly, false, "3s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Lease) }},
+	{"control", "roles", entryOnly, false, "declared", "declared or demand", func(s *Settings, v string) error {
+		s.Roles = v
+		return checkOneOf(v, "declared", "demand")
+	}},
 	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
 		s.Router = v
 		return checkOneOf(v, "cost", "round_robin")
