Keep lease and orders through a slow log

A renewal was given a third of the lease and an intent one second, with tries of 500 ms; a log that takes 700 ms a call let no intent through. Weighed: a longer lease (doubles the gap after a kill), pipelined appends (order unclear when answers are lost).

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -75,9 +75,10 @@
 	if err != nil {
 		return err
 	}
+	_, until, _ := o.authority.Held()
 	r := &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: o.self}
 	r.Intent = &mn.Intent{Term: term, Pool: pool, DataCentre: dc, Target: target}
-	if err := o.declare(ctx, r); err != nil {
+	if err := o.declare(ctx, r, until-o.clock.Now()); err != nil {
 		return err
 	}
 	order := mn.FleetOrder{ID: r.ID, Pool: pool, DataCentre: dc, Target: target, Term: term, Holder: o.self}
@@ -91,10 +92,9 @@
 	return err
 }
 
-// declare writes the intent. It has no more time than a call, so that a slow
-// log does not use the lease up.
-func (o *Orders) declare(ctx context.Context, r *mn.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, o.settings.Call.Duration())
+// declare writes the intent, within limit. The lease may be renewed meanwhile.
+func (o *Orders) declare(ctx context.Context, r *mn.Record, limit mn.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	if _, err := o.writer.Write(ctx, r); err != nil {
 		counters.Add("intents_failed", 1)
--- a/core/lease/elect.go
+++ b/core/lease/elect.go
@@ -42,7 +42,7 @@
 		Renew:   1 * mn.Second,
 		Margin:  150 * mn.Millisecond,
 		Spread:  50 * mn.Millisecond,
-		Timeout: 1 * mn.Second,
+		Timeout: 2 * mn.Second,
 	}
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -57,7 +57,7 @@
 	settings.Span = b.settings.Lease
 	settings.Renew = settings.Span / 3
 	settings.Margin = settings.Span / 20
-	settings.Timeout = settings.Span / 3
+	settings.Timeout = settings.Span * 2 / 3
 	e := lease.New(b.self.VM, b.self.Incarnation, settings, b.clock, b.fold, w, b.log)
 	return &control{
 		base:    b,
--- a/node/writer.go
+++ b/node/writer.go
@@ -9,7 +9,7 @@
 )
 
 // appendTimeout bounds one try to append a record.
-const appendTimeout = 500 * mn.Millisecond
+const appendTimeout = 1500 * mn.Millisecond
 
 // writer appends records to the control stream and reads them back through
 // the process's own fold. It implements [mn.RecordWriter].
--- a/procs/control_test.go
+++ b/procs/control_test.go
@@ -381,6 +381,20 @@
 	w.after(t, 10*mn.Second, func(l mn.Lease) bool { return l.Last > before })
 }
 
+// A slow log costs neither the lease nor orders.
+func TestControlLogSlow(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1, 0)
+	w := watch(t, c)
+	old := w.newer(t, 0)
+	require.NoError(t, c.Fault(c.PlatformURL(), fakes.LogSlow, 700))
+	stop := churn(t, c)
+	time.Sleep(12 * time.Second)
+	stop()
+	require.Equal(t, old.Term, w.View().Holder.Term)
+	requireOrders(t, c, 2)
+}
+
 // Entries that start at once agree on one holder, also when the answers of
 // their appends are lost after taking effect.
 func TestRacingEntries(t *testing.T) {
