--- a/node/control.go
+++ b/node/control.go
@@ -42,8 +42,10 @@
 	sizers  map[mn.PoolID]*fleet.Sizer
 	// missing is since when members are missing from the platform's list.
 	missing map[mn.Incarnation]mn.Millis
-	cancel  context.CancelFunc
-	done    chan struct{}
+	// postponed is when engines that did not drain in time are tried again.
+	postponed map[mn.VMID]mn.Millis
+	cancel    context.CancelFunc
+	done      chan struct{}
 
 	mu     sync.Mutex
 	loads  map[mn.VMID]*meshpb.LoadReport
@@ -60,18 +62,19 @@
 	settings.Timeout = settings.Span * 2 / 3
 	e := lease.New(b.self.VM, b.self.Incarnation, settings, b.clock, b.fold, w, b.log)
 	return &control{
-		base:    b,
-		agents:  agents,
-		elector: e,
-		writer:  w,
-		issuer:  order.NewIssuer(e, b.clock, statePoll),
-		orders:  fleet.NewOrders(b.self.VM, fleet.DefaultOrderSettings(), b.clock, e, w, b.plat, b.log),
-		sizers:  map[mn.PoolID]*fleet.Sizer{},
-		missing: map[mn.Incarnation]mn.Millis{},
-		done:    make(chan struct{}),
-		loads:   map[mn.VMID]*meshpb.LoadReport{},
-		meters:  map[mn.PoolID]*meter{},
-		roles:   map[mn.PoolID]*fleet.Roles{},
+		base:      b,
+		agents:    agents,
+		elector:   e,
+		writer:    w,
+		issuer:    order.NewIssuer(e, b.clock, statePoll),
+		orders:    fleet.NewOrders(b.self.VM, fleet.DefaultOrderSettings(), b.clock, e, w, b.plat, b.log),
+		sizers:    map[mn.PoolID]*fleet.Sizer{},
+		missing:   map[mn.Incarnation]mn.Millis{},
+		postponed: map[mn.VMID]mn.Millis{},
+		done:      make(chan struct{}),
+		loads:     map[mn.VMID]*meshpb.LoadReport{},
+		meters:    map[mn.PoolID]*meter{},
+		roles:     map[mn.PoolID]*fleet.Roles{},
 	}
 }
 
--- a/node/engines.go
+++ b/node/engines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 
 	mn "mustardnotch"
@@ -72,6 +73,7 @@
 			stale = append(stale, e)
 		}
 	}
+	stale = slices.DeleteFunc(stale, c.isPostponed)
 	if len(stale) > 0 {
 		c.change(ctx, members[stale[0].VM], mn.EngineTarget{Role: stale[0].Role, Model: m.ID, Version: m.Version}, true)
 		return
@@ -81,6 +83,12 @@
 	}
 }
 
+// isPostponed says whether an engine did not drain lately, so that it serves
+// for a while before the next try.
+func (c *control) isPostponed(e fleet.EngineInfo) bool {
+	return c.clock.Now() < c.postponed[e.VM]
+}
+
 // wantedRole returns the change of role that the policy wants in a pool.
 func (c *control) wantedRole(pool mn.PoolID, engines []fleet.EngineInfo) (fleet.RoleChange, bool) {
 	c.mu.Lock()
@@ -105,6 +113,9 @@
 	if err == nil {
 		err = c.issuer.Change(ctx, c.agents.Taker(m.Addr), target)
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.postponed[m.VM] = c.clock.Now() + changeLimit
+	}
 	c.note("engine_change", m.VM, err)
 }
 
