--- a/core/feed/writer.go
+++ b/core/feed/writer.go
@@ -8,7 +8,7 @@
 )
 
 // appendTimeout bounds one try to append a record.
-const appendTimeout = 500 * mn.Millisecond
+const appendTimeout = 1500 * mn.Millisecond
 
 // Writer appends records to the control stream and waits until the process's
 // own fold has taken them.
