Cut the limit on running jobs only for late or refused work

Now a job that ended late lowers it, or one refused though it had waited less than half its time. An idle customer earns credit for one job.

Adds fakes slopes and the benchmarks behind docs/CAPACITY.md.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -54,24 +54,14 @@
 
 // Run starts the deployment, sends the workload, and ends the deployment.
 func Run(ctx context.Context, c Config, s *load.Spec) (*load.Report, error) {
-	cluster, err := procs.New(c.Bin, c.Dir)
-	if err != nil {
-		return nil, err
-	}
-	defer cluster.Close()
-	if err := declare(ctx, cluster, c.Size, s); err != nil {
-		return nil, err
-	}
-	if err := start(cluster, c, s); err != nil {
-		return nil, err
-	}
-	if err := mn.NewSystemClock().Sleep(ctx, 2*mn.Second); err != nil {
-		return nil, err
-	}
-	meter := load.NewMeter(ctx, s.Engines)
-	r := load.Run(ctx, s, mn.NewSystemClock(), load.NewCallers(s))
-	meter.Finish(ctx, r)
-	return r, nil
+	var r *load.Report
+	err := inCluster(ctx, c, s, func(*procs.Cluster) error {
+		meter := load.NewMeter(ctx, s.Engines)
+		r = load.Run(ctx, s, mn.NewSystemClock(), load.NewCallers(s))
+		meter.Finish(ctx, r)
+		return nil
+	})
+	return r, err
 }
 
 // declare appends the workload's customers and keys and the size's pools.
--- /dev/null
+++ b/bench/slopes.go
@@ -0,0 +1,170 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/io/caller"
+	"mustardnotch/load"
+	"mustardnotch/procs"
+)
+
+// slopeSpan is how long each size is measured.
+const slopeSpan = 8 * mn.Second
+
+// fastEngine makes stand-in engines so fast that they hold nothing up.
+var fastEngine = []string{"--step_us", "2000", "--prefill_us", "1", "--decode_us", "1", "--batch", "512"}
+
+// slowEngine makes them so slow that streams stay open.
+var slowEngine = []string{"--step_us", "3000000", "--prefill_us", "1", "--decode_us", "1", "--batch", "8192"}
+
+// Slopes measures at several sizes each what requests, tokens, open streams
+// and idle feeds cost an entry and an agent, and prints one line a size.
+func Slopes(ctx context.Context, bin, dir string, out io.Writer) error {
+	for _, f := range []func(context.Context, string, string, io.Writer) error{requestSlope, streamSlope, feedSlope} {
+		if err := f(ctx, bin, dir, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// small is a deployment of one entry with so many engines.
+func small(engines int) Size {
+	return Size{DataCentres: []mn.DataCentre{"a"}, Entries: 1, Model: "m", Engines: engines, Plain: "p"}
+}
+
+func slopeSpec(rate float64, tokens int64) *load.Spec {
+	return &load.Spec{
+		File: "slopes", Seed: 1, Drain: 5 * mn.Second, MaxOpen: 10_000,
+		Kinds:     []load.Kind{{Name: "k", PromptTokens: 500, OutputTokens: tokens, Prefixes: 1, Deadline: 30 * mn.Second}},
+		Customers: []load.Customer{{ID: "c", Rate: rate, Burst: 10 * rate, Times: 1}},
+		Phases:    []load.Phase{{Name: "p", Span: slopeSpan, Factor: 1, Mix: map[string]float64{"k": 1}}},
+	}
+}
+
+// requestSlope measures processor time against requests and tokens a second.
+func requestSlope(ctx context.Context, bin, dir string, out io.Writer) error {
+	sizes := []struct {
+		rate   float64
+		tokens int64
+	}{{25, 20}, {50, 20}, {100, 20}, {200, 20}, {50, 100}, {50, 200}}
+	for _, z := range sizes {
+		s := slopeSpec(z.rate, z.tokens)
+		err := inCluster(ctx, Config{Bin: bin, Dir: dir, Size: small(2), Router: "cost", Unqueued: true, EngineFlags: fastEngine}, s, func(c *procs.Cluster) error {
+			entry, agent := c.Nodes["entry-1"].Proc, c.Nodes["m-1"].Proc
+			e0, a0 := cpuOf(entry), cpuOf(agent)
+			r := load.Run(ctx, s, mn.NewSystemClock(), load.NewCallers(s))
+			n := float64(r.All.InTime)
+			e, a := cpuOf(entry)-e0, cpuOf(agent)-a0
+			_, err := fmt.Fprintf(out, "requests rate=%.0f tokens=%d answered=%.0f failed=%d entry_ms_per_request=%.3f agent_ms_per_request=%.3f entry_core_percent=%.1f\n",
+				z.rate, z.tokens, n, r.All.Failed, ms(e)/n, 2*ms(a)/n, 100*e.Seconds()/(float64(r.SpanMs)/1000))
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// streamSlope measures resident memory against open streams.
+func streamSlope(ctx context.Context, bin, dir string, out io.Writer) error {
+	for _, n := range []int{1, 100, 400, 1600} {
+		s := slopeSpec(1, 1)
+		err := inCluster(ctx, Config{Bin: bin, Dir: dir, Size: small(1), Router: "cost", Unqueued: true, EngineFlags: slowEngine}, s, func(c *procs.Cluster) error {
+			hold, cancel := context.WithTimeout(ctx, (10 * mn.Second).Duration())
+			defer cancel()
+			g, hold := errgroup.WithContext(hold)
+			client := c.Caller(c.Nodes["entry-1"], s.Customers[0].Key)
+			for range n {
+				g.Go(func() error { openStream(hold, client, string(s.Model)); return nil })
+			}
+			if err := mn.NewSystemClock().Sleep(hold, 8*mn.Second); err != nil {
+				return err
+			}
+			e, err := c.Nodes["entry-1"].Proc.Resident()
+			if err != nil {
+				return err
+			}
+			a, err := c.Nodes["m-1"].Proc.Resident()
+			if err != nil {
+				return err
+			}
+			cancel()
+			_ = g.Wait()
+			_, err = fmt.Fprintf(out, "streams open=%d entry_resident_kb=%d agent_resident_kb=%d\n", n, e>>10, a>>10)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func openStream(ctx context.Context, client *caller.Client, model string) {
+	prompt := make([]byte, 2000)
+	for i := range prompt {
+		prompt[i] = 'x'
+	}
+	_ = client.Generate(ctx, &apipb.GenerateRequest{Model: model, Prompt: string(prompt), MaxTokens: 100}, func(*apipb.GenerateChunk) error { return nil })
+}
+
+// feedSlope measures the processor time of an idle entry and agent against the
+// number of agents.
+func feedSlope(ctx context.Context, bin, dir string, out io.Writer) error {
+	for _, n := range []int{1, 4, 8, 12} {
+		s := slopeSpec(1, 1)
+		err := inCluster(ctx, Config{Bin: bin, Dir: dir, Size: small(n), Router: "cost", EngineFlags: fastEngine}, s, func(c *procs.Cluster) error {
+			entry, agent := c.Nodes["entry-1"].Proc, c.Nodes["m-1"].Proc
+			e0, a0 := cpuOf(entry), cpuOf(agent)
+			if err := mn.NewSystemClock().Sleep(ctx, slopeSpan); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(out, "idle agents=%d entry_core_percent=%.2f agent_core_percent=%.2f\n", n,
+				100*(cpuOf(entry)-e0).Seconds()/8, 100*(cpuOf(agent)-a0).Seconds()/8)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// inCluster calls f while the deployment runs.
+func inCluster(ctx context.Context, c Config, s *load.Spec, f func(*procs.Cluster) error) error {
+	cluster, err := procs.New(c.Bin, c.Dir)
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	if err := declare(ctx, cluster, c.Size, s); err != nil {
+		return err
+	}
+	if err := start(cluster, c, s); err != nil {
+		return err
+	}
+	if err := mn.NewSystemClock().Sleep(ctx, 2*mn.Second); err != nil {
+		return err
+	}
+	return f(cluster)
+}
+
+// cpuOf returns the processor time that p has used, 0 if it can't be read.
+func cpuOf(p *procs.Proc) time.Duration {
+	d, err := p.CPU()
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/cmd/fakes/bench.go
+++ b/cmd/fakes/bench.go
@@ -35,6 +35,22 @@
 	}
 }
 
+func slopesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "slopes",
+		Usage: "measure what requests, streams and feeds cost, for docs/CAPACITY.md",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs", Value: "bin"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			dir, err := os.MkdirTemp("", "slopes")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			return bench.Slopes(ctx, c.String("bin"), dir, os.Stdout)
+		},
+	}
+}
+
 func runBench(ctx context.Context, c *cli.Command) error {
 	s, err := load.Load(c.String("workload"))
 	if err != nil {
--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -57,6 +57,7 @@
 			},
 			batchCommand(listen),
 			benchCommand(),
+			slopesCommand(),
 			{
 				Name:   "plain",
 				Usage:  "serve a plain service",
--- /dev/null
+++ b/core/conf/capacity_test.go
@@ -0,0 +1,73 @@
+package conf
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	mn "mustardnotch"
+)
+
+// grown returns a fold with n members and n resources.
+func grown(b *testing.B, n int) *Fold {
+	b.Helper()
+	f := New()
+	for i := range n {
+		name := mn.CustomerID(fmt.Sprintf("customer-%d", i))
+		set := mn.Resource{Customer: &mn.Customer{ID: name, Rate: 1, Burst: 1}}
+		member := &mn.Member{VM: mn.VMID(fmt.Sprintf("vm-%d", i)), Incarnation: "1", Role: mn.RoleAgent, Addr: "10.0.0.1:7003", Pool: "p"}
+		fold(f.view, mn.Offset(2*i+1), &mn.Record{Change: &mn.Change{Edits: []mn.Edit{{Name: set.Name(), Set: &set}}}})
+		fold(f.view, mn.Offset(2*i+2), &mn.Record{Join: member})
+	}
+	f.view.Offset = mn.Offset(2 * n)
+	return f
+}
+
+// BenchmarkApply measures the time to fold one record by the number of members
+// and of resources, and the memory of the fold.
+func BenchmarkApply(b *testing.B) {
+	for _, kind := range []string{"renewal", "change", "join"} {
+		for _, n := range []int{100, 1000, 4000} {
+			b.Run(fmt.Sprintf("%s/%d", kind, n), func(b *testing.B) { benchApply(b, kind, n) })
+		}
+	}
+}
+
+func benchApply(b *testing.B, kind string, n int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f := grown(b, n)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	records := make([]mn.LogEntry, b.N)
+	for i := range records {
+		off := f.View().Offset + mn.Offset(i) + 1
+		r := &mn.Record{Version: 1, ID: mn.RecordID(fmt.Sprint(i)), Writer: "w"}
+		set := mn.Resource{Customer: &mn.Customer{ID: "customer-0", Rate: 1, Burst: 1}}
+		base := off - 1
+		if i == 0 {
+			base = 1
+		}
+		switch kind {
+		case "renewal":
+			r.Claim = &mn.Claim{Incarnation: "1", Span: 3000}
+		case "change":
+			r.Change = &mn.Change{Edits: []mn.Edit{{Name: set.Name(), Base: base, Set: &set}}}
+		case "join":
+			r.Join = &mn.Member{VM: "vm-0", Incarnation: mn.Incarnation(fmt.Sprint(i))}
+		}
+		data, err := mn.EncodeRecord(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		records[i] = mn.LogEntry{Offset: off, Data: data}
+	}
+	b.ResetTimer()
+	for i := range records {
+		if err := f.Apply(records[i : i+1]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap_bytes/member+resource")
+}
--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -6,8 +6,8 @@
 // queue. At most [Limits.Running] jobs are at the endpoint at once, queues are
 // bounded, and a job that can't be done before its deadline is refused before
 // it runs.
-// The number of jobs at the endpoint falls while jobs spend most of the time
-// they are allowed there, and grows again while they don't.
+// The number of jobs at the endpoint falls while the batch is too slow for their
+// deadlines, and grows again while it isn't.
 //
 // Deficit round robin is due to Shreedhar and Varghese (1995). The service of
 // two customers that both have work queued differs, divided by their weights,
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -13,17 +13,13 @@
 	prompt  Tokens // prompt tokens not yet known to be prefilled
 	started mn.Millis
 	first   mn.Millis
-	allowed mn.Millis // from arrival to deadline, 0 without one
-	batch   int       // jobs at the endpoint when this one started
+	batch   int // jobs at the endpoint when this one started
 	ended   bool
 }
 
 // start counts w as running.
 func (q *Queue) start(l *line, w *waiter) *Grant {
 	g := &Grant{queue: q, line: l, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now(), batch: q.running + 1}
-	if w.job.Deadline != 0 {
-		g.allowed = w.job.Deadline - w.arrived
-	}
 	if service := q.service(l, w.job); service > 0 {
 		g.pace = float64(w.cost) / service
 	}
@@ -63,7 +59,7 @@
 		q.speeds.measurePrefill(batch, prompt, g.first-g.started)
 		q.speeds.measureDecode(batch, output, now-g.first)
 	}
-	q.limit.ended(g.started, g.allowed, now, q.waiting > 0)
+	q.limit.ended(g.started, g.job.Deadline, now, q.waiting > 0)
 	q.prefill -= g.prompt
 	q.pace -= g.pace
 	q.running--
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -7,16 +7,17 @@
 	minLimitShare = 0.125
 	// firstLimitShare is the limit to begin with, while speeds are not known.
 	firstLimitShare = 0.25
-	// limitCut is what a job that was slow leaves of the limit.
+	// limitCut is what a job for which the batch was too slow leaves of the limit.
 	limitCut = 0.9
-	// slowShare is the part of the time allowed for a job past which its time at
-	// the endpoint counts as slow: the rest is for waiting its turn.
-	slowShare = 0.6
+	// promptShare is the part of the time allowed for a job that it may wait and
+	// still ought to be served in time.
+	promptShare = 0.5
 )
 
-// limit is the number of jobs that may be at the endpoint. Slow jobs lower it,
-// because a smaller batch serves each job faster; others raise it again while
-// work waits, by one for each full batch.
+// limit is the number of jobs that may be at the endpoint. It falls when a job
+// ended late, or when one that had not waited long would, because a smaller
+// batch serves each job faster. Jobs in time raise it again while work waits,
+// by one for each full batch.
 type limit struct {
 	now  float64
 	most float64
@@ -31,15 +32,28 @@
 // jobs returns the limit as a whole number.
 func (l *limit) jobs() int { return max(int(l.now), 1) }
 
-// ended takes in the end of a job that was at the endpoint since started and
-// was allowed that much time from its arrival.
-func (l *limit) ended(started, allowed, now mn.Millis, waiting bool) {
-	slow := allowed > 0 && float64(now-started) > slowShare*float64(allowed)
+// ended takes in the end of a job that was at the endpoint since started.
+func (l *limit) ended(started, deadline, now mn.Millis, waiting bool) {
 	switch {
-	case slow && started >= l.cut:
-		l.now = max(l.now*limitCut, l.most*minLimitShare)
-		l.cut = now
-	case !slow && waiting:
+	case deadline != 0 && now > deadline:
+		l.lower(started, now)
+	case waiting:
 		l.now = min(l.now+1/l.now, l.most)
 	}
 }
+
+// refused takes in that a job that came at arrived could not start in time.
+func (l *limit) refused(arrived, deadline, now mn.Millis) {
+	if float64(now-arrived) <= promptShare*float64(deadline-arrived) {
+		l.lower(arrived, now)
+	}
+}
+
+// lower cuts the limit for a job that began at since, unless it was cut later.
+func (l *limit) lower(since, now mn.Millis) {
+	if since < l.cut {
+		return
+	}
+	l.now = max(l.now*limitCut, l.most*minLimitShare)
+	l.cut = now
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -135,7 +135,7 @@
 	}
 	w := &waiter{job: job, cost: q.limits.cost(job.Prompt, l.expected(job)), arrived: q.clock.Now(), decided: make(chan struct{})}
 	if len(l.waiters) == 0 {
-		q.activate(l)
+		q.activate(l, w.cost)
 	}
 	l.waiters = append(l.waiters, w)
 	l.backlog += w.cost
@@ -146,13 +146,13 @@
 	return w, nil
 }
 
-// activate takes l into the round. A line that owes nothing goes first, on
-// credit, so that a customer that sends little doesn't wait for one that sends
-// much. What it then owes is paid by rounds, also those that pass without it.
-func (q *Queue) activate(l *line) {
-	if l.deficit < 0 {
-		l.deficit = min(0, l.deficit+(q.rounds-l.left)*q.limits.Quantum*l.weight)
-	}
+// activate takes l, whose first job costs that much, into the round. A line
+// earns while it is idle, though no more than for one job. One that owes
+// nothing goes first, on credit, so that a customer that sends little doesn't
+// wait for one that sends much.
+func (q *Queue) activate(l *line, cost Cost) {
+	earned := (q.rounds - l.left) * q.limits.Quantum * l.weight
+	l.deficit = min(l.deficit+earned, cost)
 	l.fresh = l.deficit >= 0
 	if !l.fresh {
 		q.active = append(q.active, l)
@@ -222,6 +222,7 @@
 		w := q.pop(l)
 		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
+			q.limit.refused(w.arrived, w.job.Deadline, q.clock.Now())
 			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
--- /dev/null
+++ b/node/queue_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	mn "mustardnotch"
+	"mustardnotch/core/route"
+)
+
+// eventEngine is an engine that only tells cache events.
+type eventEngine struct {
+	mn.Engine
+	events []mn.CacheEvent
+}
+
+func (e *eventEngine) Load(context.Context) (mn.EngineLoad, error) {
+	return mn.EngineLoad{Running: 12, KVUsed: 0.7}, nil
+}
+
+func (e *eventEngine) State(context.Context) (mn.EngineState, error) {
+	return mn.EngineState{Role: mn.EngineMixed, Model: "taalpers", Version: "2026-11-01"}, nil
+}
+
+func (e *eventEngine) CacheEvents(_ context.Context, after int64) ([]mn.CacheEvent, error) {
+	var out []mn.CacheEvent
+	for _, v := range e.events {
+		if v.Sequence > after {
+			out = append(out, v)
+		}
+	}
+	return out, nil
+}
+
+func (e *eventEngine) tell(from, to int64) {
+	for i := from; i <= to; i++ {
+		e.events = append(e.events, mn.CacheEvent{Sequence: i, Prefix: route.Block(i * 0x9e3779b97f4a7c1).String()})
+	}
+}
+
+// TestLoadReportTellsOfGaps checks that every reader of cache events learns of
+// each gap once, whether the engine or the agent lost the events.
+func TestLoadReportTellsOfGaps(t *testing.T) {
+	e := &eventEngine{}
+	q := newQueued(mn.NewManualClock(1), e, 4)
+	e.tell(1, 5)
+	q.look(t.Context())
+	r, after := q.LoadReport(0)
+	require.False(t, r.EventsLost)
+	require.Len(t, r.Prefixes, 5)
+	e.tell(7, 9)
+	q.look(t.Context())
+	for range 2 { // two readers
+		r, next := q.LoadReport(after)
+		require.True(t, r.EventsLost, "the engine lost event 6")
+		require.Len(t, r.Prefixes, 3)
+		again, _ := q.LoadReport(next)
+		require.False(t, again.EventsLost)
+		require.Empty(t, again.Prefixes)
+	}
+	e.tell(10, 9+keptEvents)
+	q.look(t.Context())
+	r, next := q.LoadReport(after)
+	require.True(t, r.EventsLost, "the agent can't send that many")
+	require.Len(t, r.Prefixes, eventsPerReport)
+	require.Len(t, q.events, keptEvents)
+	r, _ = q.LoadReport(next)
+	require.False(t, r.EventsLost)
+}
+
+// BenchmarkLoadReport measures a load report's bytes by its cache events.
+func BenchmarkLoadReport(b *testing.B) {
+	for _, n := range []int64{0, 8, 32, 128} {
+		b.Run(fmt.Sprintf("events=%d", n), func(b *testing.B) {
+			e := &eventEngine{}
+			q := newQueued(mn.NewManualClock(1), e, 32)
+			e.tell(1, n)
+			q.look(b.Context())
+			size := 0
+			for b.Loop() {
+				r, _ := q.LoadReport(0)
+				size = proto.Size(r)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
