--- a/core/route/feeds.go
+++ b/core/route/feeds.go
@@ -1,9 +1,10 @@
 package route
 
 import (
-	"sort"
+	"slices"
 
 	mn "mustardnotch"
+	"mustardnotch/core/rendez"
 )
 
 const (
@@ -26,10 +27,9 @@
 	}
 	var feeds []mn.Member
 	for _, p := range t.pools {
-		ranked := append([]*agent(nil), p...)
-		sort.Slice(ranked, func(i, j int) bool { return weight(self, ranked[i]) > weight(self, ranked[j]) })
-		for i, a := range ranked {
-			a.fed = i < each
+		chosen := rendez.Top(string(self), vmsOf(p), each)
+		for _, a := range p {
+			a.fed = slices.Contains(chosen, a.member.VM)
 			if a.fed {
 				feeds = append(feeds, a.member)
 			}
@@ -38,15 +38,10 @@
 	return feeds
 }
 
-// weight is the agent's rendezvous hash for the entry on self.
-func weight(self mn.VMID, a *agent) uint64 {
-	h := uint64(fnvOffset)
-	for _, s := range []string{string(self), "/", string(a.member.VM)} {
-		for i := range len(s) {
-			h = (h ^ uint64(s[i])) * fnvPrime
-		}
+func vmsOf(agents []*agent) []mn.VMID {
+	var vms []mn.VMID
+	for _, a := range agents {
+		vms = append(vms, a.member.VM)
 	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
+	return vms
 }
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -256,3 +256,27 @@
 	agents["1"].born = 1
 	require.Empty(t, x.held(Blocks(prompt), agents), "a new process has an empty cache")
 }
+
+// TestFeedsAreSpread checks that many entries share out the reports of many
+// agents, and that few hear all.
+func TestFeedsAreSpread(t *testing.T) {
+	few := New(mn.NewManualClock(1), roster(3, maxFeeds), DefaultSettings("a"))
+	require.Len(t, few.Feeds("entry-0"), maxFeeds)
+	views := roster(100, 600)
+	table := New(mn.NewManualClock(1), views, DefaultSettings("a"))
+	readers := make(map[mn.VMID]int)
+	for i := range 100 {
+		feeds := table.Feeds(mn.VMID(fmt.Sprintf("entry-%d", i)))
+		require.Len(t, feeds, maxFeeds)
+		for _, m := range feeds {
+			readers[m.VM]++
+		}
+	}
+	require.Greater(t, len(readers), 590, "8 readers each on average, so hardly an agent without one")
+	for vm, n := range readers {
+		require.LessOrEqual(t, n, 24, vm)
+	}
+	m, _, err := table.Route(t.Context(), mn.Work{Pool: "p", Prompt: "x"})
+	require.NoError(t, err)
+	require.Contains(t, table.Feeds("entry-99"), m, "work goes to agents whose reports come in")
+}
--- a/node/feeds.go
+++ b/node/feeds.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// reportInterval is the span between load reports of one agent.
+	// reportInterval is the span between load reports of one agent, unless they
+	// are many.
 	reportInterval = 250 * mn.Millisecond
+	// reportsPerSecond bounds the reports of all agents together.
+	reportsPerSecond = 48
 	// feedPause is the pause before a broken feed is opened again.
 	feedPause = 500 * mn.Millisecond
 )
@@ -51,6 +54,11 @@
 	return g.Wait()
 }
 
+// interval returns the span between the reports of each of so many agents.
+func interval(agents int) mn.Millis {
+	return max(reportInterval, mn.Millis(agents)*mn.Second/reportsPerSecond)
+}
+
 // match opens the feeds that are missing and stops those no longer wanted.
 func (f *feeds) match(ctx context.Context, g *errgroup.Group, wanted []mn.Member) {
 	keep := make(map[mn.VMID]mn.Incarnation)
@@ -70,16 +78,16 @@
 		one, stop := context.WithCancel(ctx)
 		f.open[m.VM] = feed{m.Incarnation, stop}
 		g.Go(func() error {
-			f.follow(one, m)
+			f.follow(one, m, interval(len(wanted)))
 			return nil
 		})
 	}
 }
 
-// follow keeps the feed of m open until ctx is done.
-func (f *feeds) follow(ctx context.Context, m mn.Member) {
+// follow keeps the feed of m open until ctx is done, with a report each span.
+func (f *feeds) follow(ctx context.Context, m mn.Member, span mn.Millis) {
 	for ctx.Err() == nil {
-		err := f.agents.Watch(ctx, m.Addr, reportInterval, func(r *meshpb.LoadReport) {
+		err := f.agents.Watch(ctx, m.Addr, span, func(r *meshpb.LoadReport) {
 			report, events := reportOf(r)
 			f.table.Report(m.VM, report, events, r.EventsLost)
 		})
