--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"os/exec"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	mn "mustardnotch"
+	"mustardnotch/fakes/batch"
+	"mustardnotch/gen/apipb"
 	"mustardnotch/load"
+	"mustardnotch/procs"
 )
 
 const flooded = `
@@ -42,16 +46,48 @@
 	return r.Customers[0], r.Customers[1]
 }
 
-// TestFloodLengthensOnlyItsOwnQueue has a customer send five times its rate to
-// engines that can't serve that, through real processes.
-func TestFloodLengthensOnlyItsOwnQueue(t *testing.T) {
+func build(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	out, err := exec.Command("go", "build", "-o", bin+"/", "mustardnotch/cmd/...").CombinedOutput()
 	require.NoError(t, err, "%s", out)
+	return bin
+}
 
-	quiet, flood := run(t, Config{Bin: bin, Router: "cost"})
+// TestFloodLengthensOnlyItsOwnQueue has a customer send five times its rate to
+// engines that can't serve that, through real processes.
+func TestFloodLengthensOnlyItsOwnQueue(t *testing.T) {
+	quiet, flood := run(t, Config{Bin: build(t), Router: "cost"})
 	t.Logf("queued: quiet %d of %d in time, flood %d of %d, codes %v", quiet.InTime, quiet.Sent, flood.InTime, flood.Sent, flood.Codes)
 	require.GreaterOrEqual(t, float64(quiet.InTime), 0.6*float64(quiet.Sent))
 	require.Less(t, float64(flood.InTime), 0.4*float64(flood.Sent))
 	require.Positive(t, flood.Codes[mn.DeadlineTooShort.String()], "work that can't be in time is refused early")
 }
+
+// TestPrefillIsHandedOver has one engine prefill and another generate, and the
+// one that generates go on alone once the other has crashed.
+func TestPrefillIsHandedOver(t *testing.T) {
+	s, err := load.Parse("flooded.ini", []byte(flooded))
+	require.NoError(t, err)
+	c := Config{Bin: build(t), Dir: t.TempDir(), Size: small(2), Router: "round_robin", Prefill: 1}
+	require.NoError(t, inCluster(t.Context(), c, s, func(cluster *procs.Cluster) error {
+		prompt := strings.Repeat("pattern ledger ", 200)
+		generate := func() string {
+			var text string
+			err := cluster.Caller(cluster.Nodes["entry-1"], s.Customers[0].Key).Generate(t.Context(),
+				&apipb.GenerateRequest{Model: string(s.Model), Prompt: prompt, MaxTokens: 20},
+				func(k *apipb.GenerateChunk) error { text += k.Text; return nil })
+			require.NoError(t, err)
+			return text
+		}
+		require.Equal(t, batch.Output(prompt, 20), generate())
+		var decoder load.Counters
+		require.NoError(t, procs.Fetch(cluster.Nodes["m-2"].EndpointURL()+"/admin/counters", &decoder))
+		require.EqualValues(t, 1, decoder.Imports)
+		require.Zero(t, decoder.PrefillTokens)
+
+		cluster.Nodes["m-1"].Endpoint.Kill()
+		require.Equal(t, batch.Output(prompt, 20), generate())
+		return nil
+	}))
+}
--- a/core/route/split.go
+++ b/core/route/split.go
@@ -36,6 +36,7 @@
 			return mn.Member{}, nil, false
 		}
 	}
+	split.Add(1)
 	return a.member, t.launch(a, f, blocks), true
 }
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -19,6 +20,14 @@
 	RoundRobin Policy = "round_robin"
 )
 
+// Counters of the process.
+var (
+	routed     = expvar.NewInt("route_routed")
+	split      = expvar.NewInt("route_prefilled_elsewhere")
+	noEndpoint = expvar.NewInt("route_no_endpoint")
+	backoffs   = expvar.NewInt("route_backoffs")
+)
+
 const (
 	// bytesPerToken is the average length of a token.
 	bytesPerToken = 4
@@ -130,6 +139,7 @@
 	now := t.clock.Now()
 	choices := t.candidates(w, now, generates)
 	if len(choices) == 0 {
+		noEndpoint.Add(1)
 		return mn.Member{}, nil, mn.Errorf(mn.NoEndpoint, "pool %q has no agent that takes new work", w.Pool).WithRetry(mn.Second)
 	}
 	blocks := t.blocks(w)
@@ -140,6 +150,7 @@
 	} else {
 		a = t.best(choices, blocks, f, now)
 	}
+	routed.Add(1)
 	return a.member, t.launch(a, f, blocks), nil
 }
 
@@ -327,6 +338,7 @@
 	}
 	switch mn.CodeOf(err) {
 	case mn.EndpointFailed, mn.OutcomeNotKnown, mn.NoEndpoint, mn.Truncated:
+		backoffs.Add(1)
 		a.fail(now, t.random.Float64())
 	case mn.Overloaded:
 		a.avoid = now + overloadPause
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -23,6 +23,7 @@
 	if service := q.service(l, w.job); service > 0 {
 		g.pace = float64(w.cost) / service
 	}
+	started.Add(1)
 	l.grants++
 	q.running++
 	q.prefill += g.prompt
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -56,4 +56,5 @@
 	}
 	l.now = max(l.now*limitCut, l.most*minLimitShare)
 	l.cut = now
+	cuts.Add(1)
 }
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -3,12 +3,21 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math"
 	"sync"
 
 	mn "mustardnotch"
 )
 
+// Counters of the process.
+var (
+	started    = expvar.NewInt("queue_started")
+	refused    = expvar.NewInt("queue_refused_deadline")
+	overloaded = expvar.NewInt("queue_refused_full")
+	cuts       = expvar.NewInt("queue_limit_cuts")
+)
+
 // refusalConfidence scales the estimates of waiting and service of a new job
 // before they are held against its deadline, so that an estimate a little too
 // high refuses nothing that would have been in time.
@@ -170,6 +179,7 @@
 	full := q.waiting >= q.limits.Queued || len(l.waiters) >= q.limits.PerCustomer
 	if full && q.running >= q.limit.jobs() {
 		q.overflow++
+		overloaded.Add(1)
 		return mn.Errorf(mn.Overloaded, "%d jobs of customer %q and %d in all are waiting", len(l.waiters), job.Customer, q.waiting).
 			WithRetry(q.wait(l))
 	}
@@ -185,6 +195,7 @@
 
 func (q *Queue) refuse(job Job, need, left mn.Millis) *mn.Error {
 	q.refused++
+	refused.Add(1)
 	return mn.Errorf(mn.DeadlineTooShort, "customer %q: %d ms are left, at least %d ms are needed", job.Customer, left, need).
 		WithRetry(max(need-left, mn.Millisecond))
 }
--- a/load/parse.go
+++ b/load/parse.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -124,7 +125,7 @@
 		kinds[k.Name] = true
 	}
 	for _, p := range s.Phases {
-		for _, name := range sortedNames(p.Mix) {
+		for _, name := range sortedKeys(p.Mix) {
 			if !kinds[name] {
 				bad("[phase %s] mix: kind %q has no section [kind %s]", p.Name, name, name)
 			}
@@ -141,13 +142,8 @@
 	return faults
 }
 
-func sortedNames(m map[string]float64) []string {
-	var names []string
-	for n := range m {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
 }
 
 // reader reads one section and gathers its faults.
--- a/load/print.go
+++ b/load/print.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"sort"
 	"strings"
 
 	mn "mustardnotch"
@@ -26,16 +25,18 @@
 	}
 	fmt.Fprintf(&b, "worst served: %s; engine seconds %.0f (busy %.0f); role changes %d; KV imports %d\n", r.Worst,
 		r.EngineSeconds, float64(r.Engines.BusyMillis)/1000, r.Engines.RoleChanges, r.Engines.Imports)
+	for _, code := range sortedKeys(r.Samples) {
+		fmt.Fprintf(&b, "first %s: %s\n", code, r.Samples[code])
+	}
 	_, err := io.WriteString(w, b.String())
 	return err
 }
 
 func codeList(codes map[string]int64) string {
 	var all []string
-	for c, n := range codes {
-		all = append(all, fmt.Sprintf("%s:%d", c, n))
+	for _, c := range sortedKeys(codes) {
+		all = append(all, fmt.Sprintf("%s:%d", c, codes[c]))
 	}
-	sort.Strings(all)
 	return strings.Join(all, " ")
 }
 
--- a/load/report.go
+++ b/load/report.go
@@ -73,6 +73,8 @@
 	Phases    []*Group  `json:"phases"`
 	Cells     []*Group  `json:"customer_phases"`
 	Seconds   []Second  `json:"seconds"`
+	// Samples holds the first failure with each result code.
+	Samples map[string]string `json:"samples,omitempty"`
 	// EngineSeconds is the time that engines were up during the run.
 	EngineSeconds float64  `json:"engine_seconds"`
 	Engines       Counters `json:"engines"`
@@ -91,7 +93,7 @@
 }
 
 func newReport(s *Spec) *Report {
-	r := &Report{File: s.File, Seed: s.Seed, All: newGroup("all"), spec: s}
+	r := &Report{File: s.File, Seed: s.Seed, All: newGroup("all"), Samples: make(map[string]string), spec: s}
 	r.Seconds = make([]Second, (s.Span()+mn.Second-1)/mn.Second)
 	for _, c := range s.Customers {
 		r.Customers = append(r.Customers, newGroup(string(c.ID)))
@@ -127,6 +129,9 @@
 	for _, g := range r.groups(a) {
 		g.add(a, res, inTime)
 	}
+	if code := codeOf(res.Err); code != "" && r.Samples[code] == "" {
+		r.Samples[code] = res.Err.Error()
+	}
 }
 
 func (g *Group) add(a Arrival, res Result, inTime bool) {
@@ -142,8 +147,7 @@
 		g.Late++
 	default:
 		g.Failed++
-		code := mn.CodeOf(res.Err)
-		g.Codes[code.String()]++
+		g.Codes[codeOf(res.Err)]++
 		if a.WithinRate && refusal(res.Err) {
 			g.RefusedWithinRate++
 		}
@@ -158,6 +162,14 @@
 	}
 }
 
+// codeOf returns the result code of err, empty for nil.
+func codeOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return mn.CodeOf(err).String()
+}
+
 // refusal says whether err says that the request was not run.
 func refusal(err error) bool { return mn.AsError(err).Outcome == mn.OutcomeNotRun }
 
