Cut the batch for prompt jobs that miss their deadlines

Output ratios are no longer learned from answers cut short at the deadline, which made the flood's jobs look short; refused jobs lower the speeds they were refused by, so that one slow measurement can't refuse work forever.

--- a/codes_test.go
+++ b/codes_test.go
@@ -1,6 +1,7 @@
 package mustardnotch
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -16,6 +17,8 @@
 	require.Equal(t, OutcomeNotRun, got.Outcome)
 	require.Equal(t, 20*Millisecond, got.RetryAfter)
 	require.Equal(t, OutcomeUnknown, AsError(errors.New("x")).Outcome)
+	require.Equal(t, DeadlineExceeded, CodeOf(fmt.Errorf("read: %w", context.DeadlineExceeded)))
+	require.Equal(t, Cancelled, CodeOf(context.Canceled))
 }
 
 func TestParseCode(t *testing.T) {
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -7,6 +7,7 @@
 type Grant struct {
 	queue   *Queue
 	line    *line
+	waiter  *waiter
 	job     Job
 	charged Cost
 	pace    float64
@@ -19,7 +20,7 @@
 
 // start counts w as running.
 func (q *Queue) start(l *line, w *waiter) *Grant {
-	g := &Grant{queue: q, line: l, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now(), batch: q.running + 1}
+	g := &Grant{queue: q, line: l, waiter: w, job: w.job, charged: w.cost, prompt: w.job.Prompt, started: q.clock.Now(), batch: q.running + 1}
 	if service := q.service(l, w.job); service > 0 {
 		g.pace = float64(w.cost) / service
 	}
@@ -60,7 +61,7 @@
 		q.speeds.measurePrefill(batch, prompt, g.first-g.started)
 		q.speeds.measureDecode(batch, output, now-g.first)
 	}
-	q.limit.ended(g.started, g.job.Deadline, now, q.waiting > 0)
+	q.limit.ended(g.waiter, g.started, now, q.waiting > 0)
 	q.prefill -= g.prompt
 	q.pace -= g.pace
 	q.running--
@@ -81,9 +82,14 @@
 	if len(l.waiters) > 0 {
 		l.deficit += g.charged - q.limits.cost(prompt, output)
 	}
-	if g.job.Output > 0 {
-		ratio := min(float64(output)/float64(g.job.Output), 1)
-		l.ratio = average(l.ratio, ratio)
-		q.ratio = average(q.ratio, ratio)
+	if g.job.Output <= 0 {
+		return
+	}
+	late := g.job.Deadline != 0 && q.clock.Now() >= g.job.Deadline
+	ratio := min(float64(output)/float64(g.job.Output), 1)
+	if late && ratio < l.ratio {
+		return // its output may have been cut short
 	}
+	l.ratio = average(l.ratio, ratio)
+	q.ratio = average(q.ratio, ratio)
 }
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -233,7 +233,8 @@
 		w := q.pop(l)
 		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
-			q.limit.refused(w.arrived, w.job.Deadline, q.clock.Now())
+			q.limit.refused(w, q.clock.Now())
+			q.speeds.doubt(min(q.running+1, q.limit.jobs()))
 			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -5,6 +5,9 @@
 // speedGain is the weight of a new measurement in the moving averages.
 const speedGain = 0.1
 
+// doubtFactor is what a refused job leaves of the times measured.
+const doubtFactor = 0.997
+
 // minMeasuredPrompt is the shortest prefill that tells the prefill speed; a
 // shorter one is mostly the wait for the batch's next step.
 const minMeasuredPrompt Tokens = 64
@@ -58,6 +61,15 @@
 	}
 }
 
+// doubt makes what is known of that batch a little faster, after it had a job
+// refused. Jobs that are refused measure nothing, so without doubt one slow
+// measurement could refuse work forever.
+func (s *speeds) doubt(running int) {
+	v := &s[bucket(running)]
+	v.PrefillMillis *= doubtFactor
+	v.DecodeMillis *= doubtFactor
+}
+
 func average(old, measured float64) float64 {
 	if old == 0 {
 		return measured
--- a/error.go
+++ b/error.go
@@ -1,6 +1,7 @@
 package mustardnotch
 
 import (
+	"context"
 	"errors"
 	"fmt"
 )
@@ -83,8 +84,9 @@
 	return AsError(err).Code
 }
 
-// AsError returns the first Error in err's chain, or err wrapped as
-// [Internal] with an unknown outcome. It returns nil for nil.
+// AsError returns the first Error in err's chain, or err wrapped with an
+// unknown outcome: as [DeadlineExceeded] or [Cancelled] if a context ended, else
+// as [Internal]. It returns nil for nil.
 func AsError(err error) *Error {
 	if err == nil {
 		return nil
@@ -93,5 +95,15 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return &Error{Code: Internal, Outcome: OutcomeUnknown, Detail: err.Error(), Cause: err}
+	return &Error{Code: contextCode(err), Outcome: OutcomeUnknown, Detail: err.Error(), Cause: err}
+}
+
+func contextCode(err error) Code {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return DeadlineExceeded
+	case errors.Is(err, context.Canceled):
+		return Cancelled
+	}
+	return Internal
 }
