--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -32,7 +32,11 @@
 	if err != nil {
 		return err
 	}
-	s.wg.Go(func() { s.runGeneration(ctx, r, c, answer) })
+	s.running.Add(1)
+	s.wg.Go(func() {
+		defer s.running.Add(-1)
+		s.runGeneration(ctx, r, c, answer)
+	})
 	if r.Generation.PrefillOnly {
 		return answer.Read(ctx, first, out.send) // the agent that generates records it
 	}
