--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -3,12 +3,21 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"math"
 	"sync"
 
 	mn "mustardnotch"
 )
 
+// Counters of the process.
+var (
+	started    = expvar.NewInt("queue_started")
+	refused    = expvar.NewInt("queue_refused_deadline")
+	overloaded = expvar.NewInt("queue_refused_full")
+	cuts       = expvar.NewInt("queue_limit_cuts")
+)
+
 // refusalConfidence scales the estimates of waiting and service of a new job
 // before they are held against its deadline, so that an estimate a little too
 // high refuses nothing that would have been in time.
@@ -135,7 +144,7 @@
 	}
 	w := &waiter{job: job, cost: q.limits.cost(job.Prompt, l.expected(job)), arrived: q.clock.Now(), decided: make(chan struct{})}
 	if len(l.waiters) == 0 {
-		q.activate(l)
+		q.activate(l, w.cost)
 	}
 	l.waiters = append(l.waiters, w)
 	l.backlog += w.cost
@@ -146,13 +155,13 @@
 	return w, nil
 }
 
-// activate takes l into the round. A line that owes nothing goes first, on
-// credit, so that a customer that sends little doesn't wait for one that sends
-// much. What it then owes is paid by rounds, also those that pass without it.
-func (q *Queue) activate(l *line) {
-	if l.deficit < 0 {
-		l.deficit = min(0, l.deficit+(q.rounds-l.left)*q.limits.Quantum*l.weight)
-	}
+// activate takes l, whose first job costs that much, into the round. A line
+// earns while it is idle, though no more than for one job. One that owes
+// nothing goes first, on credit, so that a customer that sends little doesn't
+// wait for one that sends much.
+func (q *Queue) activate(l *line, cost Cost) {
+	earned := (q.rounds - l.left) * q.limits.Quantum * l.weight
+	l.deficit = min(l.deficit+earned, cost)
 	l.fresh = l.deficit >= 0
 	if !l.fresh {
 		q.active = append(q.active, l)
@@ -170,6 +179,7 @@
 	full := q.waiting >= q.limits.Queued || len(l.waiters) >= q.limits.PerCustomer
 	if full && q.running >= q.limit.jobs() {
 		q.overflow++
+		overloaded.Add(1)
 		return mn.Errorf(mn.Overloaded, "%d jobs of customer %q and %d in all are waiting", len(l.waiters), job.Customer, q.waiting).
 			WithRetry(q.wait(l))
 	}
@@ -185,6 +195,7 @@
 
 func (q *Queue) refuse(job Job, need, left mn.Millis) *mn.Error {
 	q.refused++
+	refused.Add(1)
 	return mn.Errorf(mn.DeadlineTooShort, "customer %q: %d ms are left, at least %d ms are needed", job.Customer, left, need).
 		WithRetry(max(need-left, mn.Millisecond))
 }
@@ -222,6 +233,8 @@
 		w := q.pop(l)
 		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
+			q.limit.refused(w, q.clock.Now())
+			q.speeds.doubt(min(q.running+1, q.limit.jobs()))
 			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
