Tell the other entries of a crash before going on

One way: the log tells other entries of a crash later than the caller's next try reaches them. An entry now tells them itself and waits, at most 500 ms, until they know.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -51,8 +51,10 @@
 	Retries *retry.Budget
 	// Poisons knows which requests crashed endpoints.
 	Poisons *poison.Tracker
-	Tracer  trace.Tracer
-	Log     *logrus.Entry
+	// Alarm tells the other entries of a crash and returns once they know.
+	Alarm  func(ctx context.Context, p mn.Poison)
+	Tracer trace.Tracer
+	Log    *logrus.Entry
 	// MaxBody bounds a request's size in bytes.
 	MaxBody int64
 	// Drain says whether the entry is leaving.
@@ -108,6 +110,15 @@
 	return ToConnect(err)
 }
 
+// crashed notes that the request with content crashed the endpoint on vm, here
+// and at the other entries, and returns the crash as it goes with the request.
+func (s *Server) crashed(ctx context.Context, content string, vm mn.VMID) *meshpb.Crash {
+	p := mn.Poison{Fingerprint: content, VM: vm, Wall: s.Clock.Wall()}
+	s.Poisons.Add(p)
+	s.Alarm(ctx, p)
+	return &meshpb.Crash{Vm: string(p.VM), WallMs: int64(p.Wall)}
+}
+
 func remote(ctx context.Context, h http.Header) context.Context {
 	return propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(h))
 }
--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -108,9 +108,7 @@
 	}
 	g.avoid = append(g.avoid, m.VM)
 	if mn.CodeOf(err) == poison.EndpointCrashed {
-		c := mn.Poison{Fingerprint: content, VM: m.VM, Wall: s.Clock.Wall()}
-		s.Poisons.Add(c)
-		r.Crashes = append(r.Crashes, &meshpb.Crash{Vm: string(c.VM), WallMs: int64(c.Wall)})
+		r.Crashes = append(r.Crashes, s.crashed(ctx, content, m.VM))
 	}
 	return err
 }
--- a/io/caller/job.go
+++ b/io/caller/job.go
@@ -149,13 +149,13 @@
 	}
 	if err != nil {
 		spans.Fail(span, err)
-		j.learn(m, mn.AsError(err))
+		j.learn(ctx, m, mn.AsError(err))
 	}
 	return err
 }
 
 // learn takes the failure of the call at m into account for the next try.
-func (j *job) learn(m mn.Member, err *mn.Error) {
+func (j *job) learn(ctx context.Context, m mn.Member, err *mn.Error) {
 	if !slices.Contains(j.avoid, m.VM) {
 		j.avoid = append(j.avoid, m.VM)
 	}
@@ -165,9 +165,7 @@
 		j.request.Agent = ""
 	}
 	if err.Code == poison.EndpointCrashed {
-		c := mn.Poison{Fingerprint: j.content(), VM: m.VM, Wall: j.server.Clock.Wall()}
-		j.server.Poisons.Add(c)
-		j.request.Crashes = append(j.request.Crashes, &meshpb.Crash{Vm: string(c.VM), WallMs: int64(c.Wall)})
+		j.request.Crashes = append(j.request.Crashes, j.server.crashed(ctx, j.content(), m.VM))
 	}
 }
 
--- /dev/null
+++ b/io/peer/alarm.go
@@ -0,0 +1,30 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+)
+
+// Alarm tells the process to that a request crashed an endpoint, and returns
+// once it knows.
+func (c *Client) Alarm(ctx context.Context, to mn.Member, p mn.Poison) error {
+	_, err := c.service(ctx, to.Addr).Alarm(ctx, &meshpb.AlarmRequest{
+		Fingerprint: p.Fingerprint,
+		Crash:       &meshpb.Crash{Vm: string(p.VM), WallMs: int64(p.Wall)},
+	})
+	if err != nil {
+		return fmt.Errorf("alarm %s at %s: %w", to.VM, to.Addr, err)
+	}
+	return nil
+}
+
+// Alarm implements the Peer service.
+func (s *Server) Alarm(_ context.Context, in *meshpb.AlarmRequest) (*meshpb.AlarmReply, error) {
+	if s.alarmed != nil && in.Crash != nil {
+		s.alarmed(mn.Poison{Fingerprint: in.Fingerprint, VM: mn.VMID(in.Crash.Vm), Wall: mn.Millis(in.Crash.WallMs)})
+	}
+	return &meshpb.AlarmReply{}, nil
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -36,6 +36,7 @@
 	monitor  *fresh.Monitor
 	status   StatusFunc
 	borrower Borrower
+	alarmed  func(mn.Poison)
 	stop     <-chan struct{}
 }
 
@@ -46,6 +47,10 @@
 	return &Server{fold: fold, monitor: monitor, status: status, borrower: borrower, stop: stop}
 }
 
+// OnAlarm has f called with each crash that a peer tells of. It is set before
+// the server is registered.
+func (s *Server) OnAlarm(f func(mn.Poison)) { s.alarmed = f }
+
 // Register adds the Peer service to mux.
 func (s *Server) Register(mux drpc.Mux) error {
 	return meshpb.DRPCRegisterPeer(mux, s)
--- /dev/null
+++ b/node/alarm.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+// alarmLimit bounds how long an entry waits for the others to know of a crash
+// before it goes on.
+const alarmLimit = 500 * mn.Millisecond
+
+// alarm tells every other entry of a crash and waits until they know. The log
+// tells them too, but later than the same request may reach them: its caller
+// sends it again through another entry as soon as it is refused.
+func (e *Entry) alarm(ctx context.Context, p mn.Poison) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), alarmLimit.Duration())
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, m := range e.fold.View().Entries() {
+		if m.VM == e.self.VM {
+			continue
+		}
+		wg.Go(func() {
+			if err := e.config.peers.Alarm(ctx, m, p); err != nil {
+				e.warn("alarm_failed", err)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/node/config.go
+++ b/node/config.go
@@ -40,8 +40,10 @@
 	// status and borrower, if set before the process runs, answer peers.
 	status   peer.StatusFunc
 	borrower peer.Borrower
-	left     chan struct{}
-	leave    sync.Once
+	// alarmed, if set, takes the crashes that peers tell of.
+	alarmed func(mn.Poison)
+	left    chan struct{}
+	leave   sync.Once
 }
 
 func newConfig(b *base) *config {
@@ -70,7 +72,9 @@
 
 // registerPeer adds the Peer service to mux.
 func (b *base) registerPeer(mux drpc.Mux) error {
-	return peer.NewServer(b.fold, b.config.monitor, b.config.describe(b), b.config.borrower, b.config.left).Register(mux)
+	server := peer.NewServer(b.fold, b.config.monitor, b.config.describe(b), b.config.borrower, b.config.left)
+	server.OnAlarm(b.config.alarmed)
+	return server.Register(mux)
 }
 
 func (c *config) describe(b *base) peer.StatusFunc {
--- a/node/entry.go
+++ b/node/entry.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 
 	mn "mustardnotch"
+	"mustardnotch/core/poison"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/route"
 	"mustardnotch/io/agent"
@@ -23,6 +24,7 @@
 	callers *http.Server
 	table   *route.Table
 	agents  *agent.Client
+	poisons *poison.Tracker
 	control *control
 }
 
@@ -35,8 +37,11 @@
 	routing := route.DefaultSettings(s.DataCentre)
 	routing.Policy = route.Policy(s.Router)
 	agents := agent.New(b.conns)
+	poisons := newTracker(b)
+	b.config.alarmed = poisons.Add
 	return &Entry{
 		base:    b,
+		poisons: poisons,
 		table:   route.New(b.clock, b.fold, routing),
 		agents:  agents,
 		control: newControl(b, agents),
@@ -119,7 +124,8 @@
 		Recorder: unrecorded{},
 		Agents:   e.agents,
 		Retries:  retry.New(retry.DefaultConfig(), e.clock),
-		Poisons:  newTracker(e.base),
+		Poisons:  e.poisons,
+		Alarm:    e.alarm,
 		Tracer:   e.tracer,
 		Log:      e.log,
 		MaxBody:  e.settings.MaxBody,
