--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -22,16 +22,29 @@
 // before it goes on at another.
 const attachTries = 3
 
+// maxFailures is how many engines may fail over one generation, whether they
+// are seen to crash or not.
+const maxFailures = 2
+
+func engineFailed(err *mn.Error) bool {
+	if wire.IsLink(err) || err.Outcome == mn.OutcomeNotRun {
+		return false
+	}
+	return err.Code == poison.EndpointCrashed || err.Code == mn.EndpointFailed || err.Code == mn.Truncated
+}
+
 // generation is one generation on its way to its caller, by one agent or
 // several.
 type generation struct {
-	server   *Server
-	request  *meshpb.Request
-	sink     func(mn.VMID, *meshpb.Frame) error
-	text     strings.Builder
-	backoff  retry.Backoff
-	avoid    []mn.VMID
-	sinkErr  error
+	server  *Server
+	request *meshpb.Request
+	sink    func(mn.VMID, *meshpb.Frame) error
+	text    strings.Builder
+	backoff retry.Backoff
+	avoid   []mn.VMID
+	sinkErr error
+	// failures counts the engines that failed while they worked on it.
+	failures int
 	sequence int64
 	tokens   int64
 	began    mn.Millis
@@ -49,16 +62,22 @@
 		if err == nil || g.sinkErr != nil {
 			return err
 		}
-		if !g.again(ctx, mn.AsError(err)) {
-			return g.final(err)
+		if g.again(ctx, mn.AsError(err)) {
+			continue
 		}
+		if q := s.quarantined(g.content); q != nil {
+			err = q
+		}
+		return g.final(err)
 	}
 }
 
-// final returns err with an outcome that takes account of what was sent.
+// final returns err with an outcome that takes account of what was sent, and
+// of engines that failed while they worked on the request.
 func (g *generation) final(err error) error {
 	e := mn.AsError(err)
-	if g.sequence > g.request.Generation.PrefixSequence && e.Outcome == mn.OutcomeNotRun {
+	began := g.failures > 0 || g.sequence > g.request.Generation.PrefixSequence
+	if began && e.Outcome == mn.OutcomeNotRun {
 		return e.WithOutcome(mn.OutcomeUnknown)
 	}
 	return err
@@ -69,7 +88,7 @@
 	if err.Code == mn.DeadlineTooShort && len(g.avoid) == 1 && ctx.Err() == nil {
 		return s.Retries.Withdraw() // another agent may be less busy
 	}
-	if ctx.Err() != nil || !retry.Helps(err) || s.Clock.Now()-g.began > patience && g.request.DeadlineMs == 0 {
+	if g.failures >= maxFailures || ctx.Err() != nil || !retry.Helps(err) || s.Clock.Now()-g.began > patience && g.request.DeadlineMs == 0 {
 		return false
 	}
 	return s.Retries.Withdraw() && s.pause(ctx, &g.backoff, err)
@@ -78,8 +97,7 @@
 // try runs the generation at one agent.
 func (g *generation) try(ctx context.Context) error {
 	s, r := g.server, g.request
-	content := poison.Fingerprint(mn.PoolID(r.Pool), r.Generation.Prompt)
-	if err := s.Poisons.Check(content); err != nil {
+	if err := s.quarantined(g.content); err != nil {
 		return err
 	}
 	r.Id = string(mn.NewRequestID())
@@ -107,8 +125,11 @@
 		return nil
 	}
 	g.avoid = append(g.avoid, m.VM)
+	if engineFailed(mn.AsError(err)) {
+		g.failures++
+	}
 	if mn.CodeOf(err) == poison.EndpointCrashed {
-		r.Crashes = append(r.Crashes, s.crashed(ctx, content, m.VM))
+		r.Crashes = append(r.Crashes, s.crashed(ctx, g.content(), m.VM))
 	}
 	return err
 }
@@ -123,6 +144,10 @@
 	return vms
 }
 
+func (g *generation) content() string {
+	return poison.Fingerprint(mn.PoolID(g.request.Pool), g.request.Generation.Prompt)
+}
+
 func (g *generation) runAt(ctx context.Context, m mn.Member) error {
 	s, r := g.server, g.request
 	ctx, span := s.Tracer.Start(ctx, "entry.submit")
--- a/procs/stream_test.go
+++ b/procs/stream_test.go
@@ -158,6 +158,12 @@
 		_, _, err := generate(t.Context(), one, fakes.PoisonPrompt+" spec", 20)
 		require.Error(t, err)
 		codes[mn.CodeOf(err)]++
+		if i == 0 {
+			require.Equal(t, mn.OutcomeUnknown, mn.AsError(err).Outcome, "the first request did run: %v", err)
+		} else {
+			require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome, "%v", err)
+		}
+		t.Logf("request %d: %v", i, err)
 	}
 	require.Equal(t, 10, codes[mn.Quarantined], "%v", codes)
 	dead := 0
