--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -62,22 +62,23 @@
 		if err == nil || g.sinkErr != nil {
 			return err
 		}
-		if g.again(ctx, mn.AsError(err)) {
-			continue
+		if !g.again(ctx, mn.AsError(err)) {
+			return g.final(err)
 		}
-		if q := s.quarantined(g.content); q != nil {
-			err = q
-		}
-		return g.final(err)
 	}
 }
 
-// final returns err with an outcome that takes account of what was sent, and
-// of engines that failed while they worked on the request.
+// final returns err with an outcome that takes account of what was sent and of
+// engines that failed over it.
 func (g *generation) final(err error) error {
+	if g.failures >= maxFailures {
+		if q := g.server.quarantined(g.content); q != nil {
+			err = q
+		}
+	}
 	e := mn.AsError(err)
-	began := g.failures > 0 || g.sequence > g.request.Generation.PrefixSequence
-	if began && e.Outcome == mn.OutcomeNotRun {
+	ran := g.failures > 0 || g.sequence > g.request.Generation.PrefixSequence
+	if ran && e.Outcome == mn.OutcomeNotRun {
 		return e.WithOutcome(mn.OutcomeUnknown)
 	}
 	return err
--- a/procs/stream_test.go
+++ b/procs/stream_test.go
@@ -164,6 +164,7 @@
 			require.Equal(t, mn.OutcomeNotRun, mn.AsError(err).Outcome, "%v", err)
 		}
 		t.Logf("request %d: %v", i, err)
+		require.Equal(t, i == 0, mn.AsError(err).Outcome == mn.OutcomeUnknown, "only the first request ran")
 	}
 	require.Equal(t, 10, codes[mn.Quarantined], "%v", codes)
 	dead := 0
