--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -129,3 +129,20 @@
 	require.Zero(t, left)
 	require.EqualValues(t, 2, cut)
 }
+
+// TestAwaitWaitsForTheFold checks that a request based on an offset which the
+// process is about to fold is not refused.
+func TestAwaitWaitsForTheFold(t *testing.T) {
+	m, f := pair(t, mn.NewManualClock(1), Answer{}, 0)
+	require.NoError(t, Await(t.Context(), f, 2))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, mn.NotCurrent, mn.CodeOf(Await(ctx, f, 3)))
+	done := make(chan error)
+	go func() { done <- Await(t.Context(), f, 3) }()
+	data, err := mn.EncodeRecord(&mn.Record{Version: 1, ID: "r3", Leave: &mn.Departure{VM: "b", Incarnation: "1"}})
+	require.NoError(t, err)
+	require.NoError(t, f.Apply([]mn.LogEntry{{Offset: 3, Data: data}}))
+	require.NoError(t, <-done)
+	require.EqualValues(t, 3, m.Known())
+}
