--- a/node/control.go
+++ b/node/control.go
@@ -200,23 +200,8 @@
 }
 
 func (c *control) resizePool(ctx context.Context, p mn.Pool, agents []mn.Member, states []mn.FleetState) {
-	current := map[mn.DataCentre]int64{}
-	demand := map[mn.DataCentre]float64{}
-	var total int64
-	for _, s := range states {
-		if s.Pool == p.ID {
-			current[s.DataCentre] = s.Target
-			demand[s.DataCentre] = 0
-			total += s.Target
-		}
-	}
-	if total == 0 {
-		for _, a := range agents {
-			current[a.DataCentre]++
-			total++
-		}
-	}
-	load := c.demand(agents, demand)
+	current, total := sizes(p.ID, agents, states)
+	demand, load := c.demand(agents, current)
 	if len(demand) == 0 {
 		return
 	}
@@ -240,14 +225,36 @@
 	}
 }
 
-// demand adds the load of agents by data centre to demand and returns the sum,
-// in endpoints.
-func (c *control) demand(agents []mn.Member, demand map[mn.DataCentre]float64) float64 {
+// sizes returns a pool's size by data centre and its sum: what was ordered,
+// or as many as there are where nothing was ordered yet.
+func sizes(pool mn.PoolID, agents []mn.Member, states []mn.FleetState) (current map[mn.DataCentre]int64, total int64) {
+	current = map[mn.DataCentre]int64{}
+	for _, s := range states {
+		if s.Pool == pool {
+			current[s.DataCentre] = s.Target
+			total += s.Target
+		}
+	}
+	if total > 0 {
+		return current, total
+	}
+	for _, a := range agents {
+		current[a.DataCentre]++
+		total++
+	}
+	return current, total
+}
+
+// demand returns the load of agents by data centre, in endpoints, and its sum.
+// Data centres that the pool has a size for are always among them.
+func (c *control) demand(agents []mn.Member, current map[mn.DataCentre]int64) (demand map[mn.DataCentre]float64, sum float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var sum float64
+	demand = map[mn.DataCentre]float64{}
+	for dc := range current {
+		demand[dc] = 0
+	}
 	for _, a := range agents {
-		demand[a.DataCentre] += 0
 		r := c.loads[a.VM]
 		if r == nil || r.Limit == 0 {
 			continue
@@ -256,5 +263,5 @@
 		demand[a.DataCentre] += load
 		sum += load
 	}
-	return sum
+	return demand, sum
 }
