--- a/core/fleet/roles.go
+++ b/core/fleet/roles.go
@@ -24,7 +24,7 @@
 
 // DefaultRoleSettings returns the settings of a production system.
 func DefaultRoleSettings() RoleSettings {
-	return RoleSettings{Horizon: 60 * mn.Second, Away: 5 * mn.Second, Gain: 0.08, Shift: 0.35, Efficiency: 0.8}
+	return RoleSettings{Horizon: 60 * mn.Second, Away: 5 * mn.Second, Gain: 0.08, Shift: 0.35, Efficiency: 1}
 }
 
 // EngineInfo is what the policy knows of an engine in service.
