--- a/core/route/capacity_test.go
+++ b/core/route/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -31,3 +32,49 @@
 		}
 	}
 }
+
+// BenchmarkIndex measures the memory of the prefix index by its blocks.
+func BenchmarkIndex(b *testing.B) {
+	for _, blocks := range []int{1 << 12, 1 << 14, 1 << 16} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			x := newIndex(blocks)
+			for i := range blocks {
+				for h := range holdersPerBlock {
+					x.add(Block(i*7919), holder{vm: mn.VMID(fmt.Sprintf("agent-%d", h))})
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			i := 0
+			for b.Loop() {
+				i++
+				x.add(Block(i*7919), holder{vm: "agent-9"})
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(blocks), "heap_bytes/block")
+			runtime.KeepAlive(x)
+		})
+	}
+}
+
+// BenchmarkReport measures the table's work for one load report.
+func BenchmarkReport(b *testing.B) {
+	for _, agents := range []int{9, 48, 600} {
+		for _, events := range []int{0, 32} {
+			b.Run(fmt.Sprintf("agents=%d/events=%d", agents, events), func(b *testing.B) {
+				t := New(mn.NewManualClock(1), roster(3, agents), DefaultSettings("a"))
+				e := make([]Event, events)
+				i := 0
+				for b.Loop() {
+					for j := range e {
+						i++
+						e[j].Block = Block(i)
+					}
+					t.Report("agent-00", Report{Running: 3}, e, false)
+				}
+			})
+		}
+	}
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -186,11 +186,15 @@
 	if job.Deadline == 0 {
 		return nil
 	}
-	need := q.wait(l) + mn.Millis(refusalConfidence*q.service(l, job))
-	if left := job.Deadline - q.clock.Now(); need > left {
-		return q.refuse(job, need, left)
+	wait, service := q.wait(l), mn.Millis(refusalConfidence*q.service(l, job))
+	left := job.Deadline - q.clock.Now()
+	if wait+service <= left {
+		return nil
+	}
+	if service > left {
+		q.doubt()
 	}
-	return nil
+	return q.refuse(job, wait+service, left)
 }
 
 func (q *Queue) refuse(job Job, need, left mn.Millis) *mn.Error {
@@ -200,6 +204,10 @@
 		WithRetry(max(need-left, mn.Millisecond))
 }
 
+// doubt trusts the speeds at the present batch a little less, after they had a
+// job refused.
+func (q *Queue) doubt() { q.speeds.doubt(min(q.running+1, q.limit.jobs())) }
+
 // service estimates the milliseconds that the endpoint takes over job if it
 // starts now.
 func (q *Queue) service(l *line, job Job) float64 {
@@ -234,7 +242,7 @@
 		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
 			q.limit.refused(w, q.clock.Now())
-			q.speeds.doubt(min(q.running+1, q.limit.jobs()))
+			q.doubt()
 			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
