Bound the prompt tokens that wait for prefill at the engine

A batch of 16 new requests holds some 16,000 prompt tokens, which the engine prefills in its own order of arrival, past the fair queue. Now at most 2,048 prompt tokens are handed over before their prefill ends.

--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -43,6 +43,7 @@
 	g.first = q.clock.Now()
 	q.prefill -= g.prompt
 	g.prompt = 0
+	q.dispatch()
 }
 
 // Done tells that the job has left the endpoint, which prefilled prompt tokens
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -27,6 +27,10 @@
 type Limits struct {
 	// Running is how many jobs are at the endpoint at once.
 	Running int
+	// Prefill bounds the prompt tokens at the endpoint that wait for prefill, so
+	// that work waits here in turn and not there in order of arrival; 0 for no
+	// bound.
+	Prefill Tokens
 	// PerCustomer is how many jobs of one customer may wait.
 	PerCustomer int
 	// Queued is how many jobs may wait in all.
@@ -39,7 +43,7 @@
 
 // DefaultLimits suits a model engine that batches 32 requests.
 func DefaultLimits() Limits {
-	return Limits{Running: 32, PerCustomer: 256, Queued: 1024, Quantum: 512, OutputCost: 4}
+	return Limits{Running: 32, Prefill: 2048, PerCustomer: 256, Queued: 1024, Quantum: 512, OutputCost: 4}
 }
 
 func (l Limits) cost(prompt, output Tokens) Cost {
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -177,7 +177,7 @@
 // admit refuses a job that finds no room, or that can't be in time.
 func (q *Queue) admit(l *line, job Job) error {
 	full := q.waiting >= q.limits.Queued || len(l.waiters) >= q.limits.PerCustomer
-	if full && q.running >= q.limit.jobs() {
+	if full && q.busy() {
 		q.overflow++
 		overloaded.Add(1)
 		return mn.Errorf(mn.Overloaded, "%d jobs of customer %q and %d in all are waiting", len(l.waiters), job.Customer, q.waiting).
@@ -218,7 +218,7 @@
 // customer's own backlog is done at the customer's part of the pace, or until
 // everything is done, whichever comes first.
 func (q *Queue) wait(l *line) mn.Millis {
-	if q.running < q.limit.jobs() || q.pace <= 0 {
+	if !q.busy() || q.pace <= 0 {
 		return 0
 	}
 	weights := l.weight
@@ -231,9 +231,14 @@
 	return mn.Millis(refusalConfidence * float64(ahead) / q.pace)
 }
 
+// busy says whether the endpoint has no room for another job.
+func (q *Queue) busy() bool {
+	return q.running >= q.limit.jobs() || q.limits.Prefill > 0 && q.prefill >= q.limits.Prefill
+}
+
 // dispatch hands jobs to the endpoint while it has room.
 func (q *Queue) dispatch() {
-	for q.running < q.limit.jobs() {
+	for !q.busy() {
 		l := q.next()
 		if l == nil {
 			return
