--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -177,7 +177,7 @@
 // admit refuses a job that finds no room, or that can't be in time.
 func (q *Queue) admit(l *line, job Job) error {
 	full := q.waiting >= q.limits.Queued || len(l.waiters) >= q.limits.PerCustomer
-	if full && q.running >= q.limit.jobs() {
+	if full && q.busy() {
 		q.overflow++
 		overloaded.Add(1)
 		return mn.Errorf(mn.Overloaded, "%d jobs of customer %q and %d in all are waiting", len(l.waiters), job.Customer, q.waiting).
@@ -186,11 +186,15 @@
 	if job.Deadline == 0 {
 		return nil
 	}
-	need := q.wait(l) + mn.Millis(refusalConfidence*q.service(l, job))
-	if left := job.Deadline - q.clock.Now(); need > left {
-		return q.refuse(job, need, left)
+	wait, service := q.wait(l), mn.Millis(refusalConfidence*q.service(l, job))
+	left := job.Deadline - q.clock.Now()
+	if wait+service <= left {
+		return nil
+	}
+	if service > left {
+		q.doubt()
 	}
-	return nil
+	return q.refuse(job, wait+service, left)
 }
 
 func (q *Queue) refuse(job Job, need, left mn.Millis) *mn.Error {
@@ -200,6 +204,10 @@
 		WithRetry(max(need-left, mn.Millisecond))
 }
 
+// doubt trusts the speeds at the present batch a little less, after they had a
+// job refused.
+func (q *Queue) doubt() { q.speeds.doubt(min(q.running+1, q.limit.jobs())) }
+
 // service estimates the milliseconds that the endpoint takes over job if it
 // starts now.
 func (q *Queue) service(l *line, job Job) float64 {
@@ -210,7 +218,7 @@
 // customer's own backlog is done at the customer's part of the pace, or until
 // everything is done, whichever comes first.
 func (q *Queue) wait(l *line) mn.Millis {
-	if q.running < q.limit.jobs() || q.pace <= 0 {
+	if !q.busy() || q.pace <= 0 {
 		return 0
 	}
 	weights := l.weight
@@ -223,9 +231,14 @@
 	return mn.Millis(refusalConfidence * float64(ahead) / q.pace)
 }
 
+// busy says whether the endpoint has no room for another job.
+func (q *Queue) busy() bool {
+	return q.running >= q.limit.jobs() || q.limits.Prefill > 0 && q.prefill >= q.limits.Prefill
+}
+
 // dispatch hands jobs to the endpoint while it has room.
 func (q *Queue) dispatch() {
-	for q.running < q.limit.jobs() {
+	for !q.busy() {
 		l := q.next()
 		if l == nil {
 			return
@@ -234,7 +247,7 @@
 		if need, left := mn.Millis(q.service(l, w.job)), w.job.Deadline-q.clock.Now(); w.job.Deadline != 0 && need > left {
 			l.deficit += w.cost
 			q.limit.refused(w, q.clock.Now())
-			q.speeds.doubt(min(q.running+1, q.limit.jobs()))
+			q.doubt()
 			w.err = q.refuse(w.job, need, left)
 		} else {
 			w.grant = q.start(l, w)
