--- a/gauge/idle.go
+++ b/gauge/idle.go
@@ -63,7 +63,7 @@
 func usages(c *procs.Cluster) (map[mn.VMID]usage, error) {
 	all := map[mn.VMID]usage{}
 	for id, n := range c.Nodes {
-		processor, err := cpu(n.Proc)
+		processor, err := n.Proc.CPU()
 		if err != nil {
 			return nil, err
 		}
@@ -91,7 +91,7 @@
 		if node.VM.Role != role {
 			continue
 		}
-		r, err := resident(node.Proc)
+		r, err := node.Proc.Resident()
 		if err != nil {
 			return err
 		}
