Divide customers' rates into shares that are lent

Cause: entries admitted every request; nothing held a customer to its rate over all VMs together.

Weighed: a single owner, a static division, and equal shares lent on demand. Ruled out: tokens by the log.

A share grows only once every current process has read of the division; loans count against the lender's cap until they end.

Fold.OnView gives every view in order, which the division needs.

--- a/core/conf/fold.go
+++ b/core/conf/fold.go
@@ -43,6 +43,7 @@
 	order   []mn.RecordID
 	tail    []mn.LogEntry
 	hooks   []Hook
+	viewers []func(*mn.View)
 	waiters map[mn.RecordID]chan Verdict
 	kept    kept
 	rosters []rosterAt
@@ -61,9 +62,12 @@
 	return f
 }
 
-// publish makes v the fold's view.
+// publish makes v the fold's view, after the hooks have it.
 func (f *Fold) publish(v *mn.View) {
 	f.view = v
+	for _, h := range f.viewers {
+		h(v)
+	}
 	f.latest.Store(v)
 }
 
@@ -96,6 +100,19 @@
 	f.kept.replay(f.view.Offset, hook)
 }
 
+// OnView has hook called with the present view and with every later one, in
+// order and before it is returned by View. A view that does not follow on the
+// offset of the one before comes from a snapshot. The hook must not block and
+// must not call the fold.
+func (f *Fold) OnView(hook func(*mn.View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.viewers = append(f.viewers, hook)
+	if f.view.Offset > 0 {
+		hook(f.view)
+	}
+}
+
 // Await returns a channel that receives the verdict on the first record of
 // that id which is folded from now on. The caller calls stop when done.
 func (f *Fold) Await(id mn.RecordID) (verdicts <-chan Verdict, stop func()) {
--- /dev/null
+++ b/core/rates/book.go
@@ -0,0 +1,285 @@
+package rates
+
+import (
+	"context"
+	"expvar"
+	"sync"
+
+	"github.com/google/uuid"
+
+	mn "mustardnotch"
+)
+
+const (
+	// DefaultPatience is how long a request waits for a token by default.
+	DefaultPatience = 200 * mn.Millisecond
+	// borrowTimeout bounds one request for a loan.
+	borrowTimeout = 50 * mn.Millisecond
+	// tickSpan is the span between checks whether a division is settled.
+	tickSpan = 50 * mn.Millisecond
+)
+
+// Counters of all books of the process.
+var (
+	admitted  = expvar.NewInt("rates_admitted")
+	refused   = expvar.NewInt("rates_refused")
+	borrowed  = expvar.NewInt("rates_loans_asked")
+	unserved  = expvar.NewInt("rates_loans_unanswered")
+	waitedFor = expvar.NewInt("rates_waited")
+)
+
+// Currency tells whether this process may act on what it read of the control
+// stream, and what every other process that may act has read.
+type Currency interface {
+	mn.Currency
+	// Settled returns an offset such that each process which is current, now
+	// or later, has folded the control stream at least up to it.
+	Settled() mn.Offset
+}
+
+// Loan asks a holder for tokens of a customer's bucket.
+type Loan struct {
+	// ID makes the loan idempotent.
+	ID       string
+	Customer mn.CustomerID
+	// Amount is in requests.
+	Amount float64
+}
+
+// Lender asks other holders for loans.
+type Lender interface {
+	// Borrow returns the amount that the holder granted. An error leaves it
+	// unknown whether anything was granted; that is then lost.
+	Borrow(ctx context.Context, holder mn.Member, loan Loan) (float64, error)
+}
+
+// Config has what a Book depends on.
+type Config struct {
+	VM          mn.VMID
+	Incarnation mn.Incarnation
+	Clock       mn.Clock
+	Currency    Currency
+	// Lender reaches other holders; nil leaves each entry to its own share.
+	Lender Lender
+	// Holders bounds how many entries hold shares; 0 means [DefaultHolders].
+	Holders int
+	// Patience bounds how long a request waits; 0 means [DefaultPatience].
+	Patience mn.Millis
+}
+
+// Book holds this process's shares of all customers' buckets. It implements
+// [mn.Limiter] and is safe for concurrent use.
+type Book struct {
+	Config
+
+	queueMu sync.Mutex
+	queue   []*mn.View
+
+	mu       sync.Mutex
+	offset   mn.Offset
+	accounts map[mn.CustomerID]*account
+	// gap says that not every offset was seen, held which customers have ever
+	// had a holder.
+	gap  bool
+	held map[mn.CustomerID]bool
+}
+
+// New returns a book before the first view.
+func New(c Config) *Book {
+	if c.Holders <= 0 {
+		c.Holders = DefaultHolders
+	}
+	if c.Patience <= 0 {
+		c.Patience = DefaultPatience
+	}
+	return &Book{Config: c, accounts: map[mn.CustomerID]*account{}, held: map[mn.CustomerID]bool{}}
+}
+
+// Update takes the next view. It has to be called for every offset in order,
+// before the view is in force for [Currency]; a gap gives up all shares until
+// the view after it is settled. It never blocks.
+func (b *Book) Update(v *mn.View) {
+	b.queueMu.Lock()
+	defer b.queueMu.Unlock()
+	b.queue = append(b.queue, v)
+}
+
+// Run brings larger shares in force as they become due, until ctx is done.
+func (b *Book) Run(ctx context.Context) error {
+	for {
+		b.Tick()
+		if err := b.Clock.Sleep(ctx, tickSpan); err != nil {
+			return err
+		}
+	}
+}
+
+// Tick brings larger shares in force that are due.
+func (b *Book) Tick() {
+	settled := b.Currency.Settled()
+	if b.Currency.Current() != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain()
+	now := b.Clock.Now()
+	for _, a := range b.accounts {
+		b.refresh(a, now, settled)
+		a.serve()
+	}
+}
+
+func (b *Book) refresh(a *account, now mn.Millis, settled mn.Offset) {
+	a.refresh(now, settled)
+	if !a.pending {
+		a.settle(settled)
+	}
+}
+
+// Ready says whether every share that this process is to hold is in force.
+func (b *Book) Ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.accounts {
+		if a.pending {
+			return false
+		}
+	}
+	return b.offset > 0
+}
+
+// Serves says whether tokens can be had: from this process's shares or, as
+// far as ask returns something, from another holder's.
+func (b *Book) Serves(ask func(holder mn.Member, l Loan) float64) bool {
+	b.mu.Lock()
+	b.drain()
+	var holders []mn.Member
+	var loan Loan
+	for id, a := range b.accounts {
+		if a.fraction > 0 {
+			b.mu.Unlock()
+			return true
+		}
+		holders, loan = a.division.holders, Loan{ID: uuid.NewString(), Customer: id, Amount: epsilon}
+		break
+	}
+	b.mu.Unlock()
+	for _, m := range holders {
+		if m.VM != b.VM && ask(m, loan) > 0 {
+			return true
+		}
+	}
+	return len(holders) == 0
+}
+
+// drain applies the queued views. The caller holds the lock.
+func (b *Book) drain() {
+	b.queueMu.Lock()
+	views := b.queue
+	b.queue = nil
+	b.queueMu.Unlock()
+	for _, v := range views {
+		b.apply(v)
+	}
+}
+
+func (b *Book) apply(v *mn.View) {
+	if v.Offset <= b.offset {
+		return
+	}
+	now := b.Clock.Now()
+	if v.Offset != b.offset+1 {
+		b.skip(now)
+	}
+	b.offset = v.Offset
+	all := membersOf(v)
+	fresh := !b.gap && v.Roster[b.VM].Incarnation == b.Incarnation
+	for id := range b.accounts {
+		if _, ok := v.Customer(id); !ok {
+			b.drop(id)
+		}
+	}
+	for _, r := range v.Resources {
+		if c := r.Resource.Customer; c != nil {
+			b.applyCustomer(*c, all, fresh, now)
+		}
+	}
+}
+
+// skip gives all shares up, since divisions may have been missed.
+func (b *Book) skip(now mn.Millis) {
+	b.gap = true
+	for _, a := range b.accounts {
+		a.reset(now)
+		a.most = nil
+		a.division = division{}
+	}
+}
+
+func (b *Book) drop(id mn.CustomerID) {
+	b.accounts[id].refuse(func(int, *waiter) error {
+		return mn.Errorf(mn.Unauthenticated, "customer %q is no longer declared", id)
+	})
+	delete(b.accounts, id)
+}
+
+// applyCustomer takes a customer and its division over. With fresh set, this
+// process is on the roster and has seen all of the stream, so that the first
+// holders of a customer's bucket may start full.
+func (b *Book) applyCustomer(c mn.Customer, all members, fresh bool, now mn.Millis) {
+	a, ok := b.accounts[c.ID]
+	if !ok {
+		a = newAccount(c, now)
+		if b.gap || b.held[c.ID] {
+			a.most = nil
+		}
+		b.accounts[c.ID] = a
+	}
+	if a.customer != c {
+		a.customer = c
+		a.limit(c.Rate, c.Burst)
+	}
+	d := divide(c, all, b.Holders)
+	if ok && d.sameVMs(a.division) && len(d.holders) > 0 {
+		a.division = d
+		return
+	}
+	a.divide(d, b.VM, b.offset, now)
+	if len(d.holders) == 0 {
+		return
+	}
+	if fresh && !b.held[c.ID] {
+		a.fill()
+	}
+	b.held[c.ID] = true
+}
+
+// Lend grants a loan from this process's own share, or 0.
+func (b *Book) Lend(l Loan) float64 {
+	a, unlock, err := b.open(l.Customer)
+	if err != nil {
+		return 0
+	}
+	defer unlock()
+	a.serve()
+	return a.lend(l.ID, l.Amount)
+}
+
+// open returns a customer's account, up to date and locked, if this process
+// is current.
+func (b *Book) open(id mn.CustomerID) (*account, func(), error) {
+	settled := b.Currency.Settled()
+	if err := b.Currency.Current(); err != nil {
+		return nil, nil, err
+	}
+	b.mu.Lock()
+	b.drain()
+	a, ok := b.accounts[id]
+	if !ok {
+		b.mu.Unlock()
+		return nil, nil, mn.Errorf(mn.NotCurrent, "customer %q is not known here yet", id)
+	}
+	b.refresh(a, b.Clock.Now(), settled)
+	return a, b.mu.Unlock, nil
+}
