Fold usage into windows that any process computes alike

The first marker with the number of the open window closes it, so that no lease has to be checked to read the stream.

--- /dev/null
+++ b/core/usage/biller.go
@@ -0,0 +1,162 @@
+package usage
+
+import (
+	"context"
+	"expvar"
+
+	mn "mustardnotch"
+)
+
+// Counters of the process.
+var (
+	windowsClosed = expvar.NewInt("usage_windows_closed")
+	reports       = expvar.NewInt("usage_reports")
+	reportsFailed = expvar.NewInt("usage_reports_failed")
+)
+
+// Params sets the rhythm of a biller.
+type Params struct {
+	// Window is the span from one marker to the next.
+	Window mn.Millis
+	// Poll is how long a read waits for records, and the pause after failures.
+	Poll mn.Millis
+	// SummaryEvery is how many records a summary follows on the one before.
+	// It has to be well inside the log's retention.
+	SummaryEvery mn.Offset
+	// ReportTimeout bounds one report. It also ends with the lease.
+	ReportTimeout mn.Millis
+}
+
+// DefaultParams closes a window a minute.
+func DefaultParams() Params {
+	return Params{Window: mn.Minute, Poll: 500 * mn.Millisecond, SummaryEvery: 5000, ReportTimeout: 2 * mn.Second}
+}
+
+// readLimit bounds the records of one read.
+const readLimit = 256
+
+// Authority tells whether this process holds the control lease.
+type Authority interface {
+	// Held returns the term, the instant of the process's own clock at which
+	// the lease ends, and whether the process holds one now.
+	Held() (term mn.Term, until mn.Millis, ok bool)
+}
+
+// Biller closes windows and reports them while its process holds the control
+// lease.
+type Biller struct {
+	vm        mn.VMID
+	log       mn.Log
+	sink      mn.UsageSink
+	clock     mn.Clock
+	authority Authority
+	params    Params
+	fold      *Fold
+	summary   mn.Offset
+}
+
+// NewBiller returns a biller for the process on vm.
+func NewBiller(vm mn.VMID, log mn.Log, sink mn.UsageSink, clock mn.Clock, authority Authority, params Params) *Biller {
+	return &Biller{vm: vm, log: log, sink: sink, clock: clock, authority: authority, params: params, fold: NewFold()}
+}
+
+// Run bills until ctx is done.
+func (b *Biller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := b.Step(ctx); err != nil {
+			_ = b.clock.Sleep(ctx, b.params.Poll)
+		}
+	}
+	return ctx.Err()
+}
+
+// Step reads the usage stream, closes the open window if it is due, and
+// reports the oldest window that isn't known to be reported. Without the lease
+// it only waits.
+func (b *Biller) Step(ctx context.Context) error {
+	if _, _, ok := b.authority.Held(); !ok {
+		return b.clock.Sleep(ctx, b.params.Poll)
+	}
+	behind, err := b.read(ctx)
+	if err != nil || behind {
+		return err
+	}
+	if err := b.closeWindow(ctx); err != nil {
+		return err
+	}
+	if err := b.report(ctx); err != nil {
+		return err
+	}
+	return b.summarize(ctx)
+}
+
+// read folds the next records and says whether there are more.
+func (b *Biller) read(ctx context.Context) (behind bool, err error) {
+	batch, err := b.log.Read(ctx, mn.UsageStream, b.fold.Offset()+1, readLimit, b.params.Poll)
+	if err != nil {
+		return false, err
+	}
+	if err := b.fold.Apply(batch.Entries); err != nil {
+		return false, err
+	}
+	return b.fold.Offset() < batch.Head, nil
+}
+
+func (b *Biller) closeWindow(ctx context.Context) error {
+	window, last, used := b.fold.Window()
+	wall := b.clock.Wall()
+	term, _, ok := b.authority.Held()
+	if !ok || !used || wall-last < b.params.Window {
+		return nil
+	}
+	if err := b.append(ctx, &Record{Marker: &Marker{Window: window, Wall: wall, Term: term}}); err != nil {
+		return err
+	}
+	windowsClosed.Add(1)
+	return nil
+}
+
+// report sends the oldest unreported window. An answer that got lost is asked
+// for again with the same bytes, by this holder or the next.
+func (b *Biller) report(ctx context.Context) error {
+	u, found := b.fold.Next()
+	if !found {
+		return nil
+	}
+	_, until, ok := b.authority.Held()
+	left := min(until-b.clock.Now(), b.params.ReportTimeout)
+	if !ok || left <= 0 {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	if err := b.sink.ReportUsage(limited, u); err != nil {
+		reportsFailed.Add(1)
+		return err
+	}
+	reports.Add(1)
+	return b.append(ctx, &Record{Reported: &Reported{Window: u.Window}})
+}
+
+func (b *Biller) summarize(ctx context.Context) error {
+	s, ok := b.fold.Summary()
+	if !ok || s.AsOf < b.summary+b.params.SummaryEvery {
+		return nil
+	}
+	if err := b.append(ctx, &Record{Summary: &s}); err != nil {
+		return err
+	}
+	b.summary = s.AsOf
+	return nil
+}
+
+func (b *Biller) append(ctx context.Context, r *Record) error {
+	r.Version = mn.RecordVersion
+	r.Writer = b.vm
+	data, err := Encode(r)
+	if err != nil {
+		return err
+	}
+	_, err = b.log.Append(ctx, mn.UsageStream, data)
+	return err
+}
--- /dev/null
+++ b/core/usage/example_test.go
@@ -0,0 +1,25 @@
+package usage_test
+
+import (
+	"fmt"
+
+	mn "mustardnotch"
+	"mustardnotch/core/usage"
+)
+
+func Example() {
+	served := mn.Served{ID: "request 1", Customer: "voering", Pool: "taalpers", PromptTokens: 3, OutputTokens: 40}
+	stream := []*usage.Record{
+		{Version: 1, Writer: "entry-1", Batch: []usage.Item{{Served: served}}},
+		{Version: 1, Writer: "taalpers-1", Batch: []usage.Item{{Served: served}}},
+		{Version: 1, Writer: "entry-1", Marker: &usage.Marker{Window: 1}},
+	}
+	fold := usage.NewFold()
+	for i, r := range stream {
+		data, _ := usage.Encode(r)
+		_ = fold.Apply([]mn.LogEntry{{Offset: mn.Offset(i + 1), Data: data}})
+	}
+	report, _ := fold.Next()
+	fmt.Println(report.Window, report.Marker, report.Lines)
+	// Output: 1 3 [{voering taalpers 1 3 40}]
+}
--- /dev/null
+++ b/core/usage/fold.go
@@ -0,0 +1,269 @@
+package usage
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// lateWindows is how many markers a record may be late by, besides
+	// lateSpan: an outage of the log lasts one window however long it is.
+	lateWindows = 3
+	// lateSpan is how old an answer may be when its record lands.
+	lateSpan = 60 * mn.Second
+	// repeatSpan is how far apart the records of one request may have ended,
+	// by the clocks of the processes that recorded them. It covers the time in
+	// which an answer can be resumed, and clock skew.
+	repeatSpan = 60 * mn.Second
+)
+
+// count is what a request has been billed for so far.
+type count struct {
+	Prompt int64 `json:"prompt"`
+	Output int64 `json:"output"`
+	// Wall is the latest end of the request's answer.
+	Wall mn.Millis `json:"wall"`
+}
+
+// State is all that a fold knows as of the last marker or later.
+type State struct {
+	// Window is the last window that was closed, Marker its marker.
+	Window int64     `json:"window"`
+	Marker mn.Offset `json:"marker"`
+	// Walls are those of the last markers, latest last.
+	Walls []mn.Millis `json:"walls,omitempty"`
+	// Open has the lines of the open window.
+	Open []mn.UsageLine `json:"open,omitempty"`
+	// Counted holds the requests for which a further record may still come.
+	Counted map[mn.RequestID]count `json:"counted,omitempty"`
+	// Unreported holds closed windows in order that aren't known to be reported.
+	Unreported []mn.UsageReport `json:"unreported,omitempty"`
+	// Expired counts records that were void because they came too late.
+	Expired int64 `json:"expired,omitempty"`
+}
+
+// lineKey names a line of a report.
+type lineKey struct {
+	customer mn.CustomerID
+	pool     mn.PoolID
+}
+
+// Fold turns the usage stream into reports. It is safe for concurrent use.
+//
+// At marker n, the fold forgets requests that ended before the wall time of
+// marker n-2, less a minute for lateness and a minute more for records of the
+// same request that ended at different times. A record that ended before the
+// former bound is void. Both are read from the log alone.
+type Fold struct {
+	mu     sync.Mutex
+	offset mn.Offset
+	state  State
+	lines  map[lineKey]mn.UsageLine
+	// started is false while the fold looks for a summary to start from.
+	started bool
+	skipped []mn.LogEntry
+}
+
+// NewFold returns a fold before the first record.
+func NewFold() *Fold {
+	f := &Fold{}
+	f.restore(0, State{})
+	f.started = true
+	return f
+}
+
+func (f *Fold) restore(off mn.Offset, s State) {
+	f.offset = off
+	f.state = s
+	f.state.Counted = maps.Clone(s.Counted)
+	if f.state.Counted == nil {
+		f.state.Counted = map[mn.RequestID]count{}
+	}
+	f.state.Walls = slices.Clone(s.Walls)
+	f.state.Unreported = slices.Clone(s.Unreported)
+	f.lines = map[lineKey]mn.UsageLine{}
+	for _, l := range s.Open {
+		f.lines[lineKey{l.Customer, l.Pool}] = l
+	}
+}
+
+// Offset returns the last offset that the fold has taken in.
+func (f *Fold) Offset() mn.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offset
+}
+
+// Apply takes entries in. Entries that were taken in before are dropped. Where
+// the entries leave a gap, because records have expired, the fold goes on from
+// the first summary whose own successors are all there; until it has found one
+// it returns an Error with code [mn.RecordsExpired], and keeps reading.
+func (f *Fold) Apply(entries []mn.LogEntry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		if e.Offset <= f.offset {
+			continue
+		}
+		r, err := Decode(e.Data)
+		if err != nil {
+			return err
+		}
+		if f.started && e.Offset != f.offset+1 {
+			f.started = false
+			f.skipped = nil
+		}
+		f.offset = e.Offset
+		if !f.started {
+			f.search(e, r)
+			continue
+		}
+		f.apply(e.Offset, r)
+	}
+	if !f.started {
+		return mn.Errorf(mn.RecordsExpired, "usage stream: no summary up to offset %d covers what has expired", f.offset)
+	}
+	return nil
+}
+
+// search keeps entries until a summary is found that reaches back to before
+// the first of them.
+func (f *Fold) search(e mn.LogEntry, r *Record) {
+	f.skipped = append(f.skipped, e)
+	if r.Summary == nil || r.Summary.AsOf+1 < f.skipped[0].Offset {
+		return
+	}
+	entries := f.skipped
+	f.skipped = nil
+	f.started = true
+	f.restore(r.Summary.AsOf, r.Summary.State)
+	for _, e := range entries {
+		if e.Offset <= r.Summary.AsOf {
+			continue
+		}
+		f.offset = e.Offset
+		if r, err := Decode(e.Data); err == nil {
+			f.apply(e.Offset, r)
+		}
+	}
+}
+
+func (f *Fold) apply(off mn.Offset, r *Record) {
+	for _, it := range r.Batch {
+		f.count(it)
+	}
+	if r.Marker != nil {
+		f.close(off, *r.Marker)
+	}
+	if r.Reported != nil {
+		f.state.Unreported = slices.DeleteFunc(f.state.Unreported, func(u mn.UsageReport) bool {
+			return u.Window <= r.Reported.Window
+		})
+	}
+}
+
+// late returns the end before which a record is void.
+func (f *Fold) late() mn.Millis {
+	if len(f.state.Walls) < lateWindows {
+		return 0
+	}
+	return f.state.Walls[0] - lateSpan
+}
+
+// count adds what it has more than earlier records of the same request.
+func (f *Fold) count(it Item) {
+	if it.Wall < f.late() {
+		f.state.Expired++
+		return
+	}
+	before, known := f.state.Counted[it.ID]
+	after := count{
+		Prompt: max(before.Prompt, it.PromptTokens),
+		Output: max(before.Output, it.OutputTokens),
+		Wall:   max(before.Wall, it.Wall),
+	}
+	f.state.Counted[it.ID] = after
+	key := lineKey{it.Customer, it.Pool}
+	line := f.lines[key]
+	line.Customer = it.Customer
+	line.Pool = it.Pool
+	line.PromptTokens += after.Prompt - before.Prompt
+	line.OutputTokens += after.Output - before.Output
+	if !known {
+		line.Requests++
+	}
+	f.lines[key] = line
+}
+
+// close ends the open window, unless the marker is for another.
+func (f *Fold) close(off mn.Offset, m Marker) {
+	if m.Window != f.state.Window+1 {
+		return
+	}
+	f.state.Window = m.Window
+	f.state.Marker = off
+	f.state.Unreported = append(f.state.Unreported, mn.UsageReport{Window: m.Window, Marker: off, Lines: f.openLines()})
+	f.lines = map[lineKey]mn.UsageLine{}
+	wall := m.Wall
+	if n := len(f.state.Walls); n > 0 {
+		wall = max(wall, f.state.Walls[n-1])
+	}
+	f.state.Walls = append(f.state.Walls, wall)
+	if len(f.state.Walls) > lateWindows {
+		f.state.Walls = slices.Delete(f.state.Walls, 0, len(f.state.Walls)-lateWindows)
+	}
+	forget := f.late() - repeatSpan
+	maps.DeleteFunc(f.state.Counted, func(_ mn.RequestID, c count) bool { return c.Wall < forget })
+}
+
+// openLines returns the lines of the open window, sorted.
+func (f *Fold) openLines() []mn.UsageLine {
+	lines := []mn.UsageLine{}
+	for _, l := range f.lines {
+		if l.Requests != 0 || l.PromptTokens != 0 || l.OutputTokens != 0 {
+			lines = append(lines, l)
+		}
+	}
+	slices.SortFunc(lines, func(a, b mn.UsageLine) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Pool, b.Pool))
+	})
+	return lines
+}
+
+// Next returns the oldest window that isn't known to be reported.
+func (f *Fold) Next() (mn.UsageReport, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.started || len(f.state.Unreported) == 0 {
+		return mn.UsageReport{}, false
+	}
+	return f.state.Unreported[0], true
+}
+
+// Window returns the number of the open window, the wall time of the last
+// marker, and whether anything was counted since.
+func (f *Fold) Window() (open int64, last mn.Millis, used bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.state.Walls); n > 0 {
+		last = f.state.Walls[n-1]
+	}
+	return f.state.Window + 1, last, len(f.openLines()) > 0
+}
+
+// Summary returns the fold's state, for a record that readers may start from.
+// It returns false while the fold has no state.
+func (f *Fold) Summary() (Summary, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state
+	s.Open = f.openLines()
+	s.Counted = maps.Clone(s.Counted)
+	s.Walls = slices.Clone(s.Walls)
+	s.Unreported = slices.Clone(s.Unreported)
+	return Summary{AsOf: f.offset, State: s}, f.started
+}
--- /dev/null
+++ b/core/usage/recorder.go
@@ -0,0 +1,104 @@
+package usage
+
+import (
+	"context"
+	"expvar"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// flushSpan is the span between batches of a recorder.
+	flushSpan = 1 * mn.Second
+	// batchLimit bounds the items of one record of the log.
+	batchLimit = 500
+	// pendingLimit bounds the items that wait for the log.
+	pendingLimit = 200_000
+)
+
+// Counters of the process.
+var (
+	recorded = expvar.NewInt("usage_recorded")
+	appended = expvar.NewInt("usage_batches_appended")
+	dropped  = expvar.NewInt("usage_dropped")
+)
+
+// Recorder appends the usage of answered requests to the log in batches. It
+// implements [mn.Recorder].
+type Recorder struct {
+	vm    mn.VMID
+	log   mn.Log
+	clock mn.Clock
+
+	mu      sync.Mutex
+	pending []Item
+}
+
+// NewRecorder returns a recorder for the process on vm.
+func NewRecorder(vm mn.VMID, log mn.Log, clock mn.Clock) *Recorder {
+	return &Recorder{vm: vm, log: log, clock: clock}
+}
+
+// Record implements [mn.Recorder]. Requests on open routes have no customer and
+// are not billed.
+func (r *Recorder) Record(s mn.Served) {
+	if s.Customer == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.pending) >= pendingLimit {
+		dropped.Add(1)
+		return
+	}
+	recorded.Add(1)
+	r.pending = append(r.pending, Item{Served: s, Wall: r.clock.Wall()})
+}
+
+// Pending returns how many items wait for the log.
+func (r *Recorder) Pending() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pending)
+}
+
+// Run appends batches until ctx is done.
+func (r *Recorder) Run(ctx context.Context) error {
+	for r.clock.Sleep(ctx, flushSpan) == nil {
+		_ = r.Flush(ctx)
+	}
+	return ctx.Err()
+}
+
+// Flush appends all that is pending. What the log didn't acknowledge stays
+// pending, since records of one request collapse.
+func (r *Recorder) Flush(ctx context.Context) error {
+	for {
+		batch := r.first()
+		if len(batch) == 0 {
+			return nil
+		}
+		data, err := Encode(&Record{Version: mn.RecordVersion, Writer: r.vm, Batch: batch})
+		if err != nil {
+			return err
+		}
+		if _, err := r.log.Append(ctx, mn.UsageStream, data); err != nil {
+			return err
+		}
+		appended.Add(1)
+		r.done(len(batch))
+	}
+}
+
+func (r *Recorder) first() []Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pending[:min(batchLimit, len(r.pending))]
+}
+
+func (r *Recorder) done(count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = append([]Item(nil), r.pending[count:]...)
+}
