Hold customers to their rates and bill them in the daemons

Entries admit from their shares and borrow over the Peer service; agents hold shares and lend. Entries and agents record usage, the control holder bills. Request and End carry usage_id, which names an answer across the requests that are sent for it: a generation that went on elsewhere after its end marker was lost would otherwise be billed twice.

Found, not mended here: in loaded runs keyed calls sent soon after agents have joined were not answered within 8 s, by no refusal of rates but by retries in the entry. The test of usage takes such a call as run or not run.

--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -101,6 +101,9 @@
 	}
 	r := s.request(id, pool.ID, span, v.Offset)
 	r.IdempotencyKey = m.IdempotencyKey
+	if r.IdempotencyKey != "" {
+		r.UsageId = r.Customer + "/" + r.IdempotencyKey
+	}
 	r.First = m.Attempt == 1
 	r.Call = &meshpb.CallBody{Path: m.Path, Body: m.Body}
 	j := s.newJob(r, pool.Repeatable)
@@ -115,8 +118,10 @@
 }
 
 func (s *Server) request(id identity, pool mn.PoolID, deadline int64, off mn.Offset) *meshpb.Request {
+	rid := string(mn.NewRequestID())
 	return &meshpb.Request{
-		Id:         string(mn.NewRequestID()),
+		Id:         rid,
+		UsageId:    rid,
 		Customer:   string(id.customer.ID),
 		Weight:     id.customer.Weight,
 		KeyHash:    string(id.hash),
@@ -127,11 +132,20 @@
 	}
 }
 
+// replayLimit is the age from which a repeated answer to a call is not recorded
+// again. The agent that ran the call recorded it then, and usage records of one
+// answer collapse only if they are little apart.
+const replayLimit = 50 * mn.Second
+
 // record notes the usage of r before its caller sees the end marker.
 func (s *Server) record(r *meshpb.Request, e *meshpb.End) {
-	id := r.Id
-	if e.RequestId != "" {
-		id = e.RequestId
+	run, err := mn.IdempotencyKey(e.RequestId).Created()
+	if r.IdempotencyKey != "" && err == nil && s.Clock.Wall()-run > replayLimit {
+		return
+	}
+	id := e.UsageId
+	if id == "" {
+		id = r.UsageId
 	}
 	s.Recorder.Record(mn.Served{
 		ID:           mn.RequestID(id),
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -37,7 +37,9 @@
 	if err := out.send(&meshpb.Frame{Sequence: 1, Body: answer}); err != nil {
 		return err
 	}
-	return out.send(&meshpb.Frame{End: sum.end(string(c.ID()))})
+	end := sum.end(string(c.ID()))
+	end.UsageId = r.UsageId
+	return out.send(&meshpb.Frame{End: end})
 }
 
 func tableRequest(r *meshpb.Request) calls.Request {
@@ -86,7 +88,7 @@
 	})
 	err = s.leave(ctx, stay, err)
 	if err == nil {
-		s.record(r.Id, r.Customer, &meshpb.End{})
+		s.record(r.UsageId, r.Customer, &meshpb.End{})
 	}
 	c.Finish(answer, mn.AsError(err))
 }
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -51,7 +51,7 @@
 func (s *Server) recorded(customer string, send func(*meshpb.Frame) error) func(*meshpb.Frame) error {
 	return func(f *meshpb.Frame) error {
 		if f.End != nil {
-			s.record(f.End.RequestId, customer, f.End)
+			s.record(f.End.UsageId, customer, f.End)
 		}
 		return send(f)
 	}
@@ -185,6 +185,7 @@
 		return nil, err
 	}
 	end := sum.end(r.Id)
+	end.UsageId = r.UsageId
 	end.PromptTokens, end.CachedTokens, end.OutputTokens = prompt, cached, *tokens
 	return end, nil
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -24,6 +24,7 @@
 	queue  *queued
 	gate   *order.Gate
 	keeper *keeper
+	limits *limits
 }
 
 // NewAgent returns an agent with settings s that logs to log.
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{base: b}
+	a := &Agent{base: b, limits: newLimits(b)}
 	a.server = entry.New(a.serverConfig())
 	a.config.status = a.queue.status
 	a.guard()
@@ -48,7 +49,7 @@
 		Views:       a.fold,
 		Currency:    a.config.monitor,
 		Guard:       a.config.guard,
-		Recorder:    unrecorded{},
+		Recorder:    a.recorder,
 		Tracer:      a.tracer,
 		Log:         a.log,
 	}
@@ -86,6 +87,8 @@
 	serveHTTP(run, g, ls[1], a.debugHandler())
 	g.Go(func() error { return a.keeper.run(run) })
 	g.Go(func() error { return a.follow(run) })
+	g.Go(func() error { return a.record(run) })
+	g.Go(func() error { return a.limits.run(run) })
 	g.Go(func() error { return a.queue.poll(run) })
 	g.Go(func() error { return a.takeOrders(run) })
 	g.Go(func() error {
@@ -121,6 +124,7 @@
 		a.log.WithField("event", "drain_incomplete").Warn(err)
 	}
 	a.keeper.leaveLate(drain)
+	a.flushUsage(drain)
 	a.config.retire()
 	a.depart(ctx, true)
 	a.log.WithField("event", "left").Info()
--- a/node/base.go
+++ b/node/base.go
@@ -20,6 +20,7 @@
 	mn "mustardnotch"
 	"mustardnotch/core/conf"
 	"mustardnotch/core/spans"
+	"mustardnotch/core/usage"
 	"mustardnotch/io/plat"
 	"mustardnotch/io/wire"
 	"mustardnotch/setup"
@@ -46,6 +47,7 @@
 	plat     *plat.Client
 	fold     *conf.Fold
 	config   *config
+	recorder *usage.Recorder
 	conns    *wire.Conns
 	spans    *spans.Provider
 	tracer   trace.Tracer
@@ -80,6 +82,7 @@
 		begun:  clock.Now(),
 	}
 	b.config = newConfig(b)
+	b.recorder = usage.NewRecorder(s.VM, b.plat, clock)
 	return b, nil
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -24,6 +24,7 @@
 	table   *route.Table
 	agents  *agent.Client
 	control *control
+	limits  *limits
 }
 
 // NewEntry returns an entry with settings s that logs to log.
@@ -40,6 +41,7 @@
 		table:   route.New(b.clock, b.fold, routing),
 		agents:  agents,
 		control: newControl(b, agents),
+		limits:  newLimits(b),
 	}, nil
 }
 
@@ -66,12 +68,16 @@
 	serveHTTP(run, g, ls[1], e.operatorHandler())
 	g.Go(func() error { return wire.Serve(run, ls[2], peers) })
 	g.Go(func() error { return e.follow(run) })
+	g.Go(func() error { return e.limits.run(run) })
+	g.Go(func() error { return e.record(run) })
+	g.Go(func() error { return e.bill(run, e.control.elector) })
 	g.Go(func() error { return newFeeds(e.base, e.table, e.agents, e.control.report).run(run) })
 	g.Go(func() error { return e.control.run(run) })
 	g.Go(func() error {
 		if err := e.becomeReady(run, g); err != nil {
 			return err
 		}
+		e.limits.await(run)
 		e.ready.Store(true)
 		e.log.WithField("event", "ready").WithField("callers", s.Callers).Info()
 		return nil
@@ -100,6 +106,7 @@
 	if err := e.callers.Shutdown(drain); err != nil {
 		e.log.WithField("event", "drain_incomplete").Warn(err)
 	}
+	e.flushUsage(drain)
 	e.config.retire()
 	e.depart(ctx, true)
 	e.log.WithField("event", "left").Info()
@@ -114,9 +121,9 @@
 		Views:    e.fold,
 		Currency: e.config.monitor,
 		Guard:    e.config.guard,
-		Limiter:  unlimited{},
+		Limiter:  e.limits.book,
 		Router:   e.table,
-		Recorder: unrecorded{},
+		Recorder: e.recorder,
 		Agents:   e.agents,
 		Retries:  retry.New(retry.DefaultConfig(), e.clock),
 		Poisons:  newTracker(e.base),
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -79,6 +79,8 @@
 	Nodes    map[mn.VMID]*Node
 	// Extra is appended to the settings of every process started from now on.
 	Extra string
+	// EntryExtra is appended to the settings of entries started from now on.
+	EntryExtra string
 	// EngineArgs, if set, are the arguments of the program fakes for model
 	// engines started from now on, without model and address.
 	EngineArgs []string
@@ -169,7 +171,7 @@
 		return n, err
 	}
 	settings := c.common(n) + fmt.Sprintf("callers = %s:%d\noperators = %s:%d\n[operators]\ntoken = %s\n",
-		ip, callersPort, ip, operatorsPort, OperatorToken)
+		ip, callersPort, ip, operatorsPort, OperatorToken) + c.EntryExtra
 	return n, c.launch(n, settings)
 }
 
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -46,9 +46,16 @@
 // each, a model pool "taalpers" and a plain pool "orderbalie" whose calls may
 // not be repeated, and ends everything with the test.
 func newCluster(t *testing.T, entries, models, plains int) *procs.Cluster {
+	t.Helper()
+	return newClusterWith(t, entries, models, plains, "")
+}
+
+// newClusterWith is newCluster with settings that only entries have.
+func newClusterWith(t *testing.T, entries, models, plains int, extra string) *procs.Cluster {
 	t.Helper()
 	c, err := procs.New(binDir, t.TempDir())
 	require.NoError(t, err)
+	c.EntryExtra = extra
 	t.Cleanup(func() {
 		c.Close()
 		if t.Failed() {
--- /dev/null
+++ b/procs/usage_test.go
@@ -0,0 +1,194 @@
+package procs_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/gen/apipb"
+	"mustardnotch/procs"
+)
+
+// ledger counts what callers got, as their end markers and answers say.
+type ledger struct {
+	mu    sync.Mutex
+	lines map[string]mn.UsageLine
+	// unanswered has the last errors of calls without an answer, by customer.
+	// Such a call may have run.
+	unanswered map[mn.CustomerID][]error
+}
+
+// check compares what was reported with what callers got: generations to the
+// token, and calls up to those of which the caller knows no outcome.
+func (l *ledger) check(got map[string]mn.UsageLine) error {
+	for key, want := range l.lines {
+		u := got[key]
+		extra := u.Requests - want.Requests
+		if want.Pool == "orderbalie" && extra > 0 && extra <= int64(len(l.unanswered[want.Customer])) {
+			continue
+		}
+		if u != want {
+			return fmt.Errorf("reported %v, callers got %v", u, want)
+		}
+	}
+	if len(got) != len(l.lines) {
+		return fmt.Errorf("reported %v, callers got %v", got, l.lines)
+	}
+	return nil
+}
+
+func (l *ledger) add(customer mn.CustomerID, pool mn.PoolID, prompt, output int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := string(customer) + "/" + string(pool)
+	u := l.lines[key]
+	u.Customer, u.Pool = customer, pool
+	u.Requests++
+	u.PromptTokens += prompt
+	u.OutputTokens += output
+	l.lines[key] = u
+}
+
+// traffic sends generations and keyed calls of two customers through all
+// entries until ctx is done. Calls are sent again until they are answered.
+func (l *ledger) traffic(ctx context.Context, c *procs.Cluster, entries ...string) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	keys := map[mn.CustomerID]string{"voering": voeringKey, "birligi": birligiKey}
+	for customer, key := range keys {
+		for i := range 4 {
+			r := rand.New(rand.NewPCG(uint64(i), uint64(len(customer))))
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					entry := c.Nodes[mn.VMID(entries[r.IntN(len(entries))])]
+					if i%2 == 0 {
+						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+						_, end, err := generate(ctx, c.Caller(entry, key), fmt.Sprintf("prompt %d of %d", n, i), 5+r.Int64N(40))
+						cancel()
+						if err == nil {
+							l.add(customer, "taalpers", end.PromptTokens, end.OutputTokens)
+						}
+						continue
+					}
+					l.call(c, entries, key, customer, r)
+				}
+			})
+		}
+	}
+	return &wg
+}
+
+func (l *ledger) call(c *procs.Cluster, entries []string, key string, customer mn.CustomerID, r *rand.Rand) {
+	req := &apipb.CallRequest{Pool: "orderbalie", Body: []byte("reel"), IdempotencyKey: string(mn.NewRequestID())}
+	limit := time.Now().Add(8 * time.Second)
+	for {
+		entry := c.Nodes[mn.VMID(entries[r.IntN(len(entries))])]
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := c.Caller(entry, key).Call(ctx, req)
+		cancel()
+		if err == nil {
+			l.add(customer, "orderbalie", 0, 0)
+			return
+		}
+		if time.Now().After(limit) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.unanswered[customer] = append(l.unanswered[customer], err)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reported returns the sum of the platform's first reports of each window, and
+// fails if a window was reported with different figures.
+func reported(t require.TestingT, c *procs.Cluster) map[string]mn.UsageLine {
+	var all []fakes.TimedReport
+	require.NoError(t, procs.Fetch(c.PlatformURL()+"/admin/usage", &all))
+	sum := map[string]mn.UsageLine{}
+	seen := map[int64]bool{}
+	for _, r := range all {
+		require.False(t, r.Conflict, "window %d", r.Window)
+		if seen[r.Window] {
+			continue
+		}
+		seen[r.Window] = true
+		for _, u := range r.Lines {
+			key := string(u.Customer) + "/" + string(u.Pool)
+			u.Requests += sum[key].Requests
+			u.PromptTokens += sum[key].PromptTokens
+			u.OutputTokens += sum[key].OutputTokens
+			sum[key] = u
+		}
+	}
+	return sum
+}
+
+// holderOf returns the entry that the control stream names as the holder.
+func holderOf(t *testing.T, c *procs.Cluster) *procs.Node {
+	t.Helper()
+	var holder *procs.Node
+	eventually(t, 10*mn.Second, func(ctx context.Context) error {
+		batch, err := c.Log().Read(ctx, mn.ControlStream, 1, 100_000, 0)
+		if err != nil {
+			return err
+		}
+		for _, e := range batch.Entries {
+			r, err := mn.DecodeRecord(e.Data)
+			if err == nil && (r.Claim != nil || r.Renewal != nil) {
+				holder = c.Nodes[r.Writer]
+			}
+		}
+		if holder == nil {
+			return fmt.Errorf("no holder yet")
+		}
+		return nil
+	})
+	return holder
+}
+
+// TestReportsEqualAnswers has callers served while the platform loses the
+// answers to appends and reports, the log is down, the holder is killed while
+// it reports, and an agent is killed. What the platform was told sums up to
+// what callers got, to the token.
+func TestReportsEqualAnswers(t *testing.T) {
+	t.Parallel()
+	c := newClusterWith(t, 3, 2, 2, "[control]\nusage_window = 400ms\nlease = 1500ms\n")
+	platform := c.PlatformURL()
+	fault := func(name string, value int64) { require.NoError(t, c.Fault(platform, name, value)) }
+	l := &ledger{lines: map[string]mn.UsageLine{}, unanswered: map[mn.CustomerID][]error{}}
+	entries := []string{"entry-1", "entry-2", "entry-3"}
+	holder := holderOf(t, c)
+	time.Sleep(1500 * time.Millisecond) // agents have taken over the keys of their homes
+
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	wg := l.traffic(ctx, c, entries...)
+	time.Sleep(time.Second)
+	fault(fakes.AppendLost, 3)
+	fault(fakes.UsageLost, 2)
+	time.Sleep(time.Second)
+	fault(fakes.LogDown, 1)
+	time.Sleep(time.Second)
+	fault(fakes.LogDown, 0)
+	time.Sleep(time.Second)
+	fault(fakes.UsageLost, 1000) // every report takes effect and none is answered
+	time.Sleep(time.Second)
+	stop()
+	wg.Wait()
+	holder.Proc.Kill()
+	time.Sleep(1500 * time.Millisecond) // the recorders of one answer die one after the other
+	c.Nodes["taalpers-1"].Proc.Kill()
+	fault(fakes.UsageLost, 0)
+
+	eventually(t, 15*mn.Second, func(context.Context) error {
+		return l.check(reported(t, c))
+	})
+	t.Logf("answered %v, unanswered %v", l.lines, l.unanswered)
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -54,6 +54,8 @@
 	Drain mn.Millis
 	// Lease is the span of the control lease.
 	Lease mn.Millis
+	// UsageWindow is the span of a usage window.
+	UsageWindow mn.Millis
 	// Router is "cost" or, as a baseline, "round_robin".
 	Router string
 	// MaxBody bounds a request's body in bytes.
@@ -102,6 +104,7 @@
 	{"endpoint", "running", agentOnly, false, "32", "a number of requests from 1 to 4096", func(s *Settings, v string) error { return parseCount(v, 1, 4096, &s.Running) }},
 	{"operators", "token", entryOnly, true, "", "a token of at least 16 characters", parseToken},
 	{"control", "lease", entryOnly, false, "3s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.Lease) }},
+	{"control", "usage_window", entryOnly, false, "60s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.UsageWindow) }},
 	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
 		s.Router = v
 		return checkOneOf(v, "cost", "round_robin")
