Kill the holder while its records are not yet appended

The test of usage waited for all calls first, by when the killed entry had appended its records: it passed with the agents' recorders switched off.

--- a/procs/usage_test.go
+++ b/procs/usage_test.go
@@ -58,12 +58,16 @@
 
 // traffic sends generations and keyed calls of two customers through all
 // entries until ctx is done. Calls are sent again until they are answered.
-func (l *ledger) traffic(ctx context.Context, c *procs.Cluster, entries ...string) *sync.WaitGroup {
-	var wg sync.WaitGroup
+func (l *ledger) traffic(ctx context.Context, c *procs.Cluster, entries ...string) (generations, calls *sync.WaitGroup) {
+	generations, calls = &sync.WaitGroup{}, &sync.WaitGroup{}
 	keys := map[mn.CustomerID]string{"voering": voeringKey, "birligi": birligiKey}
 	for customer, key := range keys {
 		for i := range 4 {
 			r := rand.New(rand.NewPCG(uint64(i), uint64(len(customer))))
+			wg := calls
+			if i%2 == 0 {
+				wg = generations
+			}
 			wg.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
 					entry := c.Nodes[mn.VMID(entries[r.IntN(len(entries))])]
@@ -81,7 +85,7 @@
 			})
 		}
 	}
-	return &wg
+	return generations, calls
 }
 
 func (l *ledger) call(c *procs.Cluster, entries []string, key string, customer mn.CustomerID, r *rand.Rand) {
@@ -169,7 +173,7 @@
 
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	wg := l.traffic(ctx, c, entries...)
+	generations, calls := l.traffic(ctx, c, entries...)
 	time.Sleep(time.Second)
 	fault(fakes.AppendLost, 3)
 	fault(fakes.UsageLost, 2)
@@ -181,8 +185,9 @@
 	fault(fakes.UsageLost, 1000) // every report takes effect and none is answered
 	time.Sleep(time.Second)
 	stop()
-	wg.Wait()
-	holder.Proc.Kill()
+	generations.Wait()
+	holder.Proc.Kill() // with up to a second of records that it has not appended
+	calls.Wait()
 	time.Sleep(1500 * time.Millisecond) // the recorders of one answer die one after the other
 	c.Nodes["taalpers-1"].Proc.Kill()
 	fault(fakes.UsageLost, 0)
