--- a/core/calls/memory.go
+++ b/core/calls/memory.go
@@ -61,10 +61,14 @@
 }
 
 // Missed tells the table that changes of the roster before offset off were not
-// given to Roster.
+// given to Roster. Until the agent has joined that opens no gap: the members
+// that it joins hand their memory over, with what they lack themselves.
 func (t *Table) Missed(off mn.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.homes.joined {
+		return
+	}
 	t.homes.unknown(off, t.clock.Wall())
 }
 
--- a/core/conf/snap.go
+++ b/core/conf/snap.go
@@ -86,6 +86,7 @@
 			return cmp.Compare(a.VM, b.VM)
 		}),
 		Leaving: sortedLeaving(v),
+		Served:  slices.Sorted(maps.Keys(v.Served)),
 		Lease:   v.Holder,
 		Seen:    slices.Clone(f.order),
 		Intents: f.kept.sortedIntents(),
@@ -143,6 +144,9 @@
 	for _, d := range s.Leaving {
 		v.Leaving[d.VM] = d.Incarnation
 	}
+	for _, p := range s.Served {
+		v.Served[p] = true
+	}
 	return v
 }
 
--- a/member.go
+++ b/member.go
@@ -34,6 +34,8 @@
 	Roster map[VMID]Member
 	// Leaving holds the members that have announced that they leave.
 	Leaving map[VMID]Incarnation
+	// Served holds the pools that have ever had an agent.
+	Served map[PoolID]bool
 	// Holder is the control holder's lease as the log tells it.
 	Holder Lease
 }
--- a/node/calls.go
+++ b/node/calls.go
@@ -67,12 +67,12 @@
 func (k *keeper) onRecord(off mn.Offset, r *mn.Record, v conf.Verdict) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if off > k.offset+1 {
+		k.jump(k.fold.View())
+	}
 	if off == 1 {
 		k.table.Genesis()
 	}
-	if k.offset == 0 && off > 1 {
-		k.table.Missed(off)
-	}
 	k.offset = off
 	if v.Err == nil && k.change(r) {
 		k.send(k.table.Roster(off, maps.Clone(k.members)))
@@ -109,16 +109,24 @@
 	v := k.fold.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if v.Offset < k.offset {
+	k.jump(v)
+}
+
+// jump takes over the roster of a view that follows on a snapshot.
+func (k *keeper) jump(v *mn.View) {
+	if v.Offset == 0 || v.Offset < k.offset {
 		return
 	}
 	members := map[mn.VMID]mn.Incarnation{}
 	for _, m := range v.Agents(k.self.Pool) {
 		members[m.VM] = m.Incarnation
 	}
-	if maps.Equal(members, k.members) {
+	if k.offset > 0 && maps.Equal(members, k.members) {
 		return
 	}
+	if !v.Served[k.self.Pool] {
+		k.table.Genesis()
+	}
 	k.members, k.offset = members, v.Offset
 	k.table.Missed(v.Offset)
 	k.send(k.table.Roster(v.Offset, maps.Clone(members)))
--- a/procs/main_test.go
+++ b/procs/main_test.go
@@ -47,20 +47,29 @@
 // not be repeated, and ends everything with the test.
 func newCluster(t testing.TB, entries, models, plains int) *procs.Cluster {
 	t.Helper()
-	return newClusterWith(t, false, entries, models, plains)
+	return newClusterWith(t, options{}, entries, models, plains)
 }
 
 // slots bounds the clusters that run at once.
 var slots = make(chan struct{}, 3)
 
-// newClusterWith is like newCluster, on request with links between processes.
-func newClusterWith(t testing.TB, links bool, entries, models, plains int) *procs.Cluster {
+// options are what newClusterWith can vary.
+type options struct {
+	// links has processes reach each other over links that can be cut.
+	links bool
+	// entryExtra is added to the settings of entries.
+	entryExtra string
+}
+
+// newClusterWith is like newCluster with options.
+func newClusterWith(t testing.TB, o options, entries, models, plains int) *procs.Cluster {
 	t.Helper()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
 	c, err := procs.New(binDir, t.TempDir())
 	require.NoError(t, err)
-	c.Links = links
+	c.Links = o.links
+	c.EntryExtra = o.entryExtra
 	t.Cleanup(func() {
 		c.Close()
 		if t.Failed() {
--- a/procs/stream_test.go
+++ b/procs/stream_test.go
@@ -104,7 +104,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newClusterWith(t, true, 2, 2, 0)
+			c := newClusterWith(t, options{links: true}, 2, 2, 0)
 			for _, n := range c.Nodes {
 				if n.Endpoint != nil {
 					require.NoError(t, c.Fault(n.EndpointURL(), fakes.TokenMillis, 20))
--- a/record.go
+++ b/record.go
@@ -86,7 +86,9 @@
 	Resources []Versioned `json:"resources,omitempty"`
 	Roster    []Member    `json:"roster,omitempty"`
 	Leaving   []Departure `json:"leaving,omitempty"`
-	Lease     Lease       `json:"lease"`
+	// Served holds the pools that have ever had an agent.
+	Served []PoolID `json:"served,omitempty"`
+	Lease  Lease    `json:"lease"`
 	// Seen holds the ids of recent records, so that repeats stay dropped.
 	Seen []RecordID `json:"seen,omitempty"`
 	// Intents holds the last intent for each pool and data centre.
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -56,6 +56,8 @@
 	Lease mn.Millis
 	// Roles is "declared", or "demand" to have engines change role with the mix.
 	Roles string
+	// UsageWindow is the span of a usage window.
+	UsageWindow mn.Millis
 	// Router is "cost" or, as a baseline, "round_robin".
 	Router string
 	// MaxBody bounds a request's body in bytes.
@@ -108,6 +110,7 @@
 		s.Roles = v
 		return checkOneOf(v, "declared", "demand")
 	}},
+	{"control", "usage_window", entryOnly, false, "60s", wantSpan, func(s *Settings, v string) error { return parseSpan(v, &s.UsageWindow) }},
 	{"routing", "router", entryOnly, false, "cost", "cost or round_robin", func(s *Settings, v string) error {
 		s.Router = v
 		return checkOneOf(v, "cost", "round_robin")
