Wait for the next renewal before an order to the platform

TestControlLogSlow failed once in about twelve runs: 1 platform order in 12 s where 2 were asked for. Cause: with a log of 700 ms a call the lease left after the intent was 0 to 1.6 s and a call needs 1.2 s, so orders passed by luck. Ruled out: a lost lease (one term throughout).

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -9,6 +9,14 @@
 	mn "mustardnotch"
 )
 
+const (
+	// patience is for how many times the span of a call an order waits for the
+	// log and for a renewal.
+	patience = 3
+	// renewalPoll is the time between looks at the lease.
+	renewalPoll = 50 * mn.Millisecond
+)
+
 // OrderSettings are the times of orders to the platform.
 type OrderSettings struct {
 	// Call bounds one call of the platform.
@@ -75,10 +83,12 @@
 	if err != nil {
 		return err
 	}
-	_, until, _ := o.authority.Held()
 	r := &mn.Record{Version: mn.RecordVersion, ID: mn.NewRecordID(), Writer: o.self}
 	r.Intent = &mn.Intent{Term: term, Pool: pool, DataCentre: dc, Target: target}
-	if err := o.declare(ctx, r, until-o.clock.Now()); err != nil {
+	if err := o.declare(ctx, r); err != nil {
+		return err
+	}
+	if err := o.awaitRenewal(ctx, term); err != nil {
 		return err
 	}
 	order := mn.FleetOrder{ID: r.ID, Pool: pool, DataCentre: dc, Target: target, Term: term, Holder: o.self}
@@ -92,9 +102,9 @@
 	return err
 }
 
-// declare writes the intent, within limit. The lease may be renewed meanwhile.
-func (o *Orders) declare(ctx context.Context, r *mn.Record, limit mn.Millis) error {
-	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+// declare writes the intent. The lease may be renewed meanwhile.
+func (o *Orders) declare(ctx context.Context, r *mn.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, (patience * o.settings.Call).Duration())
 	defer cancel()
 	if _, err := o.writer.Write(ctx, r); err != nil {
 		counters.Add("intents_failed", 1)
@@ -121,6 +131,22 @@
 	return term, nil
 }
 
+// awaitRenewal waits while the lease of term is held but too short for a call:
+// with a slow log the next renewal may make it long enough.
+func (o *Orders) awaitRenewal(ctx context.Context, term mn.Term) error {
+	end := o.clock.Now() + patience*o.settings.Call
+	for {
+		err := o.check(term)
+		held, _, ok := o.authority.Held()
+		if err == nil || !ok || held != term || o.clock.Now() >= end {
+			return err
+		}
+		if err := o.clock.Sleep(ctx, renewalPoll); err != nil {
+			return err
+		}
+	}
+}
+
 // check says whether a call that starts now ends inside the lease of term.
 func (o *Orders) check(term mn.Term) error {
 	now := o.clock.Now()
