--- a/matrix/rules.go
+++ b/matrix/rules.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -50,12 +52,17 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	var ready, leaving bool
-	var off int64
-	if _, err := fmt.Fscanf(resp.Body, "ready=%t leaving=%t offset=%d", &ready, &leaving, &off); err != nil {
+	line, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return 0
 	}
-	return mn.Offset(off)
+	for f := range strings.FieldsSeq(string(line)) {
+		if value, ok := strings.CutPrefix(f, "offset="); ok {
+			off, _ := strconv.ParseInt(value, 10, 64)
+			return mn.Offset(off)
+		}
+	}
+	return 0
 }
 
 // checkBookings compares what callers were told with what plain services ran.
--- a/matrix/scene.go
+++ b/matrix/scene.go
@@ -42,6 +42,8 @@
 	done bool
 	// sure says that every try ended with "not run".
 	sure bool
+	// attempt numbers the tries that were not answered "not run", from 1.
+	attempt int32
 }
 
 // scene is one cell's cluster with its traffic and what came of it.
@@ -80,6 +82,7 @@
 		answered: map[string]int64{}, counts: map[string]int{},
 	}
 	c.Links = true
+	c.EntryExtra = "[control]\nusage_window = 1s\n"
 	if err := s.populate(); err != nil {
 		c.Close()
 		return nil, err
@@ -224,7 +227,7 @@
 // book sends a booking with a key of its own until it is done or refused for
 // good, through one entry after the other.
 func (s *scene) book(entry *procs.Node, key, body string) *booking {
-	b := &booking{key: string(mn.NewRequestID()), sure: true}
+	b := &booking{key: string(mn.NewRequestID()), sure: true, attempt: 1}
 	b.body = body + " " + b.key
 	s.mu.Lock()
 	s.bookings = append(s.bookings, b)
@@ -248,12 +251,13 @@
 func (s *scene) try(entry *procs.Node, key string, b *booking) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, callLimit.Duration())
 	defer cancel()
-	resp, err := s.client(entry, key).Call(ctx, &apipb.CallRequest{Pool: "orderbalie", Path: "/book", Body: []byte(b.body), IdempotencyKey: b.key, DeadlineMs: int64(callLimit)})
+	resp, err := s.client(entry, key).Call(ctx, &apipb.CallRequest{Pool: "orderbalie", Path: "/book", Body: []byte(b.body), IdempotencyKey: b.key, Attempt: b.attempt, DeadlineMs: int64(callLimit)})
 	if err == nil {
 		s.count("booking ok")
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		b.done = true
+		b.attempt++
 		if string(resp.Body) != "done "+b.body {
 			s.broken = append(s.broken, fmt.Sprintf("whole answer: booking %s got %q", b.key, resp.Body))
 		}
@@ -265,6 +269,7 @@
 	if e.Outcome != mn.OutcomeNotRun {
 		s.mu.Lock()
 		b.sure = false
+		b.attempt++
 		s.mu.Unlock()
 	}
 	return e.Code == mn.KeyWithdrawn
