--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -16,7 +16,6 @@
 	"mustardnotch/core/fresh"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/retry"
-	"mustardnotch/core/spans"
 	"mustardnotch/gen/apipb"
 	"mustardnotch/gen/meshpb"
 )
@@ -80,11 +79,7 @@
 func (s *Server) Generate(ctx context.Context, req *connect.Request[apipb.GenerateRequest], out *connect.ServerStream[apipb.GenerateChunk]) error {
 	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.generate")
 	defer span.End()
-	err := s.generate(ctx, req, out)
-	if err != nil {
-		spans.Fail(span, err)
-	}
-	return ToConnect(err)
+	return s.ended(span, "generate_failed", req.Header(), s.generate(ctx, req, out))
 }
 
 // Call implements the service.
@@ -92,9 +87,8 @@
 	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.call")
 	defer span.End()
 	resp, err := s.call(ctx, req)
-	if err != nil {
-		spans.Fail(span, err)
-		return nil, ToConnect(err)
+	if err := s.ended(span, "call_failed", req.Header(), err); err != nil {
+		return nil, err
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -103,11 +97,7 @@
 func (s *Server) Resume(ctx context.Context, req *connect.Request[apipb.ResumeRequest], out *connect.ServerStream[apipb.GenerateChunk]) error {
 	ctx, span := s.Tracer.Start(remote(ctx, req.Header()), "entry.resume")
 	defer span.End()
-	err := s.resume(ctx, req, out)
-	if err != nil {
-		spans.Fail(span, err)
-	}
-	return ToConnect(err)
+	return s.ended(span, "resume_failed", req.Header(), s.resume(ctx, req, out))
 }
 
 // crashed notes that the request with content crashed the endpoint on vm, here
--- /dev/null
+++ b/io/caller/note.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"expvar"
+	"net/http"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+
+	mn "mustardnotch"
+	"mustardnotch/core/spans"
+)
+
+// requests counts requests by the result code that their callers got.
+var requests = expvar.NewMap("requests")
+
+// quiet are results that one caller can bring about at any rate; they are
+// counted, and logged at the debug level only.
+var quiet = map[mn.Code]bool{
+	mn.RateExceeded:    true,
+	mn.Unauthenticated: true,
+	mn.BadRequest:      true,
+	mn.Cancelled:       true,
+}
+
+// ended notes how a request ended, in the counters, its span and the log, and
+// returns err as callers see it.
+func (s *Server) ended(span trace.Span, event string, h http.Header, err error) error {
+	if err == nil {
+		requests.Add(mn.OK.String(), 1)
+		return nil
+	}
+	e := mn.AsError(err)
+	requests.Add(e.Code.String(), 1)
+	spans.Fail(span, err)
+	level := logrus.InfoLevel
+	if quiet[e.Code] {
+		level = logrus.DebugLevel
+	}
+	if s.Log.Logger.IsLevelEnabled(level) {
+		s.Log.WithFields(logrus.Fields{
+			"event":    event,
+			"customer": s.customerOf(h),
+			"code":     e.Code.String(),
+			"outcome":  e.Outcome.String(),
+			"trace":    span.SpanContext().TraceID().String(),
+		}).Log(level, e.Detail)
+	}
+	return ToConnect(err)
+}
+
+// customerOf returns the customer whose key is in h, empty if there is none.
+func (s *Server) customerOf(h http.Header) mn.CustomerID {
+	key, _ := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	return s.Views.View().Keys[mn.HashKey(key)].Customer
+}
--- /dev/null
+++ b/procs/log_test.go
@@ -0,0 +1,28 @@
+package procs_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mustardnotch/gen/apipb"
+	"mustardnotch/procs"
+)
+
+// TestFailedRequestsAreLoggedAndCounted checks the log line and the counter of
+// a request that failed, and that no log has a key.
+func TestFailedRequestsAreLoggedAndCounted(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 0, 0)
+	entry := c.Nodes["entry-1"]
+	_, err := c.Caller(entry, voeringKey).Call(t.Context(), &apipb.CallRequest{Pool: "nowhere"})
+	require.Error(t, err)
+	line := entry.Proc.Tail(4000)
+	require.Contains(t, line, "code=MN104 customer=voering event=call_failed outcome=\"not run\"")
+	require.NotContains(t, line, voeringKey)
+	var vars struct {
+		Requests map[string]int64 `json:"requests"`
+	}
+	require.NoError(t, procs.Fetch(entry.Debug()+"/debug/vars", &vars))
+	require.EqualValues(t, 1, vars.Requests["MN104"])
+}
