Wait for prompt tokens too before judging a bill

Cell generation_before+holder_paused broke with 329 of 321 output tokens billed and 728 of 799 prompt tokens: the check stopped waiting once the output tokens were there, which answers of unknown outcome made up for.

--- a/matrix/rules.go
+++ b/matrix/rules.go
@@ -181,7 +181,7 @@
 			s.fail("usage", "%v", err)
 			return
 		}
-		if output >= s.answered["output"] || s.clock.Now() > begun+billLimit {
+		if output >= s.answered["output"] && prompt >= s.answered["prompt"] || s.clock.Now() > begun+billLimit {
 			break
 		}
 		time.Sleep((200 * mn.Millisecond).Duration())
