Start temporary clusters and builds in one place

Four programs made a directory, a cluster and their clean-up line by line, and a test built the programs by itself. procs.InTemporary and procs.Build serve all.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"os/exec"
 	"strings"
 	"testing"
 
@@ -53,8 +52,7 @@
 func build(t *testing.T) string {
 	t.Helper()
 	bin := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", bin+"/", "mustardnotch/cmd/...").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	require.NoError(t, procs.Build(bin))
 	return bin
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 	"strings"
 
@@ -24,17 +23,11 @@
 // Run starts a platform, two entries, a model engine and a plain service with
 // the programs in bin, serves two requests, and ends them all.
 func Run(ctx context.Context, bin string, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "mustardnotch-demo")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	c, err := procs.New(bin, dir)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	spans := filepath.Join(dir, "spans.json")
+	return procs.InTemporary(bin, func(c *procs.Cluster) error { return run(ctx, c, out) })
+}
+
+func run(ctx context.Context, c *procs.Cluster, out io.Writer) error {
+	spans := filepath.Join(c.Dir, "spans.json")
 	c.Extra = "[trace]\nexporter = file\ntarget = " + spans + "\n"
 	if err := build(ctx, c, out); err != nil {
 		return err
--- a/gauge/config.go
+++ b/gauge/config.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -46,16 +45,10 @@
 // over o.Calls rounds how long a new rate, a withdrawn key, and a key withdrawn
 // while an entry is cut off from all, take to hold in every process.
 func Configuration(ctx context.Context, o Options, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "mustardnotch-gauge")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	c, err := procs.New(o.Bin, dir)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
+	return procs.InTemporary(o.Bin, func(c *procs.Cluster) error { return configuration(ctx, c, o, out) })
+}
+
+func configuration(ctx context.Context, c *procs.Cluster, o Options, out io.Writer) error {
 	c.Links = true
 	s := &spread{cluster: c, out: out, rounds: o.Calls, peers: peer.NewClient("gauge", wire.NewProbes(""))}
 	if err := s.build(ctx, o.Agents); err != nil {
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,16 +51,11 @@
 	case "idle":
 		return Idle(ctx, o, out)
 	}
-	dir, err := os.MkdirTemp("", "mustardnotch-gauge")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	c, err := procs.New(o.Bin, dir)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
+	return procs.InTemporary(o.Bin, func(c *procs.Cluster) error { return calls(ctx, c, o, out) })
+}
+
+// calls measures what entry and agent add to a plain call.
+func calls(ctx context.Context, c *procs.Cluster, o Options, out io.Writer) error {
 	entry, agents, err := build(ctx, c, o.Agents)
 	if err != nil {
 		return err
--- a/gauge/idle.go
+++ b/gauge/idle.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	mn "mustardnotch"
@@ -27,16 +26,10 @@
 // prints what a process of each role spends: processor time, resident memory,
 // and the bytes that it sends to and gets from peers and platform.
 func Idle(ctx context.Context, o Options, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "mustardnotch-gauge")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	c, err := procs.New(o.Bin, dir)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
+	return procs.InTemporary(o.Bin, func(c *procs.Cluster) error { return idle(ctx, c, o, out) })
+}
+
+func idle(ctx context.Context, c *procs.Cluster, o Options, out io.Writer) error {
 	c.Links = true
 	s := &spread{cluster: c}
 	if err := s.build(ctx, o.Agents); err != nil {
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -417,3 +417,19 @@
 func (c *Cluster) Caller(n *Node, key string) *caller.Client {
 	return caller.NewClient(n.Callers(), key)
 }
+
+// InTemporary runs f with a new cluster whose output goes to a temporary
+// directory, and ends the cluster and removes the directory afterwards.
+func InTemporary(bin string, f func(c *Cluster) error) error {
+	dir, err := os.MkdirTemp("", "mustardnotch")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := New(bin, dir)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	return f(c)
+}
