--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	mn "mustardnotch"
@@ -66,6 +65,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			frontCommand(),
 			applyCommand(),
 			getCommand(),
 			watchCommand(),
@@ -78,12 +78,4 @@
 	}
 }
 
-// newLog returns a logger of one key=value line for each event.
-func newLog(w io.Writer) *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(w)
-	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	return l
-}
-
 func example(s string) string { return "Example:\n   " + s }
--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	mn "mustardnotch"
+	"mustardnotch/io/logs"
 	"mustardnotch/node"
 	"mustardnotch/setup"
 )
@@ -27,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			e, err := node.NewEntry(ctx, s, newLog(c.Root().ErrWriter))
+			e, err := node.NewEntry(ctx, s, logs.New(c.Root().ErrWriter))
 			if err != nil {
 				return err
 			}
@@ -47,7 +48,7 @@
 			if err != nil {
 				return err
 			}
-			a, err := node.NewAgent(ctx, s, newLog(c.Root().ErrWriter))
+			a, err := node.NewAgent(ctx, s, logs.New(c.Root().ErrWriter))
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/cmds/front.go
@@ -0,0 +1,72 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"mustardnotch/io/logs"
+	"mustardnotch/node"
+	"mustardnotch/platform"
+)
+
+func frontCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "front",
+		Usage:       "run the process that serves callers' HTTP requests on the users' platform",
+		Description: example("mustardnotch front --settings settings.conf"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.FileVariable), Required: true},
+			&cli.StringFlag{Name: "router", Usage: "cost, or naive as a baseline", Value: "cost"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := platform.LoadSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			s.Router = c.String("router")
+			if err := s.Check(); err != nil {
+				return err
+			}
+			out := logs.NewWriter(c.Root().Writer)
+			defer out.Close()
+			reload := make(chan struct{}, 1)
+			stop := notifyReload(reload)
+			defer stop()
+			p := node.Platform{
+				Store:   platform.NewStore(s.Store),
+				Duties:  platform.NewDuties(s.Duties),
+				Dialect: platform.Dialect{},
+			}
+			return node.NewFront(s, p, logs.New(out), reload).Run(ctx)
+		},
+	}
+}
+
+// notifyReload sends on reload at each SIGHUP until the returned function is
+// called.
+func notifyReload(reload chan<- struct{}) func() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-hup:
+			case <-done:
+				return
+			}
+			select {
+			case reload <- struct{}{}:
+			default: // One is waiting already.
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hup)
+		close(done)
+	}
+}
--- /dev/null
+++ b/core/duty/holder.go
@@ -0,0 +1,190 @@
+// Package duty decides which front performs the duties that one process at a
+// time may perform, and what it reports.
+//
+// The duty feed is a log: a claim or renewal counts if it was appended at the
+// offset up to which its writer had read. A front may claim once it has seen no
+// record of another holder for a lease and some more, by its own clock, which
+// counts suspension. The holder acts only while its last renewal, counted from
+// when it was sent, is younger than the lease less a margin for a call.
+package duty
+
+import (
+	"encoding/json"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// callMargin is kept between the last call of a holder and the end of its
+	// lease: the time that a call may take on the way.
+	callMargin = 1500 * mn.Millisecond
+	// claimMargin is added to the lease before another front claims, for the
+	// drift of two clocks.
+	claimMargin = 200 * mn.Millisecond
+	// leaseOver is the part of the lease beyond the time in which holders must
+	// not alternate.
+	leaseOver = 1000 * mn.Millisecond
+)
+
+// holderKey and reportKey are the keys of the feed.
+const (
+	holderKey = "holder"
+	reportKey = "report"
+)
+
+// claim is the value of holderKey.
+type claim struct {
+	VM          mn.VMID        `json:"vm"`
+	Incarnation mn.Incarnation `json:"incarnation"`
+	// Term is the offset of the claim that a renewal renews, 0 for a claim.
+	Term mn.Term `json:"term,omitempty"`
+}
+
+// Report is the value of reportKey: what was decided to be reported.
+type Report struct {
+	Window int64                   `json:"window"`
+	Counts map[mn.CustomerID]int64 `json:"counts"`
+}
+
+// Holder follows the duty feed. It is safe for concurrent use.
+type Holder struct {
+	vm          mn.VMID
+	incarnation mn.Incarnation
+	lease       mn.Millis
+	clock       mn.Clock
+
+	mu       sync.Mutex
+	next     mn.Offset
+	last     claim
+	seenAt   mn.Millis
+	report   *Report
+	term     mn.Term
+	renewed  mn.Millis
+	followed bool
+}
+
+// New returns a holder for a process; apart is the time in which two holders
+// must not alternate.
+func New(vm mn.VMID, incarnation mn.Incarnation, apart mn.Millis, clock mn.Clock) *Holder {
+	return &Holder{vm: vm, incarnation: incarnation, lease: apart + leaseOver, clock: clock, seenAt: clock.Now()}
+}
+
+// Follow takes in items that were read, and the offset after them.
+func (h *Holder) Follow(items []mn.Item, next mn.Offset) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.followed = true
+	for _, i := range items {
+		switch i.Key {
+		case holderKey:
+			var c claim
+			if json.Unmarshal(i.Value, &c) != nil {
+				continue // Another writer's bytes claim nothing.
+			}
+			if c.Term == 0 {
+				c.Term = mn.Term(i.Offset)
+			}
+			h.last, h.seenAt = c, h.clock.Now()
+		case reportKey:
+			var r Report
+			if json.Unmarshal(i.Value, &r) == nil && (h.report == nil || r.Window > h.report.Window) {
+				h.report = &r
+			}
+		}
+	}
+	if next > h.next {
+		h.next = next
+	}
+	// A claim of this process whose answer was lost counts too, once renewed.
+	h.term = 0
+	if h.last.VM == h.vm && h.last.Incarnation == h.incarnation {
+		h.term = h.last.Term
+	}
+}
+
+// Next returns the offset from which to read on, negative before any read.
+func (h *Holder) Next() mn.Offset {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.followed {
+		return -1
+	}
+	return h.next
+}
+
+// Bid is a record to append at an offset.
+type Bid struct {
+	Key   string
+	Value []byte
+	At    mn.Offset
+	sent  mn.Millis
+	claim claim
+	rep   *Report
+}
+
+// Bid returns the claim or renewal that is to be appended now, or false.
+func (h *Holder) Bid() (Bid, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	mine := h.term > 0
+	if !h.followed || !mine && now-h.seenAt < h.lease+claimMargin && h.last.VM != "" {
+		return Bid{}, false
+	}
+	c := claim{VM: h.vm, Incarnation: h.incarnation, Term: h.term}
+	value, err := json.Marshal(c)
+	if err != nil {
+		return Bid{}, false // A claim of plain strings always encodes.
+	}
+	return Bid{Key: holderKey, Value: value, At: h.next, sent: now, claim: c}, true
+}
+
+// Won takes in that a bid was appended at offset.
+func (h *Holder) Won(b Bid, offset mn.Offset) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next = max(h.next, offset+1)
+	h.renewed = b.sent
+	if b.rep != nil {
+		h.report = b.rep
+		return
+	}
+	if b.claim.Term == 0 {
+		b.claim.Term = mn.Term(offset)
+	}
+	h.last, h.seenAt, h.term = b.claim, h.clock.Now(), b.claim.Term
+}
+
+// Held returns the term that this process holds, if it may act now.
+func (h *Holder) Held() (mn.Term, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term, h.term > 0 && h.clock.Now()-h.renewed < h.lease-callMargin
+}
+
+// Lost gives the duty up, for a process that leaves.
+func (h *Holder) Lost() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.term = 0
+	h.followed = false
+}
+
+// Decided returns the newest report that was decided, nil for none.
+func (h *Holder) Decided() *Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.report
+}
+
+// Decide returns the record that decides a report.
+func (h *Holder) Decide(r Report) (Bid, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return Bid{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Bid{Key: reportKey, Value: value, At: h.next, sent: h.clock.Now(), rep: &r}, nil
+}
--- /dev/null
+++ b/core/duty/runs.go
@@ -0,0 +1,154 @@
+package duty
+
+import (
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// keptWindows is how many windows are told and remembered: those that end
+	// within the time in which a report is due, and one more.
+	keptWindows = 6
+	// stepAfter is how far the time of day must be from where the steady clock
+	// puts it to count as a step, and stepStays how long a step must last to be
+	// believed: steps are mostly taken back.
+	stepAfter = 250 * mn.Millisecond
+	stepStays = 20 * mn.Second
+)
+
+// Runs counts requests that began to run, by window and customer, at all fronts.
+// It is safe for concurrent use.
+type Runs struct {
+	clock  mn.Clock
+	window mn.Millis
+
+	mu sync.Mutex
+	// offset is the time of day less the steady clock; steppedAt is when the
+	// time of day was first seen elsewhere, 0 while it is not.
+	offset    mn.Millis
+	steppedAt mn.Millis
+	own       map[key]int64
+	others    map[mn.VMID]map[mn.Incarnation]map[key]int64
+	heardAt   map[mn.VMID]mn.Millis
+}
+
+type key struct {
+	window   int64
+	customer mn.CustomerID
+}
+
+// NewRuns returns an empty count with windows of the given span.
+func NewRuns(window mn.Millis, clock mn.Clock) *Runs {
+	return &Runs{
+		clock:   clock,
+		window:  window,
+		offset:  clock.Wall() - clock.Now(),
+		own:     map[key]int64{},
+		others:  map[mn.VMID]map[mn.Incarnation]map[key]int64{},
+		heardAt: map[mn.VMID]mn.Millis{},
+	}
+}
+
+// Wall returns the time of day, not following a step of the machine's clock
+// unless it stays.
+func (r *Runs) Wall() mn.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.wall()
+}
+
+func (r *Runs) wall() mn.Millis {
+	now := r.clock.Now()
+	offset := r.clock.Wall() - now
+	switch gap := offset - r.offset; {
+	case gap < stepAfter && gap > -stepAfter:
+		r.offset, r.steppedAt = offset, 0
+	case r.steppedAt == 0:
+		r.steppedAt = now
+	case now-r.steppedAt > stepStays:
+		r.offset, r.steppedAt = offset, 0
+	}
+	return now + r.offset
+}
+
+// Began counts a request of customer that began to run now.
+func (r *Runs) Began(c mn.CustomerID) {
+	if c == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := int64(r.wall() / r.window)
+	r.own[key{w, c}]++
+	for k := range r.own {
+		if k.window < w-keptWindows {
+			delete(r.own, k)
+		}
+	}
+}
+
+// Own returns this front's counts.
+func (r *Runs) Own() []mn.RunCount {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]mn.RunCount, 0, len(r.own))
+	for k, n := range r.own {
+		out = append(out, mn.RunCount{Window: k.window, Customer: k.customer, Count: n})
+	}
+	return out
+}
+
+// Hear takes in another front's counts. Those of an earlier incarnation stay.
+func (r *Runs) Hear(f mn.Facts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heardAt[f.VM] = r.wall()
+	byIncarnation := r.others[f.VM]
+	if byIncarnation == nil {
+		byIncarnation = map[mn.Incarnation]map[key]int64{}
+		r.others[f.VM] = byIncarnation
+	}
+	counts := byIncarnation[f.Incarnation]
+	if counts == nil {
+		counts = map[key]int64{}
+		byIncarnation[f.Incarnation] = counts
+	}
+	oldest := int64(r.wall()/r.window) - keptWindows
+	for _, n := range f.Runs {
+		counts[key{n.Window, n.Customer}] = n.Count
+	}
+	for k := range counts {
+		if k.window < oldest {
+			delete(counts, k)
+		}
+	}
+}
+
+// Total returns the counts of a window at all fronts, and the fronts among
+// those given that were not heard since the window ended.
+func (r *Runs) Total(window int64, fronts []mn.VMID) (counts map[mn.CustomerID]int64, silent int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts = map[mn.CustomerID]int64{}
+	add := func(from map[key]int64) {
+		for k, n := range from {
+			if k.window == window {
+				counts[k.customer] += n
+			}
+		}
+	}
+	add(r.own)
+	for _, byIncarnation := range r.others {
+		for _, c := range byIncarnation {
+			add(c)
+		}
+	}
+	end := mn.Millis(window+1) * r.window
+	for _, vm := range fronts {
+		if r.heardAt[vm] < end {
+			silent++
+		}
+	}
+	return counts, silent
+}
--- /dev/null
+++ b/core/lists/lists.go
@@ -0,0 +1,112 @@
+// Package lists keeps the list of endpoints as the platform's feed tells it.
+package lists
+
+import (
+	"sort"
+
+	mn "mustardnotch"
+)
+
+const (
+	// awayAfter is how long reads of the feed must have failed for entries to
+	// count as lapsed by that: a beat of the endpoints.
+	awayAfter = 1200 * mn.Millisecond
+	// returnSpan is how long after the feed's return living endpoints need to be
+	// back on it, with a margin for one read.
+	returnSpan = 2300 * mn.Millisecond
+)
+
+// Decoder decodes an item of the feed. Its error says why the item names no
+// endpoint that can be used.
+type Decoder func(mn.Item) (mn.Endpoint, error)
+
+// List is the list of endpoints. It is not safe for concurrent use.
+type List struct {
+	decode Decoder
+	byID   map[mn.EndpointID]entry
+	// readAt is the last read that succeeded, backAt the end of the last time
+	// in which none did.
+	readAt, backAt mn.Millis
+}
+
+type entry struct {
+	mn.Endpoint
+	// lapsedAt is when the entry was removed around an outage, 0 while listed.
+	lapsedAt mn.Millis
+}
+
+// New returns an empty list.
+func New(decode Decoder) *List {
+	return &List{decode: decode, byID: map[mn.EndpointID]entry{}}
+}
+
+// Read notes that the feed was read at now. Call it before the items of that
+// read are applied.
+func (l *List) Read(now mn.Millis) {
+	if l.readAt > 0 && now-l.readAt > awayAfter {
+		l.backAt = now
+	}
+	l.readAt = now
+}
+
+// Replace takes in the newest items of all keys.
+func (l *List) Replace(items []mn.Item, now mn.Millis) (faults []error) {
+	listed := map[mn.EndpointID]bool{}
+	for _, i := range items {
+		listed[mn.EndpointID(i.Key)] = true
+		if err := l.Apply(i, now); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	for id := range l.byID {
+		if !listed[id] {
+			l.remove(id, now)
+		}
+	}
+	return faults
+}
+
+// Apply takes in one item. Its error says why an item names no endpoint.
+func (l *List) Apply(i mn.Item, now mn.Millis) error {
+	id := mn.EndpointID(i.Key)
+	if len(i.Value) == 0 {
+		l.remove(id, now)
+		return nil
+	}
+	e, err := l.decode(i)
+	if err != nil {
+		delete(l.byID, id)
+		return err
+	}
+	l.byID[id] = entry{Endpoint: e}
+	return nil
+}
+
+// remove takes an endpoint off the list. One whose entry was lost around an
+// outage of the feed stays until it had time to come back.
+func (l *List) remove(id mn.EndpointID, now mn.Millis) {
+	e, ok := l.byID[id]
+	if !ok || e.lapsedAt > 0 {
+		return
+	}
+	if l.backAt > 0 && now-l.backAt < returnSpan && e.State == mn.EndpointReady {
+		e.lapsedAt = now
+		l.byID[id] = e
+		return
+	}
+	delete(l.byID, id)
+}
+
+// Endpoints returns the list at now, in the order of ids.
+func (l *List) Endpoints(now mn.Millis) []mn.Endpoint {
+	out := make([]mn.Endpoint, 0, len(l.byID))
+	for id, e := range l.byID {
+		if e.lapsedAt > 0 && now-l.backAt >= returnSpan {
+			delete(l.byID, id)
+			continue
+		}
+		out = append(out, e.Endpoint)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/core/place/board.go
@@ -0,0 +1,243 @@
+package place
+
+import (
+	"math"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// factsLife is how long another front's word on its work counts: several
+	// times the period at which fronts speak.
+	factsLife = 2 * mn.Second
+	// failHalfLife is the time in which an endpoint's failures count half.
+	failHalfLife = 2500 * mn.Millisecond
+	// failCost is what a certain failure adds to the cost of an endpoint: about
+	// the time that a request loses by it.
+	failCost = 1500.0
+	// firstPause and longestPause bound how long an endpoint that can't be
+	// reached is left alone; the pause doubles from one to the other.
+	firstPause   = 400 * mn.Millisecond
+	longestPause = 3 * mn.Second
+	// speedWeight is the weight of one observation in a learned speed.
+	speedWeight = 0.15
+	// fewestSlow and mostSlow bound the learned speed factor of an endpoint.
+	fewestSlow, mostSlow = 0.5, 12.0
+	// plainStart is the time of an answer that is assumed of a plain endpoint
+	// which has not answered yet.
+	plainStart = 30.0
+)
+
+// Config sets a board.
+type Config struct {
+	DataCentre mn.DataCentre
+	// Naive places prompts at random engines that also generate, without reading
+	// prompts elsewhere, without homes, admission or learned speeds.
+	Naive bool
+}
+
+// Board is what a front knows of endpoints. It is safe for concurrent use.
+type Board struct {
+	config Config
+	clock  mn.Clock
+
+	mu        sync.Mutex
+	endpoints map[mn.EndpointID]*state
+	byPool    map[mn.PoolID][]*state
+	engines   map[mn.PoolID]mn.EngineSpec
+	fronts    map[mn.VMID]told
+	reads     []toldRead
+}
+
+// told is what another front said of its work, and when.
+type told struct {
+	at   mn.Millis
+	uses map[mn.EndpointID]mn.EndpointUse
+}
+
+// state is what is known of one endpoint.
+type state struct {
+	mn.Endpoint
+	// requests and reading are this front's work there: requests without an
+	// answer, and the milliseconds that their prompts need.
+	requests int64
+	reading  float64
+	// slow is the learned ratio of observed to expected time.
+	slow float64
+	// answer is the learned time of an answer of a plain endpoint.
+	answer float64
+	// failures is a decaying share of failed requests.
+	failures   float64
+	failuresAt mn.Millis
+	// pausedUntil ends a time in which the endpoint is left alone; pause is its
+	// length, 0 while the endpoint can be reached. probing says that the first
+	// request after a pause is on its way.
+	pausedUntil mn.Millis
+	pause       mn.Millis
+	probing     bool
+	parts       *parts
+}
+
+// New returns a board that knows of no endpoint.
+func New(config Config, clock mn.Clock) *Board {
+	return &Board{
+		config:    config,
+		clock:     clock,
+		endpoints: map[mn.EndpointID]*state{},
+		byPool:    map[mn.PoolID][]*state{},
+		engines:   map[mn.PoolID]mn.EngineSpec{},
+		fronts:    map[mn.VMID]told{},
+	}
+}
+
+// Declare sets the pools' specifications.
+func (b *Board) Declare(pools map[mn.PoolID]mn.PoolSpec) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines = map[mn.PoolID]mn.EngineSpec{}
+	for id, p := range pools {
+		if p.Engine != nil {
+			b.engines[id] = *p.Engine
+		}
+	}
+}
+
+// Update sets the list of endpoints. What was learned of an endpoint is kept
+// unless it was started anew.
+func (b *Board) Update(list []mn.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[mn.EndpointID]*state, len(list))
+	byPool := map[mn.PoolID][]*state{}
+	for _, e := range list {
+		s := b.endpoints[e.ID]
+		if s == nil || s.Born != e.Born || s.Addr != e.Addr {
+			s = &state{slow: 1, answer: plainStart, parts: newParts()}
+		}
+		s.Endpoint = e
+		next[e.ID] = s
+		byPool[e.Pool] = append(byPool[e.Pool], s)
+	}
+	b.endpoints, b.byPool = next, byPool
+}
+
+// Endpoint returns an endpoint of the list.
+func (b *Board) Endpoint(id mn.EndpointID) (mn.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.endpoints[id]
+	if !ok {
+		return mn.Endpoint{}, false
+	}
+	return s.Endpoint, true
+}
+
+// Hear takes in another front's work.
+func (b *Board) Hear(f mn.Facts) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := told{at: b.clock.Now(), uses: make(map[mn.EndpointID]mn.EndpointUse, len(f.Uses))}
+	for _, u := range f.Uses {
+		t.uses[u.Endpoint] = u
+	}
+	b.fronts[f.VM] = t
+	b.heardReads(f.Reads)
+}
+
+// Uses returns this front's work for the other fronts.
+func (b *Board) Uses() []mn.EndpointUse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var out []mn.EndpointUse
+	for id, s := range b.endpoints {
+		u := mn.EndpointUse{Endpoint: id, Requests: s.requests, Prefill: mn.Millis(s.reading), Failing: now < s.pausedUntil}
+		if u.Requests > 0 || u.Failing {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// load returns the requests and the reading time of all fronts at s.
+func (b *Board) load(s *state, now mn.Millis) (requests int64, reading float64) {
+	requests, reading = s.requests, s.reading
+	for _, t := range b.fronts {
+		if now-t.at > factsLife {
+			continue
+		}
+		u := t.uses[s.ID]
+		requests += u.Requests
+		reading += float64(u.Prefill)
+	}
+	return requests, reading
+}
+
+// usable says whether new work may go to s.
+func (s *state) usable(now mn.Millis, avoid []mn.EndpointID) bool {
+	if s.State != mn.EndpointReady || s.Changing || now < s.pausedUntil || s.pause > 0 && s.probing {
+		return false
+	}
+	for _, id := range avoid {
+		if id == s.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// failing returns the decayed share of failed requests.
+func (s *state) failing(now mn.Millis) float64 {
+	return s.failures * math.Exp2(-float64(now-s.failuresAt)/float64(failHalfLife))
+}
+
+func (s *state) note(now mn.Millis, failed bool) {
+	// One in five of the last requests weighs as much as all before them.
+	const weight = 0.2
+	f := s.failing(now) * (1 - weight)
+	if failed {
+		f += weight
+	}
+	s.failures, s.failuresAt = f, now
+}
+
+// Unreachable notes that no connection to the endpoint could be made, or that
+// it stopped answering. It is left alone for a while.
+func (b *Board) Unreachable(id mn.EndpointID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[id]
+	if s == nil {
+		return
+	}
+	now := b.clock.Now()
+	s.note(now, true)
+	s.probing = false
+	if now < s.pausedUntil {
+		return
+	}
+	s.pause = min(longestPause, max(firstPause, 2*s.pause))
+	s.pausedUntil = now + s.pause
+}
+
+// Reached notes how a request that the endpoint answered ended.
+func (b *Board) Reached(id mn.EndpointID, failed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[id]
+	if s == nil {
+		return
+	}
+	s.note(b.clock.Now(), failed)
+	s.pause, s.probing = 0, false
+}
+
+// Answered notes the time that a plain endpoint took for an answer.
+func (b *Board) Answered(id mn.EndpointID, took mn.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.endpoints[id]; s != nil {
+		s.answer += speedWeight * (float64(took) - s.answer)
+	}
+}
--- /dev/null
+++ b/core/place/choose.go
@@ -0,0 +1,407 @@
+package place
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	mn "mustardnotch"
+)
+
+const (
+	// readPace is how many prompt tokens an engine that only reads prompts takes
+	// in a millisecond, before its speed is learned; from the users' sheets.
+	readPace = 112.0
+	// mixedPace is the same at an engine that also generates: half the speed, in
+	// small pieces between the steps of what runs.
+	mixedPace = 38.0
+	// pairCost is the milliseconds for a million pairs of a token read and a
+	// token before it; from the users' deployments.
+	pairCost = 0.22
+	// firstToken is the time from the end of a prompt to its first event.
+	firstToken = 45.0
+	// FirstToken is the same as a span.
+	FirstToken mn.Millis = firstToken
+	// handoffSetup is the time that a transfer of a prompt's KV cache takes
+	// beside its bytes.
+	handoffSetup = 8.0
+	// farHop is the round trip to an endpoint in another data centre; nearHop
+	// that within one. Bytes to another data centre are paid for, so that a
+	// choice within one is worth some milliseconds more.
+	farHop, nearHop = 6.0, 1.0
+	// shortPrompt is the most tokens to be read that an engine reads beside the
+	// generations that it runs, rather than another engine for it.
+	shortPrompt = 1200
+	// directMost is the most tokens of a long prompt that an engine reads beside
+	// the generations that it runs: more would hold up their tokens and the
+	// short prompts behind it.
+	directMost = 6000
+	// homes is how many engines of a role may hold a shared part.
+	homes = 2
+	// stepCost is what each running request adds to a step, in milliseconds, at
+	// about the number of steps until an event.
+	stepCost = 0.9
+	// fullMargin keeps some of an engine's places for what other fronts have
+	// sent and not yet told.
+	fullMargin = 0.85
+	// plainQueue is how many requests beyond its places a plain endpoint gets,
+	// so that it is not idle between two of them.
+	plainQueue = 1
+)
+
+// Job is a request that is to be placed.
+type Job struct {
+	ID   mn.RequestID
+	Pool mn.PoolID
+	// Prompt is nil for requests to plain services.
+	Prompt *mn.PromptInfo
+	// GoalAt is until when an answer is on time, EndAt when the request must
+	// have its final answer.
+	GoalAt mn.Millis
+	EndAt  mn.Millis
+	// Avoid lists endpoints that were tried.
+	Avoid []mn.EndpointID
+}
+
+// Plan is where a request runs.
+type Plan struct {
+	Target mn.Endpoint
+	// Reader reads the prompt for Target, which then fetches it; nil if Target
+	// reads it itself.
+	Reader *mn.Endpoint
+	// Expect is the time until the first event, and Read that in which the
+	// prompt is read, both as estimated.
+	Expect mn.Millis
+	Read   mn.Millis
+
+	work float64
+	// readerLeft says that the reader's part has been given back.
+	readerLeft, targetLeft, workLeft bool
+	prompt                           *mn.PromptInfo
+}
+
+// reader returns the endpoint that reads the prompt.
+func (p *Plan) reader() mn.EndpointID {
+	if p.Reader != nil {
+		return p.Reader.ID
+	}
+	return p.Target.ID
+}
+
+// Choice is what the board says of a job.
+type Choice int
+
+// Choices.
+const (
+	// Send means that the plan is on time, and reserved.
+	Send Choice = iota
+	// SendLate means that the plan is not on time, and reserved.
+	SendLate
+	// Full means that no endpoint has room for the job now.
+	Full
+	// None means that no endpoint of the pool can be used.
+	None
+)
+
+// Choose places a job. It reserves the place if the first event is expected on
+// time, or, if late is set, if it is expected before the end and what is on
+// time elsewhere does not suffer.
+func (b *Board) Choose(j *Job, late bool) (*Plan, Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var usable []*state
+	for _, s := range b.byPool[j.Pool] {
+		if s.usable(now, j.Avoid) {
+			usable = append(usable, s)
+		}
+	}
+	if len(usable) == 0 {
+		return nil, None
+	}
+	spec, engine := b.engines[j.Pool]
+	if !engine || j.Prompt == nil {
+		return b.choosePlain(usable, now)
+	}
+	if b.config.Naive {
+		return b.chooseNaive(j, usable)
+	}
+	p, backlog := b.chooseEngine(j, usable, spec, now)
+	if p == nil {
+		return nil, Full
+	}
+	switch {
+	case now+p.Expect <= j.GoalAt:
+		b.reserve(p, spec)
+		return p, Send
+	case late && now+p.Expect <= j.EndAt-lateMargin && backlog <= lateBacklog:
+		b.reserve(p, spec)
+		return p, SendLate
+	}
+	return nil, Full
+}
+
+func (b *Board) choosePlain(usable []*state, now mn.Millis) (*Plan, Choice) {
+	var best *state
+	low := math.Inf(1)
+	for _, s := range usable {
+		n, _ := b.load(s, now)
+		if n >= s.Capacity+plainQueue {
+			continue
+		}
+		// An endpoint that is nearly full may be full by the next request.
+		cost := s.answer*(1+float64(n)/float64(s.Capacity)) + b.hop(s) + failCost*s.failing(now)
+		if cost < low {
+			best, low = s, cost
+		}
+	}
+	if best == nil {
+		return nil, Full
+	}
+	p := &Plan{Target: best.Endpoint, Expect: mn.Millis(low)}
+	b.reserve(p, mn.EngineSpec{})
+	return p, Send
+}
+
+func (b *Board) chooseNaive(j *Job, usable []*state) (*Plan, Choice) {
+	usable = slices.DeleteFunc(usable, func(s *state) bool { return s.Role == mn.EnginePrefill })
+	if len(usable) == 0 {
+		return nil, None
+	}
+	s := usable[rand.IntN(len(usable))]
+	p := &Plan{Target: s.Endpoint, prompt: j.Prompt}
+	b.reserve(p, b.engines[j.Pool])
+	return p, Send
+}
+
+// hop returns the cost of the way to s.
+func (b *Board) hop(s *state) float64 {
+	if s.DataCentre == b.config.DataCentre {
+		return nearHop
+	}
+	return farHop
+}
+
+// read returns the time in which s reads the prompt.
+func (b *Board) read(s *state, info *mn.PromptInfo) (work float64, missing int64) {
+	missing = max(1, info.Tokens-min(s.parts.cached(info), info.Tokens-1))
+	pace := mixedPace
+	if s.Role == mn.EnginePrefill {
+		pace = readPace
+	}
+	before := float64(info.Tokens) - float64(missing)/2
+	return s.slow * (float64(missing)/pace + pairCost*float64(missing)*before/1e6), missing
+}
+
+// chooseEngine returns the best plan for a prompt, and the reading that is
+// before it at its reader.
+func (b *Board) chooseEngine(j *Job, usable []*state, spec mn.EngineSpec, now mn.Millis) (*Plan, float64) {
+	var best *Plan
+	var backlog float64
+	low := math.Inf(1)
+	consider := func(reader, target *state) {
+		p, cost, before := b.plan(j, reader, target, spec, now)
+		if cost < low {
+			best, low, backlog = p, cost, before
+		}
+	}
+	if j.Prompt.Tokens <= shortPrompt {
+		for _, s := range usable {
+			if s.Role != mn.EnginePrefill && b.room(s, now) {
+				consider(s, s)
+			}
+		}
+		return best, backlog
+	}
+	readers, targets := split(usable)
+	readers, targets = homesOf(j.Prompt, readers), homesOf(j.Prompt, targets)
+	for _, t := range targets {
+		if !b.room(t, now) {
+			continue
+		}
+		for _, r := range readers {
+			consider(r, t)
+		}
+		if _, missing := b.read(t, j.Prompt); missing <= directMost || len(readers) == 0 {
+			consider(t, t)
+		}
+	}
+	return best, backlog
+}
+
+// split divides engines into those that only read prompts and those that
+// generate.
+func split(usable []*state) (readers, targets []*state) {
+	for _, s := range usable {
+		if s.Role == mn.EnginePrefill {
+			readers = append(readers, s)
+		} else {
+			targets = append(targets, s)
+		}
+	}
+	return readers, targets
+}
+
+// plan estimates a prompt that reader reads and target goes on with.
+func (b *Board) plan(j *Job, reader, target *state, spec mn.EngineSpec, now mn.Millis) (p *Plan, cost, backlog float64) {
+	work, missing := b.read(reader, j.Prompt)
+	running, backlog := b.load(reader, now)
+	first := firstToken
+	if reader == target {
+		first += stepCost * float64(running)
+	} else {
+		n, reading := b.load(target, now)
+		first += stepCost*float64(n) + reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
+	}
+	expect := b.hop(reader) + backlog + work + first
+	// What has to be read again elsewhere takes time from others.
+	again := float64(max(0, missing-own(j.Prompt))) / readPace
+	fail := failCost * (reader.failing(now) + target.failing(now))
+	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(backlog + work), work: work, prompt: j.Prompt}
+	if reader != target {
+		e := reader.Endpoint
+		p.Reader = &e
+	}
+	return p, expect + again + fail, backlog
+}
+
+// own returns the tokens of the prompt's last part, which it shares with none.
+func own(info *mn.PromptInfo) int64 {
+	if len(info.Parts) == 0 {
+		return info.Tokens
+	}
+	return info.Parts[len(info.Parts)-1].Tokens
+}
+
+// handoff returns the time in which target fetches a prompt from reader.
+func handoff(reader, target *state, spec mn.EngineSpec, tokens int64) float64 {
+	t := handoffSetup
+	if spec.LinkMbps > 0 {
+		t += float64(tokens*spec.TokenBytes*8) / (spec.LinkMbps * 1e3)
+	}
+	if reader.DataCentre != target.DataCentre {
+		t *= 2
+	}
+	return t * reader.slow
+}
+
+// room says whether s may run one more request.
+func (b *Board) room(s *state, now mn.Millis) bool {
+	n, _ := b.load(s, now)
+	return float64(n) < fullMargin*float64(s.Capacity)
+}
+
+// homesOf returns the engines that may hold the prompt's first shared part, by
+// rendezvous hashing, so that all fronts find the same ones.
+func homesOf(info *mn.PromptInfo, usable []*state) []*state {
+	key := ""
+	if len(info.Parts) > 0 {
+		key = info.Parts[0].ID
+	}
+	sorted := slices.Clone(usable)
+	score := make(map[mn.EndpointID]float64, len(usable))
+	for _, s := range usable {
+		h := fnv.New64a()
+		h.Write([]byte(key + "\x00" + string(s.ID))) // A hash never fails to write.
+		u := (float64(mix(h.Sum64())>>11) + 1) / (1 << 53)
+		score[s.ID] = u
+	}
+	slices.SortFunc(sorted, func(x, y *state) int {
+		switch {
+		case score[x.ID] > score[y.ID]:
+			return -1
+		case score[x.ID] < score[y.ID]:
+			return 1
+		}
+		return 0
+	})
+	return sorted[:min(homes, len(sorted))]
+}
+
+// mix spreads the bits of an FNV hash, whose high bits differ little for keys
+// that differ in their last byte.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// reserve counts the plan's work.
+func (b *Board) reserve(p *Plan, spec mn.EngineSpec) {
+	for _, s := range b.sides(p) {
+		s.requests++
+		if s.pause > 0 {
+			s.probing = true
+		}
+	}
+	if s := b.endpoints[p.reader()]; s != nil {
+		s.reading += p.work
+		if p.prompt != nil {
+			b.tell(s, p.prompt, spec.KVTokens)
+		}
+	}
+	if p.Reader != nil && p.prompt != nil {
+		// An engine keeps what it fetched like what it read.
+		if s := b.endpoints[p.Target.ID]; s != nil {
+			b.tell(s, p.prompt, spec.KVTokens)
+		}
+	}
+}
+
+func (b *Board) sides(p *Plan) []*state {
+	var out []*state
+	if s := b.endpoints[p.Target.ID]; s != nil && !p.targetLeft {
+		out = append(out, s)
+	}
+	if p.Reader != nil && !p.readerLeft {
+		if s := b.endpoints[p.Reader.ID]; s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// HasRead notes that the prompt was read, took after it was sent; took is
+// negative if it was not read.
+func (b *Board) HasRead(p *Plan, took mn.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unread(p)
+	s := b.endpoints[p.reader()]
+	if s == nil {
+		return
+	}
+	if took >= 0 && p.Read > 0 {
+		ratio := (float64(took) + 1) / (float64(p.Read) + 1)
+		s.slow = min(mostSlow, max(fewestSlow, s.slow*(1+speedWeight*(min(3, ratio)-1))))
+	}
+	if p.Reader != nil && !p.readerLeft {
+		p.readerLeft = true
+		s.requests = max(0, s.requests-1)
+	}
+}
+
+func (b *Board) unread(p *Plan) {
+	if p.workLeft {
+		return
+	}
+	p.workLeft = true
+	if s := b.endpoints[p.reader()]; s != nil {
+		s.reading = max(0, s.reading-p.work)
+	}
+}
+
+// Done gives back what is left of a plan's places.
+func (b *Board) Done(p *Plan) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unread(p)
+	for _, s := range b.sides(p) {
+		s.requests = max(0, s.requests-1)
+		s.probing = false
+	}
+	p.targetLeft, p.readerLeft = true, true
+}
--- /dev/null
+++ b/core/place/line.go
@@ -0,0 +1,208 @@
+package place
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// lateMargin is kept between the expected first event of a late request and
+	// its end, for the rest of its events.
+	lateMargin = 500 * mn.Millisecond
+	// lateBacklog is the most reading, in milliseconds, that may be before a
+	// late request: one long prompt, so that requests on time hardly wait.
+	lateBacklog = 60.0
+	// pumpEvery is how often waiting requests are looked at: several times in
+	// the time of a long prompt.
+	pumpEvery = 8 * mn.Millisecond
+	// pumpMost bounds the waiting requests that are looked at in one go.
+	pumpMost = 24
+	// holdShare is the part of its time for which a request waits at most; a
+	// caller that is refused then has time to come back.
+	holdShare = 0.45
+	// graceWait is how many milliseconds of waiting are always allowed.
+	graceWait = 60 * mn.Millisecond
+	// rateSpan is the time over which grants to waiting requests are averaged.
+	rateSpan = 1500 * mn.Millisecond
+	// startRate is the grants a second that are assumed before any were seen.
+	startRate = 8.0
+	// shortestRetry keeps callers from coming back before anything changed.
+	shortestRetry = 100 * mn.Millisecond
+)
+
+// Refusal says why a job was turned away.
+type Refusal struct {
+	Reason string
+	// Retry is when there may be room.
+	Retry mn.Millis
+	// Waited is how long the job was held.
+	Waited mn.Millis
+}
+
+// Line holds the jobs that wait for a place.
+//
+// Load pattern: for seconds at a time callers ask for more prompts than all
+// engines read. What can be answered on time goes first; what can't waits for
+// the lulls between bursts, the earliest end first, so that a caller that comes
+// back after a refusal goes before those that still can. A job that would wait
+// longer than it can is refused when it arrives.
+type Line struct {
+	board *Board
+	clock mn.Clock
+
+	mu      sync.Mutex
+	waiting []*waiter
+	pumping bool
+	// grants is the decayed number of grants in rateSpan.
+	grants   float64
+	grantsAt mn.Millis
+}
+
+type waiter struct {
+	job     *Job
+	since   mn.Millis
+	until   mn.Millis
+	granted chan *Plan
+}
+
+// NewLine returns an empty line before board.
+func NewLine(board *Board, clock mn.Clock) *Line {
+	return &Line{board: board, clock: clock, grants: startRate * float64(rateSpan) / float64(mn.Second), grantsAt: clock.Now()}
+}
+
+// Waiting returns how many jobs wait.
+func (l *Line) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
+// Place returns a reserved plan for j, now or after a wait, or a refusal. It
+// returns neither if ctx ended.
+func (l *Line) Place(ctx context.Context, j *Job) (*Plan, *Refusal) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	idle := len(l.waiting) == 0
+	l.mu.Unlock()
+	plan, choice := l.board.Choose(j, idle)
+	switch choice {
+	case Send, SendLate:
+		return plan, nil
+	case None:
+		return nil, &Refusal{Reason: "no endpoint can be used", Retry: l.retry(j, now, 500*mn.Millisecond)}
+	case Full:
+	}
+	w, refusal := l.enter(j, now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	select {
+	case p := <-w.granted:
+		if p != nil {
+			return p, nil
+		}
+		now = l.clock.Now()
+		return nil, &Refusal{Reason: "no room in time", Retry: l.retry(j, now, l.expected()), Waited: now - w.since}
+	case <-ctx.Done():
+		l.abandon(w)
+		return nil, nil
+	}
+}
+
+// enter adds j to the line, unless it would wait too long there.
+func (l *Line) enter(j *Job, now mn.Millis) (*waiter, *Refusal) {
+	hold := mn.Millis(float64(j.EndAt-now) * holdShare)
+	expected := l.expected()
+	if expected > max(graceWait, hold) {
+		return nil, &Refusal{Reason: "the line is too long", Retry: l.retry(j, now, expected)}
+	}
+	w := &waiter{job: j, since: now, until: now + hold, granted: make(chan *Plan, 1)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(l.waiting, w, func(a, b *waiter) int { return int(a.job.EndAt - b.job.EndAt) })
+	l.waiting = slices.Insert(l.waiting, at, w)
+	if !l.pumping {
+		l.pumping = true
+		go l.pump()
+	}
+	return w, nil
+}
+
+// expected returns how long a job that enters now would wait.
+func (l *Line) expected() mn.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decay(l.clock.Now())
+	perMilli := max(0.5, l.grants) / float64(rateSpan)
+	return mn.Millis(float64(len(l.waiting)) / perMilli)
+}
+
+// retry returns when a caller should come back: after span, but early enough to
+// be served then.
+func (l *Line) retry(j *Job, now, span mn.Millis) mn.Millis {
+	return max(shortestRetry, min(span, (j.EndAt-now)/3))
+}
+
+func (l *Line) decay(now mn.Millis) {
+	if gone := now - l.grantsAt; gone > 0 {
+		l.grants -= l.grants * min(1, float64(gone)/float64(rateSpan))
+		l.grantsAt = now
+	}
+}
+
+func (l *Line) abandon(w *waiter) {
+	l.mu.Lock()
+	at := slices.Index(l.waiting, w)
+	if at >= 0 {
+		l.waiting = slices.Delete(l.waiting, at, at+1)
+	}
+	l.mu.Unlock()
+	if at >= 0 {
+		return
+	}
+	if p := <-w.granted; p != nil {
+		l.board.Done(p)
+	}
+}
+
+// pump looks at the waiting jobs until there are none.
+func (l *Line) pump() {
+	for {
+		l.mu.Lock()
+		l.grant()
+		if len(l.waiting) == 0 {
+			l.pumping = false
+			l.mu.Unlock()
+			return
+		}
+		l.mu.Unlock()
+		_ = l.clock.Sleep(context.Background(), pumpEvery) // A background context never ends.
+	}
+}
+
+// grant gives places to waiting jobs and turns away those whose time is over.
+func (l *Line) grant() {
+	now := l.clock.Now()
+	l.decay(now)
+	tried := 0
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *waiter) bool {
+		if now >= w.until {
+			w.granted <- nil
+			return true
+		}
+		if tried >= pumpMost {
+			return false
+		}
+		tried++
+		p, choice := l.board.Choose(w.job, true)
+		if choice != Send && choice != SendLate {
+			return false
+		}
+		l.grants++
+		w.granted <- p
+		return true
+	})
+}
--- /dev/null
+++ b/core/place/parts.go
@@ -0,0 +1,121 @@
+package place
+
+import mn "mustardnotch"
+
+// parts remembers which shared prompt parts an engine has read, the least
+// recently used going first, up to the tokens that its memory keeps.
+type parts struct {
+	used   map[string]*part
+	tokens int64
+	tick   int64
+}
+
+type part struct {
+	tokens int64
+	tick   int64
+}
+
+// partsShare is the part of an engine's memory that is taken to hold parts; the
+// rest is for requests that run.
+const partsShare = 0.7
+
+func newParts() *parts { return &parts{used: map[string]*part{}} }
+
+// cached returns how many tokens at the start of the prompt the engine has.
+func (p *parts) cached(info *mn.PromptInfo) int64 {
+	var n int64
+	for _, q := range info.Parts {
+		if p.used[q.ID] == nil {
+			return n
+		}
+		n += q.Tokens
+	}
+	return n
+}
+
+// read notes that the engine read parts of a prompt.
+func (p *parts) read(read []mn.PromptPart, memory int64) {
+	p.tick++
+	for _, q := range read {
+		k := p.used[q.ID]
+		if k == nil {
+			k = &part{tokens: q.Tokens}
+			p.used[q.ID] = k
+			p.tokens += q.Tokens
+		}
+		k.tick = p.tick
+	}
+	for most := int64(float64(memory) * partsShare); p.tokens > most && len(p.used) > 1; {
+		p.evict()
+	}
+}
+
+func (p *parts) evict() {
+	var oldest string
+	for id, k := range p.used {
+		if o := p.used[oldest]; o == nil || k.tick < o.tick {
+			oldest = id
+		}
+	}
+	p.tokens -= p.used[oldest].tokens
+	delete(p.used, oldest)
+}
+
+// shared returns the parts of a prompt that other requests may have too: all
+// but the last.
+func shared(info *mn.PromptInfo) []mn.PromptPart {
+	if len(info.Parts) < 2 {
+		return nil
+	}
+	return info.Parts[:len(info.Parts)-1]
+}
+
+const (
+	// readsTold is how long a front tells the others of a prompt that was read:
+	// several exchanges.
+	readsTold = 600 * mn.Millisecond
+	// readsMost bounds what is told at once.
+	readsMost = 64
+)
+
+// toldRead is a read that the other fronts are to hear of.
+type toldRead struct {
+	mn.PromptRead
+	at mn.Millis
+}
+
+// tell notes that s has the shared parts of a prompt.
+func (b *Board) tell(s *state, info *mn.PromptInfo, memory int64) {
+	s.parts.read(info.Parts, memory)
+	parts := shared(info)
+	if len(parts) == 0 || info.Tokens <= shortPrompt {
+		return
+	}
+	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: parts}, b.clock.Now()})
+}
+
+// Reads returns the prompts that were read lately, for the other fronts.
+func (b *Board) Reads() []mn.PromptRead {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	first := 0
+	for first < len(b.reads) && now-b.reads[first].at > readsTold {
+		first++
+	}
+	b.reads = append([]toldRead(nil), b.reads[max(first, len(b.reads)-readsMost):]...)
+	out := make([]mn.PromptRead, 0, len(b.reads))
+	for _, r := range b.reads {
+		out = append(out, r.PromptRead)
+	}
+	return out
+}
+
+// heardReads takes in the reads of another front.
+func (b *Board) heardReads(reads []mn.PromptRead) {
+	for _, r := range reads {
+		if s := b.endpoints[r.Endpoint]; s != nil {
+			s.parts.read(r.Parts, b.engines[s.Pool].KVTokens)
+		}
+	}
+}
--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,193 @@
+// Package quota holds customers to a rate that all fronts share.
+//
+// Load pattern: one customer sends many times its rate through all fronts at
+// once, with clients spread unevenly over them. Each front counts what all of
+// them spent: its own requests at once, the others' as they tell. While a front
+// is silent it is taken to spend on as it did, so that neither side of a cut
+// gets the whole rate for itself.
+package quota
+
+import (
+	"sync"
+
+	mn "mustardnotch"
+)
+
+const (
+	// silent is how long after a front's last word its spending is estimated;
+	// fronts speak several times in this span.
+	silent = 800 * mn.Millisecond
+	// forgotten is how long a front that is silent is taken to spend on; it is
+	// off the list of fronts by then.
+	forgotten = 10 * mn.Second
+	// paceSpan is the time over which the pace of a front is averaged.
+	paceSpan = 2 * mn.Second
+	// newLevel is the part of its burst that a customer has when the process
+	// starts: fronts that restart together must not give out a whole burst anew.
+	newLevel = 0.5
+)
+
+// Meter counts spending. It is safe for concurrent use.
+type Meter struct {
+	clock mn.Clock
+
+	mu      sync.Mutex
+	buckets map[mn.CustomerID]*bucket
+	own     map[mn.CustomerID]float64
+	fronts  map[mn.VMID]*front
+}
+
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          mn.Millis
+}
+
+// front is what is known of another front's spending.
+type front struct {
+	incarnation mn.Incarnation
+	heard       mn.Millis
+	spent       map[mn.CustomerID]float64
+	// pace is what the front spends a second.
+	pace map[mn.CustomerID]float64
+	// assumed is what was taken from buckets since the front was last heard.
+	assumed   map[mn.CustomerID]float64
+	assumedAt mn.Millis
+}
+
+// New returns a meter that knows of no customer.
+func New(clock mn.Clock) *Meter {
+	return &Meter{
+		clock:   clock,
+		buckets: map[mn.CustomerID]*bucket{},
+		own:     map[mn.CustomerID]float64{},
+		fronts:  map[mn.VMID]*front{},
+	}
+}
+
+// Declare sets the rates of all customers. Customers keep their levels, which
+// are cut to a lower burst and grow by what a burst grew.
+func (m *Meter) Declare(subs []mn.Subscriber) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	kept := map[mn.CustomerID]*bucket{}
+	for _, s := range subs {
+		if s.Rate <= 0 {
+			continue
+		}
+		b := m.buckets[s.ID]
+		if b == nil {
+			b = &bucket{level: s.Burst * newLevel, burst: s.Burst, at: now}
+		}
+		b.fill(now)
+		b.level += max(0, s.Burst-b.burst)
+		b.rate, b.burst = s.Rate, s.Burst
+		b.level = min(b.level, b.burst)
+		kept[s.ID] = b
+	}
+	m.buckets = kept
+}
+
+// Take spends cost of a customer's rate. If the customer is over its rate it
+// spends nothing and returns how long until the cost will be there.
+func (m *Meter) Take(c mn.CustomerID, cost float64) (wait mn.Millis, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.assume()
+	b := m.buckets[c]
+	if b == nil {
+		return 0, true
+	}
+	b.fill(m.clock.Now())
+	// A request larger than the burst passes when the bucket is full.
+	need := min(cost, b.burst)
+	if b.level < need {
+		return mn.Millis((need-b.level)/b.rate*1000) + 1, false
+	}
+	b.level -= cost
+	m.own[c] += cost
+	return 0, true
+}
+
+// Return gives back what a request spent that did not run.
+func (m *Meter) Return(c mn.CustomerID, cost float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.buckets[c]
+	if b == nil {
+		return
+	}
+	b.level = min(b.burst, b.level+cost)
+	m.own[c] -= cost
+}
+
+// Spent returns what each customer spent here since the process started.
+func (m *Meter) Spent() map[mn.CustomerID]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[mn.CustomerID]float64, len(m.own))
+	for c, v := range m.own {
+		out[c] = v
+	}
+	return out
+}
+
+// Hear takes in what another front spent.
+func (m *Meter) Hear(f mn.Facts) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	p := m.fronts[f.VM]
+	if p == nil || p.incarnation != f.Incarnation {
+		// What a front spent before it was first heard is recent only if it has
+		// just started; the first word is taken as its start.
+		m.fronts[f.VM] = &front{incarnation: f.Incarnation, heard: now, spent: f.Spent,
+			pace: map[mn.CustomerID]float64{}, assumed: map[mn.CustomerID]float64{}, assumedAt: now}
+		return
+	}
+	gone := now - p.heard
+	for c, total := range f.Spent {
+		fresh := total - p.spent[c]
+		if b := m.buckets[c]; b != nil {
+			b.fill(now)
+			b.level = min(b.burst, b.level-(fresh-p.assumed[c]))
+		}
+		if gone > 0 {
+			w := min(1, float64(gone)/float64(paceSpan))
+			p.pace[c] += w * (fresh*1000/float64(gone) - p.pace[c])
+		}
+	}
+	p.heard, p.spent = now, f.Spent
+	p.assumed, p.assumedAt = map[mn.CustomerID]float64{}, now
+}
+
+// assume charges the estimated spending of silent fronts.
+func (m *Meter) assume() {
+	now := m.clock.Now()
+	for vm, p := range m.fronts {
+		if now-p.heard > forgotten {
+			delete(m.fronts, vm)
+			continue
+		}
+		if now-p.heard < silent || now == p.assumedAt {
+			continue
+		}
+		span := float64(now-p.assumedAt) / 1000
+		p.assumedAt = now
+		for c, pace := range p.pace {
+			if b := m.buckets[c]; b != nil && pace > 0 {
+				b.fill(now)
+				b.level -= pace * span
+				p.assumed[c] += pace * span
+			}
+		}
+	}
+}
+
+func (b *bucket) fill(now mn.Millis) {
+	if now > b.at {
+		b.level = min(b.burst, b.level+b.rate*float64(now-b.at)/1000)
+		b.at = now
+	}
+}
--- /dev/null
+++ b/core/stats/stats.go
@@ -0,0 +1,85 @@
+// Package stats keeps a process's counters and latency histograms.
+package stats
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	mn "mustardnotch"
+)
+
+const (
+	// longestSpan is the longest time that a histogram tells apart, in
+	// milliseconds; longer ones count as this long.
+	longestSpan = 60_000
+	// digits is the precision of histograms in decimal digits.
+	digits = 2
+)
+
+// Set is a set of counters and histograms. It is safe for concurrent use.
+type Set struct {
+	counters *expvar.Map
+
+	mu    sync.Mutex
+	spans map[string]*hdrhistogram.Histogram
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{counters: new(expvar.Map).Init(), spans: map[string]*hdrhistogram.Histogram{}}
+}
+
+// Add adds n to a counter.
+func (s *Set) Add(name string, n int64) { s.counters.Add(name, n) }
+
+// Span adds a time to a histogram.
+func (s *Set) Span(name string, span mn.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.spans[name]
+	if h == nil {
+		h = hdrhistogram.New(1, longestSpan, digits)
+		s.spans[name] = h
+	}
+	// The value is within the histogram's bounds, so that it can't fail.
+	_ = h.RecordValue(min(longestSpan, max(1, int64(span))))
+}
+
+// WriteText writes one line for each counter and four for each histogram.
+func (s *Set) WriteText(w io.Writer) error {
+	var err error
+	line := func(format string, args ...any) {
+		if err == nil {
+			_, err = fmt.Fprintf(w, format, args...)
+		}
+	}
+	s.counters.Do(func(kv expvar.KeyValue) { line("%s %s\n", kv.Key, kv.Value) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.spans))
+	for n := range s.spans {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		h := s.spans[n]
+		for _, q := range []float64{50, 90, 99} {
+			line("%s{quantile=%q} %d\n", n, fmt.Sprint(q/100), h.ValueAtQuantile(q))
+		}
+		line("%s_count %d\n", n, h.TotalCount())
+	}
+	return err
+}
+
+// ServeHTTP serves the set as text.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	// A reader that goes away early needs no log line.
+	_ = s.WriteText(w)
+}
--- /dev/null
+++ b/dialect.go
@@ -0,0 +1,95 @@
+package mustardnotch
+
+import "net/http"
+
+// PromptPart is one part of a prompt, in order. Requests that share a part give
+// it the same id.
+type PromptPart struct {
+	ID     string
+	Tokens int64
+}
+
+// PromptInfo is what a caller declares of a prompt.
+type PromptInfo struct {
+	Tokens    int64
+	MaxOutput int64
+	Parts     []PromptPart
+}
+
+// Cost is what the request counts against a rate in tokens.
+func (p *PromptInfo) Cost() float64 { return float64(p.Tokens + p.MaxOutput) }
+
+// Envelope is what the headers of a caller's request say.
+type Envelope struct {
+	ID RequestID
+	// Within is how long the caller waits, 0 if it does not say.
+	Within Millis
+	// Key is the caller's key, empty if it has none.
+	Key string
+	// Prompt is nil for requests to plain services.
+	Prompt *PromptInfo
+	// LastEvent is the id of the last event that the caller has, if it resumes.
+	LastEvent string
+}
+
+// Handoff names a prompt's KV cache at the endpoint that read the prompt.
+type Handoff struct {
+	Addr   string
+	Handle string
+}
+
+// Dispatch is what is told to an endpoint beside the caller's request.
+type Dispatch struct {
+	Endpoint EndpointID
+	Customer CustomerID
+	Within   Millis
+	// PrefillOnly asks for the KV cache of the prompt instead of an answer.
+	PrefillOnly bool
+	// From is where to fetch the KV cache of the prompt, or nil.
+	From *Handoff
+	// Urgency is 0 for the most urgent work, 9 for the least, or negative to
+	// leave it to the endpoint.
+	Urgency int
+	// LastEvent makes a stream go on after this event.
+	LastEvent string
+}
+
+// EndpointLoad is what an endpoint says of its load in an answer.
+type EndpointLoad struct {
+	Running int64
+	Waiting int64
+	Places  int64
+}
+
+// ReplyInfo is what the headers of an endpoint's answer say.
+type ReplyInfo struct {
+	ID RequestID
+	// Sealed says that the answer bears the endpoint's signature.
+	Sealed bool
+	// NotRun says that the endpoint has not run the request and never will.
+	NotRun bool
+	// Load is nil if the endpoint does not tell.
+	Load *EndpointLoad
+	// Closing says that the endpoint closes the connection after the answer.
+	Closing bool
+	// KeepAlive is how long the endpoint keeps an idle connection, 0 if unsaid.
+	KeepAlive Millis
+}
+
+// Dialect translates between HTTP headers and the fields they carry.
+type Dialect interface {
+	// Envelope decodes a caller's headers. Its error names the header.
+	Envelope(h http.Header) (Envelope, error)
+	// Outgoing returns the headers for an endpoint: those of the caller without
+	// the ones that concern its connection, its key, or that only the system
+	// may set, and those that say d.
+	Outgoing(h http.Header, d Dispatch) http.Header
+	// Reply decodes the headers of an endpoint's answer.
+	Reply(status int, h http.Header) ReplyInfo
+	// Handle decodes the answer to a request that was PrefillOnly.
+	Handle(body []byte) (string, error)
+	// ReleasePath is the path that frees a handle by DELETE.
+	ReleasePath(handle string) string
+	// EventID returns the id of an event of a stream, empty if it has none.
+	EventID(event []byte) string
+}
--- a/error.go
+++ b/error.go
@@ -79,8 +79,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// CodeOf returns the result code of err, and [Internal] where it has none.
+// CodeOf returns the result code of err, [OK] for nil, and [Internal] where it
+// has none.
 func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
 	return AsError(err).Code
 }
 
--- /dev/null
+++ b/facts.go
@@ -0,0 +1,55 @@
+package mustardnotch
+
+// Front is the entry of a process that serves callers' HTTP requests.
+type Front struct {
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Addr        string      `json:"addr"`
+	DataCentre  DataCentre  `json:"data_centre"`
+	Leaving     bool        `json:"leaving,omitempty"`
+}
+
+// EndpointUse is the work that one front has at an endpoint.
+type EndpointUse struct {
+	Endpoint EndpointID
+	// Requests counts what the front sent and has no answer to yet.
+	Requests int64
+	// Prefill is the time that the endpoint needs for the prompts among these.
+	Prefill Millis
+	// Failing says that the front saw the endpoint fail and avoids it.
+	Failing bool
+}
+
+// PromptRead says that an endpoint read the shared parts of a prompt.
+type PromptRead struct {
+	Endpoint EndpointID
+	Parts    []PromptPart
+}
+
+// RunCount is how many requests of a customer began to run in a window.
+type RunCount struct {
+	Window   int64
+	Customer CustomerID
+	Count    int64
+}
+
+// Facts is what a front tells the other fronts of itself.
+type Facts struct {
+	VM          VMID
+	Incarnation Incarnation
+	// CatalogOffset and CatalogAge say how far the front follows the catalog,
+	// and how old its evidence was when it spoke. The age is negative if it has
+	// no evidence.
+	CatalogOffset Offset
+	CatalogAge    Millis
+	Uses          []EndpointUse
+	// Spent is what each customer spent at this incarnation, in the unit of
+	// its rate.
+	Spent map[CustomerID]float64
+	// Runs are the counts of recent windows at this incarnation.
+	Runs []RunCount
+	// Crashes are recent crashes that this incarnation saw.
+	Crashes []Poison
+	// Reads are the shared parts of prompts that were read lately.
+	Reads []PromptRead
+}
--- /dev/null
+++ b/io/back/call.go
@@ -0,0 +1,196 @@
+package back
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	mn "mustardnotch"
+)
+
+// inlineBody is the size up to which a request is written before its answer is
+// read; a longer one is written meanwhile, since an endpoint may answer before
+// it has read the whole body.
+const inlineBody = 16 << 10
+
+// maxForeign bounds how many answers to earlier requests are passed over.
+const maxForeign = 4
+
+// Call is a request to an endpoint.
+type Call struct {
+	ID     mn.RequestID
+	Addr   string
+	Method string
+	// Target is path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh is the longest idle time of a connection that may be used.
+	Fresh mn.Millis
+}
+
+// Error is a call without an answer.
+type Error struct {
+	// Sent says that bytes of the request may have reached the endpoint.
+	Sent bool
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Sent {
+		return "sent, no answer: " + e.Err.Error()
+	}
+	return "not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Answer is an endpoint's answer whose body is still to be read.
+type Answer struct {
+	Status int
+	Header http.Header
+	mn.ReplyInfo
+	// Passed is how many answers to other requests came before.
+	Passed int
+
+	client  *Client
+	addr    string
+	conn    *conn
+	resp    *http.Response
+	written chan error
+	stop    func() bool
+	whole   bool
+}
+
+// Do sends call and returns the answer once its headers are there. The error is
+// an [Error]. When ctx ends, the connection is closed.
+func (c *Client) Do(ctx context.Context, d mn.Dialect, call *Call) (*Answer, error) {
+	k, err := c.get(ctx, call.Addr, call.Fresh)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { k.Close() })
+	a, err := c.exchange(ctx, d, k, call)
+	if err != nil {
+		stop()
+		k.Close()
+		return nil, &Error{Sent: true, Err: errors.Join(err, context.Cause(ctx))}
+	}
+	a.stop = stop
+	return a, nil
+}
+
+func (c *Client) exchange(ctx context.Context, d mn.Dialect, k *conn, call *Call) (*Answer, error) {
+	if until, ok := ctx.Deadline(); ok {
+		if err := k.SetDeadline(until.Add(time.Second)); err != nil {
+			return nil, err
+		}
+	}
+	var out bytes.Buffer
+	if err := call.head(&out); err != nil {
+		return nil, err
+	}
+	out.Write(call.Body)
+	req := &http.Request{Method: call.Method}
+	written := make(chan error, 1)
+	write := func() {
+		_, err := k.Write(out.Bytes())
+		written <- err
+	}
+	if out.Len() <= inlineBody {
+		write()
+	} else {
+		go write()
+	}
+	for passed := 0; passed <= maxForeign; passed++ {
+		resp, err := readFinal(k, req)
+		if err != nil {
+			return nil, err
+		}
+		info := d.Reply(resp.StatusCode, resp.Header)
+		if info.ID == "" || info.ID == call.ID {
+			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Passed: passed,
+				client: c, addr: call.Addr, conn: k, resp: resp, written: written}, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, fmt.Errorf("answer to request %s: %w", info.ID, err)
+		}
+	}
+	return nil, fmt.Errorf("more than %d answers to other requests", maxForeign)
+}
+
+// readFinal reads an answer, passing over interim ones.
+func readFinal(k *conn, req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(k.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// head writes the request line and the headers. They are written here, and not
+// by net/http, so that the target stays as the caller sent it.
+func (call *Call) head(out *bytes.Buffer) error {
+	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
+	if err := call.Header.WriteSubset(out, map[string]bool{"Host": true, "Content-Length": true}); err != nil {
+		return err
+	}
+	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
+		fmt.Fprintf(out, "Content-Length: %d\r\n", len(call.Body))
+	}
+	out.WriteString("\r\n")
+	return nil
+}
+
+// Read reads the body. The end of a whole body is io.EOF; any other error means
+// that the body broke off.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.resp.Body.Read(p)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// All reads the whole body, which must not be longer than limit.
+func (a *Answer) All(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("answer is longer than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// Close ends the answer. The connection is used again only if the whole answer
+// was read, nothing follows it, and the whole request was written.
+func (a *Answer) Close() {
+	if !a.stop() || !a.whole || a.resp.Close || a.Closing || a.Passed > 0 || a.conn.reader.Buffered() > 0 {
+		a.conn.Close()
+		return
+	}
+	select {
+	case err := <-a.written:
+		if err != nil {
+			a.conn.Close()
+			return
+		}
+	default:
+		a.conn.Close()
+		return
+	}
+	a.client.put(a.addr, a.conn, a.KeepAlive)
+}
--- /dev/null
+++ b/io/back/conn.go
@@ -0,0 +1,196 @@
+package back
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	mn "mustardnotch"
+)
+
+const (
+	// dialTimeout is a few round trips between data centres and a busy endpoint's
+	// handshake; a dropped opening packet is repeated after a second only.
+	dialTimeout = 400 * mn.Millisecond
+	// ackTimeout is how long sent bytes may stay unacknowledged before a
+	// connection counts as dead.
+	ackTimeout = 1500 * mn.Millisecond
+	// probeIdle, probeEvery and probeCount find a connection that went silent.
+	probeIdle  = 1 * mn.Second
+	probeEvery = 700 * mn.Millisecond
+	probeCount = 2
+	// idleUnsaid bounds the idle time of a connection whose endpoint does not
+	// say how long it keeps them.
+	idleUnsaid = 4 * mn.Second
+	// idleMargin is kept from the time that an endpoint says, for the way there.
+	idleMargin = 1 * mn.Second
+	// idlePerAddr bounds the idle connections to one endpoint.
+	idlePerAddr = 24
+	readBuffer  = 8 << 10
+)
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleAt is when the connection became idle, keep how long it may stay so.
+	idleAt mn.Millis
+	keep   mn.Millis
+	reused bool
+}
+
+// Client keeps connections to endpoints. It is safe for concurrent use.
+type Client struct {
+	clock  mn.Clock
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// Dials counts new connections.
+	dials int64
+}
+
+// New returns a client whose connections come from the address local, empty for
+// any.
+func New(clock mn.Clock, local string) *Client {
+	c := &Client{clock: clock, idle: map[string][]*conn{}}
+	c.dialer = net.Dialer{
+		Timeout: dialTimeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle.Duration(), Interval: probeEvery.Duration(), Count: probeCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			ctlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout))
+			})
+			return errors.Join(ctlErr, err)
+		},
+	}
+	if a, err := netip.ParseAddr(local); err == nil && !a.IsUnspecified() {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: a.AsSlice()}
+	}
+	return c
+}
+
+// Dials returns how many connections were opened.
+func (c *Client) Dials() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dials
+}
+
+// Drop closes the idle connections to addr.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	cs := c.idle[addr]
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	for _, k := range cs {
+		k.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	all := c.idle
+	c.idle = map[string][]*conn{}
+	c.mu.Unlock()
+	for _, cs := range all {
+		for _, k := range cs {
+			k.Close()
+		}
+	}
+}
+
+// get returns an idle connection to addr that is not older than most, or a new
+// one.
+func (c *Client) get(ctx context.Context, addr string, most mn.Millis) (*conn, error) {
+	for {
+		k := c.take(addr)
+		if k == nil {
+			return c.dial(ctx, addr)
+		}
+		if c.clock.Now()-k.idleAt < min(most, k.keep) && quiet(k) {
+			k.reused = true
+			return k, nil
+		}
+		k.Close()
+	}
+}
+
+func (c *Client) take(addr string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cs := c.idle[addr]
+	if len(cs) == 0 {
+		return nil
+	}
+	k := cs[len(cs)-1]
+	c.idle[addr] = cs[:len(cs)-1]
+	return k
+}
+
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+	c.mu.Lock()
+	c.dials++
+	c.mu.Unlock()
+	n, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer)}, nil
+}
+
+// put keeps k for later requests; keep is what the endpoint says of idle
+// connections, 0 if nothing.
+func (c *Client) put(addr string, k *conn, keep mn.Millis) {
+	k.keep = idleUnsaid
+	if keep > 0 {
+		k.keep = keep - idleMargin
+	}
+	if k.keep <= 0 || k.SetDeadline(time.Time{}) != nil {
+		k.Close()
+		return
+	}
+	k.idleAt = c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[addr]) >= idlePerAddr {
+		k.Close()
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], k)
+}
+
+// quiet says whether nothing has come on an idle connection, neither bytes that
+// belong to no request nor its end.
+func quiet(k *conn) bool {
+	if k.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/io/front/request.go
@@ -0,0 +1,270 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/core/paths"
+	"mustardnotch/core/place"
+	"mustardnotch/core/poison"
+)
+
+const (
+	// defaultBody bounds a body where the configuration sets no limit.
+	defaultBody = 4 << 20
+	// defaultWithin is how long a request may take if neither the caller nor its
+	// route says.
+	defaultWithin = 30 * mn.Second
+	// wayBack is kept from a deadline for the way of the answer to the caller.
+	wayBack = 15 * mn.Millisecond
+	// resends bounds how often a request is sent again after endpoints answered
+	// that they had not run it.
+	resends = 2
+	// leastLeft is the least time in which an endpoint can answer anything.
+	leastLeft = 20 * mn.Millisecond
+	// notCurrentRetry is when a front that lost the store may have it back, or
+	// the caller another front.
+	notCurrentRetry = 300 * mn.Millisecond
+)
+
+// request is one caller's request.
+type request struct {
+	*Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived mn.Millis
+
+	env      mn.Envelope
+	route    *mn.Route
+	customer mn.CustomerID
+	body     []byte
+	job      place.Job
+	cost     float64
+	urgency  int
+	print    string
+
+	viewAge mn.Millis
+	version int64
+
+	// ran says that an endpoint may have begun to run the request.
+	ran bool
+	// began says that the run was counted for usage.
+	began bool
+	// begun says that the head of an answer was sent to the caller.
+	begun   bool
+	tries   int
+	plan    *place.Plan
+	waited  mn.Millis
+	status  int
+	firstAt mn.Millis
+	// lastEvent is the last whole event of a stream that the caller got.
+	lastEvent string
+	// spare is an endpoint's failure that is passed on if no other endpoint does
+	// better.
+	spare *failure
+}
+
+// serve answers the request, or returns why it didn't.
+func (q *request) serve() *mn.Error {
+	env, bad := q.Dialect.Envelope(q.r.Header)
+	q.env = env
+	table, age := q.View.Table()
+	if table == nil {
+		return mn.Errorf(mn.NotCurrent, "no configuration yet").WithRetry(notCurrentRetry)
+	}
+	q.viewAge, q.version = age, table.Catalog.Version
+	if err := q.resolve(table); err != nil {
+		return err
+	}
+	if bad != nil {
+		return mn.Errorf(mn.BadRequest, "%w", bad)
+	}
+	body, err := q.readBody(table.Catalog.Limits.BodyBytes)
+	if err != nil {
+		return err
+	}
+	q.body = body
+	if err := q.admit(); err != nil {
+		return err
+	}
+	err = q.send()
+	if err != nil && !q.ran {
+		q.Meter.Return(q.customer, q.cost)
+	}
+	return err
+}
+
+// resolve finds the request's route and customer.
+func (q *request) resolve(table *paths.Table) *mn.Error {
+	route, ok := table.Route(q.r.Host, q.r.URL.Path)
+	if !ok {
+		if q.viewAge > q.ApplyWithin {
+			return mn.Errorf(mn.NotCurrent, "no route in a view that is %d ms old", q.viewAge).WithRetry(notCurrentRetry)
+		}
+		return mn.Errorf(NoRoute, "host %q path %q", q.r.Host, q.r.URL.Path)
+	}
+	q.route = route
+	q.urgency = route.Urgency
+	q.cost = 1
+	q.job = place.Job{ID: q.env.ID, Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt}
+	within := defaultWithin
+	if q.env.Within > 0 {
+		within = q.env.Within - wayBack
+	}
+	if route.Timeout > 0 {
+		within = min(within, route.Timeout)
+	}
+	q.job.EndAt = q.arrived + within
+	q.job.GoalAt = q.job.EndAt
+	if route.Goal > 0 {
+		q.job.GoalAt = min(q.job.EndAt, q.arrived+route.Goal-wayBack)
+	}
+	if route.Open || !table.Keyed() {
+		return nil
+	}
+	if !q.View.KeysHold() {
+		return mn.Errorf(mn.NotCurrent, "keys of a view that is %d ms old may be withdrawn", q.viewAge).WithRetry(notCurrentRetry)
+	}
+	sub, ok := table.Subscriber(q.env.Key)
+	if !ok {
+		if q.viewAge > q.ApplyWithin {
+			return mn.Errorf(mn.NotCurrent, "no such key in a view that is %d ms old", q.viewAge).WithRetry(notCurrentRetry)
+		}
+		return mn.Errorf(mn.Unauthenticated, "the key belongs to no customer")
+	}
+	q.customer = sub.ID
+	if sub.ByToken {
+		q.cost = sub.PlainTokens
+		if q.env.Prompt != nil {
+			q.cost = q.env.Prompt.Cost()
+		}
+	}
+	if sub.Urgency != nil {
+		q.urgency = *sub.Urgency
+	}
+	return nil
+}
+
+// admit holds the customer to its rate and keeps poison away from endpoints.
+func (q *request) admit() *mn.Error {
+	if q.Poisons.Any() {
+		if e := q.Poisons.Check(q.fingerprint()); e != nil {
+			q.cost = 0
+			return e.WithRetry(0)
+		}
+	}
+	if q.job.EndAt-q.Clock.Now() < leastLeft {
+		q.cost = 0
+		return mn.Errorf(mn.DeadlineTooShort, "%d ms are left", q.job.EndAt-q.Clock.Now())
+	}
+	if wait, ok := q.Meter.Take(q.customer, q.cost); !ok {
+		cost := q.cost
+		q.cost = 0
+		return mn.Errorf(mn.RateExceeded, "cost %.0f is there in %d ms", cost, wait).WithRetry(wait)
+	}
+	return nil
+}
+
+func (q *request) fingerprint() string {
+	if q.print == "" {
+		q.print = poison.Fingerprint(q.job.Pool, string(q.customer), q.r.Method, q.r.Host, q.r.URL.RequestURI(), string(q.body))
+	}
+	return q.print
+}
+
+// send places the request and sends it until it is answered or may not be sent
+// again.
+func (q *request) send() *mn.Error {
+	end := time.Now().Add((q.job.EndAt - q.Clock.Now()).Duration())
+	ctx, cancel := context.WithDeadline(q.r.Context(), end)
+	defer cancel()
+	q.extendWrites(end.Add(time.Second))
+	q.Budget.Deposit()
+	for {
+		if q.tries > 0 && !q.Budget.Withdraw() {
+			return q.failed(mn.Errorf(mn.EndpointFailed, "endpoints failed and the retry budget is used up"))
+		}
+		from := q.Clock.Now()
+		plan, refusal := q.Line.Place(ctx, &q.job)
+		q.waited += q.Clock.Now() - from
+		if refusal != nil {
+			return q.turnedAway(refusal)
+		}
+		if plan == nil {
+			return q.ended(ctx)
+		}
+		q.plan = plan
+		q.tries++
+		result := q.try(ctx, plan)
+		q.Board.Done(plan)
+		if result.err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return q.ended(ctx)
+		}
+		if !q.again(result) {
+			return q.failed(result.err)
+		}
+		q.job.Avoid = append(q.job.Avoid, result.endpoint)
+	}
+}
+
+// again says whether the request may be sent once more after result.
+func (q *request) again(result result) bool {
+	if result.final || q.job.EndAt-q.Clock.Now() < leastLeft {
+		return false
+	}
+	if result.notRun {
+		return q.tries <= resends
+	}
+	return q.route.Repeatable() && q.tries < q.route.Attempts
+}
+
+// turnedAway returns the error for a refusal by the line.
+func (q *request) turnedAway(r *place.Refusal) *mn.Error {
+	e := mn.Errorf(mn.Overloaded, "%s", r.Reason).WithRetry(r.Retry)
+	return q.failed(e)
+}
+
+// failed returns the final error: err as it is if no endpoint ran the request.
+func (q *request) failed(err *mn.Error) *mn.Error {
+	if q.spare != nil && !q.begun {
+		q.spare.pass(q)
+		return nil
+	}
+	if !q.ran {
+		if err.Outcome == mn.OutcomeNotRun {
+			return err
+		}
+		e := *err
+		e.Code, e.Outcome = mn.NoEndpoint, mn.OutcomeNotRun
+		if e.RetryAfter == 0 {
+			e.RetryAfter = notCurrentRetry
+		}
+		return &e
+	}
+	e := *err
+	e.Outcome, e.RetryAfter = mn.OutcomeUnknown, 0
+	if statuses[e.Code] == http.StatusServiceUnavailable {
+		e.Code = mn.OutcomeNotKnown
+	}
+	return &e
+}
+
+// ended returns the error for a request whose time is over or whose caller left.
+func (q *request) ended(ctx context.Context) *mn.Error {
+	if q.r.Context().Err() != nil {
+		e := mn.Errorf(mn.Cancelled, "the caller left")
+		if !q.ran {
+			return e.WithOutcome(mn.OutcomeNotRun)
+		}
+		return e
+	}
+	if q.ran {
+		return q.failed(mn.Errorf(mn.DeadlineExceeded, "no whole answer in time: %w", ctx.Err()))
+	}
+	return mn.Errorf(mn.Overloaded, "no endpoint had room in time")
+}
--- /dev/null
+++ b/io/front/server.go
@@ -0,0 +1,219 @@
+// Package front serves callers' plain HTTP requests: it decides, forwards them
+// to endpoints, and passes the endpoints' answers on.
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+	"mustardnotch/core/duty"
+	"mustardnotch/core/paths"
+	"mustardnotch/core/place"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/quota"
+	"mustardnotch/core/retry"
+	"mustardnotch/core/stats"
+	"mustardnotch/io/back"
+	"mustardnotch/io/logs"
+)
+
+// NoRoute means that no declared route takes the request.
+const NoRoute mn.Code = 109
+
+func init() {
+	mn.RegisterCode(mn.CodeDoc{Code: NoRoute, Title: "no route", Since: "0.2",
+		Severity: mn.SeverityCaller, Outcome: mn.OutcomeNotRun,
+		Text: "No declared route has the request's host and a prefix of its path."})
+}
+
+// statuses maps result codes to HTTP statuses. 429 and 503 promise that the
+// request has not run; a code whose outcome is unknown has 502 or 504.
+var statuses = map[mn.Code]int{
+	mn.BadRequest:       http.StatusBadRequest,
+	mn.TooLarge:         http.StatusRequestEntityTooLarge,
+	NoRoute:             http.StatusNotFound,
+	mn.Unauthenticated:  http.StatusUnauthorized,
+	mn.RateExceeded:     http.StatusTooManyRequests,
+	mn.NotCurrent:       http.StatusServiceUnavailable,
+	mn.NoEndpoint:       http.StatusServiceUnavailable,
+	mn.Overloaded:       http.StatusServiceUnavailable,
+	mn.Quarantined:      http.StatusServiceUnavailable,
+	mn.DeadlineTooShort: http.StatusServiceUnavailable,
+	mn.DeadlineExceeded: http.StatusGatewayTimeout,
+	mn.EndpointFailed:   http.StatusBadGateway,
+	mn.OutcomeNotKnown:  http.StatusBadGateway,
+	mn.Truncated:        http.StatusBadGateway,
+}
+
+// View is what the front believes of the configuration.
+type View interface {
+	// Table returns the catalog in force, nil before there is one, and the age
+	// of the evidence that it is the newest.
+	Table() (*paths.Table, mn.Millis)
+	// KeysHold says whether keys of the catalog may be accepted.
+	KeysHold() bool
+}
+
+// Config holds what a server is made of.
+type Config struct {
+	Clock   mn.Clock
+	Dialect mn.Dialect
+	View    View
+	Line    *place.Line
+	Board   *place.Board
+	Meter   *quota.Meter
+	Budget  *retry.Budget
+	Poisons *poison.Tracker
+	Runs    *duty.Runs
+	Back    *back.Client
+	Stats   *stats.Set
+	Log     *logrus.Entry
+	// ApplyWithin is how soon a new configuration must be in force: an older
+	// view can't say that a route or a key does not exist.
+	ApplyWithin mn.Millis
+	// Leaving says that the process takes no new connections.
+	Leaving func() bool
+	// Crashed is told of an endpoint that crashed while it ran a request.
+	Crashed func(mn.Poison)
+}
+
+// Server is the handler of callers' requests.
+type Server struct {
+	Config
+	answered *logs.Sampler
+}
+
+// answeredLines bounds the log lines a second for requests that went well; the
+// others all have one.
+const answeredLines = 100
+
+// New returns a server.
+func New(c Config) *Server {
+	return &Server{Config: c, answered: logs.NewSampler(answeredLines, c.Clock)}
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{Server: s, w: w, r: r, arrived: s.Clock.Now()}
+	if s.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	err := q.serve()
+	q.note(err)
+	if err == nil {
+		return
+	}
+	if q.begun {
+		// The caller must see that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	if r.Context().Err() != nil {
+		return
+	}
+	q.refuse(err)
+}
+
+// refuse sends a failure of the system's own.
+func (q *request) refuse(e *mn.Error) {
+	h := q.w.Header()
+	status := statuses[e.Code]
+	if status == 0 {
+		status = http.StatusBadGateway
+	}
+	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if promises && e.Outcome != mn.OutcomeNotRun {
+		status = http.StatusBadGateway
+	}
+	if e.RetryAfter > 0 && promises {
+		h.Set("Retry-After", strconv.FormatFloat(float64(e.RetryAfter)/1000, 'f', 3, 64))
+	}
+	if q.env.ID != "" {
+		h.Set("X-Request-Id", string(q.env.ID))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	q.w.WriteHeader(status)
+	// The caller may have gone, which the request's log line tells.
+	_, _ = io.WriteString(q.w, e.Code.String()+" "+e.Code.Doc().Title+"\n")
+}
+
+// note counts and logs a request's end.
+func (q *request) note(err *mn.Error) {
+	took := q.Clock.Now() - q.arrived
+	f := logrus.Fields{
+		"event": "request", "request": q.env.ID, "took_ms": took,
+		"view_age_ms": q.viewAge, "config_version": q.version, "tries": q.tries,
+	}
+	if q.route != nil {
+		f["route"], f["pool"] = q.route.Name, q.job.Pool
+	}
+	if q.customer != "" {
+		f["customer"] = q.customer
+	}
+	if q.plan != nil {
+		f["endpoint"], f["expect_ms"], f["waited_ms"] = q.plan.Target.ID, q.plan.Expect, q.waited
+		if q.plan.Reader != nil {
+			f["reader"] = q.plan.Reader.ID
+		}
+	}
+	if q.firstAt > 0 {
+		f["first_ms"] = q.firstAt - q.arrived
+		q.Stats.Span("first_event_ms", q.firstAt-q.arrived)
+	}
+	q.Stats.Span("request_ms", took)
+	if err == nil {
+		q.Stats.Add("answered", 1)
+		left, ok := q.answered.Allow()
+		if !ok {
+			return
+		}
+		if left > 0 {
+			f["lines_left_out"] = left
+		}
+		q.Log.WithFields(f).WithField("status", q.status).Info("answered")
+		return
+	}
+	q.Stats.Add("failed_"+err.Code.String(), 1)
+	f["code"], f["outcome"], f["reason"] = err.Code, err.Outcome, err.Detail
+	if err.RetryAfter > 0 {
+		f["retry_after_ms"] = err.RetryAfter
+	}
+	if q.begun {
+		f["broken_off"] = true
+	}
+	q.Log.WithFields(f).Warn("not answered")
+}
+
+// readBody reads the caller's whole body.
+func (q *request) readBody(limit int64) ([]byte, *mn.Error) {
+	if q.r.Body == nil || q.r.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if q.r.ContentLength > limit {
+		return nil, mn.Errorf(mn.TooLarge, "body of %d bytes, limit %d", q.r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, mn.Errorf(mn.TooLarge, "body is longer than %d bytes", limit)
+	case err != nil:
+		return nil, mn.Errorf(mn.BadRequest, "body: %w", err)
+	}
+	return body, nil
+}
+
+// extendWrites lets writes to the caller go on until end.
+func (q *request) extendWrites(end time.Time) {
+	if err := http.NewResponseController(q.w).SetWriteDeadline(end); err != nil {
+		q.Log.WithField("event", "write_deadline").WithField("request", q.env.ID).Warn(err)
+	}
+}
--- /dev/null
+++ b/io/front/try.go
@@ -0,0 +1,325 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	mn "mustardnotch"
+	"mustardnotch/core/place"
+	"mustardnotch/io/back"
+)
+
+const (
+	// freshRepeatable and freshOnce bound the idle time of connections: one that
+	// the endpoint closes meanwhile costs a repeatable request another try, and
+	// any other its answer.
+	freshRepeatable = 30 * mn.Second
+	freshOnce       = 5 * mn.Second
+	// maxAnswer bounds an answer that is not a stream.
+	maxAnswer = 16 << 20
+	// releaseTimeout bounds a call that frees a prompt's KV cache.
+	releaseTimeout = 1 * mn.Second
+	// eventBuffer is the size of one read of a stream.
+	eventBuffer = 16 << 10
+	// patience is how much longer than expected the first try of a repeatable
+	// request may take before another endpoint is asked.
+	patience = 8
+	// leastPatience is the least of that, above the usual spread of answers.
+	leastPatience = 250 * mn.Millisecond
+)
+
+// result is how a try ended.
+type result struct {
+	endpoint mn.EndpointID
+	// notRun says that the endpoint has not run the request and never will.
+	notRun bool
+	// final says that the request must not be sent again.
+	final bool
+	err   *mn.Error
+}
+
+// failure is an endpoint's own failure.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// pass sends the endpoint's failure to the caller.
+func (f *failure) pass(q *request) {
+	q.head(f.status, f.header)
+	// The caller may have gone, which the request's log line tells.
+	_, _ = q.w.Write(f.body)
+}
+
+func (q *request) call(to mn.Endpoint, d mn.Dispatch) *back.Call {
+	d.Endpoint, d.Customer = to.ID, q.customer
+	d.Within = q.job.EndAt - q.Clock.Now()
+	fresh := freshOnce
+	if q.route.Repeatable() || d.PrefillOnly {
+		fresh = freshRepeatable
+	}
+	return &back.Call{
+		ID: q.env.ID, Addr: to.Addr, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: q.Dialect.Outgoing(q.r.Header, d), Body: q.body, Fresh: fresh,
+	}
+}
+
+// try sends the request by a plan.
+func (q *request) try(ctx context.Context, plan *place.Plan) result {
+	d := mn.Dispatch{Urgency: -1}
+	if q.env.Prompt != nil {
+		d.Urgency = min(q.urgency, 9)
+	}
+	d.LastEvent = q.env.LastEvent
+	if q.lastEvent != "" {
+		d.LastEvent = q.lastEvent
+	}
+	sent := q.Clock.Now()
+	if plan.Reader != nil {
+		handle, failed := q.readPrompt(ctx, plan, d)
+		if failed != nil {
+			return *failed
+		}
+		q.Board.HasRead(plan, q.Clock.Now()-sent)
+		d.From = &mn.Handoff{Addr: plan.Reader.Addr, Handle: handle}
+	}
+	if e, ok := q.Board.Endpoint(plan.Target.ID); ok && e.State != mn.EndpointReady {
+		q.release(d.From)
+		return result{endpoint: plan.Target.ID, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is leaving", plan.Target.ID)}
+	}
+	if q.route.Kind == mn.RouteIdempotent && q.tries < q.route.Attempts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, max(leastPatience, patience*plan.Expect).Duration())
+		defer cancel()
+	}
+	a, err := q.Back.Do(ctx, q.Dialect, q.call(plan.Target, d))
+	if err != nil {
+		return q.unanswered(plan.Target, err)
+	}
+	defer a.Close()
+	if a.NotRun {
+		return q.shed(plan, a, d)
+	}
+	q.ran = true
+	q.count()
+	if q.route.Kind == mn.RouteStream && a.Status < 300 {
+		return q.stream(plan, a, sent)
+	}
+	return q.whole(plan, a, sent)
+}
+
+// readPrompt has the plan's reader read the prompt.
+func (q *request) readPrompt(ctx context.Context, plan *place.Plan, d mn.Dispatch) (string, *result) {
+	d.PrefillOnly, d.LastEvent = true, ""
+	a, err := q.Back.Do(ctx, q.Dialect, q.call(*plan.Reader, d))
+	if err != nil {
+		q.unreachable(plan.Reader.ID, err)
+		return "", &result{endpoint: plan.Reader.ID, notRun: true, err: mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)}
+	}
+	defer a.Close()
+	body, err := a.All(maxAnswer)
+	failed := &result{endpoint: plan.Reader.ID, notRun: true}
+	if err == nil && a.Status != http.StatusOK {
+		err = fmt.Errorf("status %d", a.Status)
+	}
+	if err != nil {
+		q.Board.Reached(plan.Reader.ID, true)
+		failed.err = mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)
+		return "", failed
+	}
+	handle, err := q.Dialect.Handle(body)
+	if err != nil {
+		q.Board.Reached(plan.Reader.ID, true)
+		failed.err = mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)
+		return "", failed
+	}
+	q.Board.Reached(plan.Reader.ID, false)
+	return handle, nil
+}
+
+// release frees a prompt's KV cache that was not fetched.
+func (q *request) release(from *mn.Handoff) {
+	if from == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Duration())
+		defer cancel()
+		a, err := q.Back.Do(ctx, q.Dialect, &back.Call{
+			Addr: from.Addr, Method: http.MethodDelete, Target: q.Dialect.ReleasePath(from.Handle),
+			Host: from.Addr, Header: http.Header{}, Fresh: freshRepeatable,
+		})
+		if err != nil {
+			q.Log.WithField("event", "release_failed").WithField("request", q.env.ID).Debug(err)
+			return
+		}
+		defer a.Close()
+		if _, err := a.All(maxAnswer); err != nil {
+			q.Log.WithField("event", "release_failed").WithField("request", q.env.ID).Debug(err)
+		}
+	}()
+}
+
+// unanswered judges a try that got no answer.
+func (q *request) unanswered(to mn.Endpoint, err error) result {
+	q.unreachable(to.ID, err)
+	var e *back.Error
+	if errors.As(err, &e) && !e.Sent {
+		return result{endpoint: to.ID, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s: %w", to.ID, err)}
+	}
+	q.ran = true
+	return result{endpoint: to.ID, err: mn.Errorf(mn.OutcomeNotKnown, "endpoint %s: %w", to.ID, err)}
+}
+
+// unreachable notes a try without an answer, unless the caller ended it.
+func (q *request) unreachable(id mn.EndpointID, err error) {
+	if q.r.Context().Err() != nil || q.Clock.Now() >= q.job.EndAt {
+		return
+	}
+	q.Log.WithField("event", "endpoint_silent").WithField("request", q.env.ID).WithField("endpoint", id).Warn(err)
+	q.Board.Unreachable(id)
+}
+
+// shed judges an answer that says that the request has not run.
+func (q *request) shed(plan *place.Plan, a *back.Answer, d mn.Dispatch) result {
+	if _, err := a.All(maxAnswer); err != nil {
+		q.Log.WithField("event", "answer_broken").WithField("request", q.env.ID).Debug(err)
+	}
+	q.Board.Reached(plan.Target.ID, true)
+	if a.Status == http.StatusMisdirectedRequest {
+		q.Board.Unreachable(plan.Target.ID)
+	}
+	q.release(d.From)
+	return result{endpoint: plan.Target.ID, notRun: true,
+		err: mn.Errorf(mn.NoEndpoint, "endpoint %s answered %d without running it", plan.Target.ID, a.Status)}
+}
+
+// count counts the run for usage, once.
+func (q *request) count() {
+	if q.began {
+		return
+	}
+	q.began = true
+	q.Runs.Began(q.customer)
+}
+
+// hop lists headers of an answer that concern the endpoint's connection only.
+var hop = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection", "Content-Length"}
+
+// head sends the head of an endpoint's answer.
+func (q *request) head(status int, from http.Header) {
+	h := q.w.Header()
+	for name, vs := range from {
+		h[name] = vs
+	}
+	for _, name := range hop {
+		h.Del(name)
+	}
+	if q.Leaving() {
+		h.Set("Connection", "close")
+	}
+	if len(from["Content-Type"]) == 0 {
+		h["Content-Type"] = nil // Keeps net/http from guessing one.
+	}
+	q.begun, q.status = true, status
+	q.w.WriteHeader(status)
+}
+
+// whole passes on an answer that is not a stream, once it is all there.
+func (q *request) whole(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
+	body, err := a.All(maxAnswer)
+	id := plan.Target.ID
+	if err != nil {
+		q.Board.Reached(id, true)
+		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
+	}
+	q.Board.Answered(id, q.Clock.Now()-sent)
+	good := a.Status < 300 && a.Sealed && a.Header.Get("Content-Encoding") == ""
+	q.Board.Reached(id, !good)
+	if good || a.Status < 500 && a.Status >= 300 && a.Sealed {
+		q.firstAt = q.Clock.Now()
+		q.head(a.Status, a.Header)
+		if _, err := q.w.Write(body); err != nil {
+			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "writing to the caller: %w", err)}
+		}
+		return result{}
+	}
+	if a.Sealed && a.Status >= 500 && a.Status != http.StatusServiceUnavailable {
+		q.spare = &failure{a.Status, a.Header, body}
+	}
+	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, sealed %t", id, a.Status, a.Sealed)}
+}
+
+// stream passes on a stream event by event.
+func (q *request) stream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
+	id := plan.Target.ID
+	if !a.Sealed || a.Header.Get("Content-Encoding") != "" {
+		q.Board.Reached(id, true)
+		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, sealed %t", id, a.Status, a.Sealed)}
+	}
+	buf := make([]byte, 0, eventBuffer)
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
+		}
+		n, err := a.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		end := bytes.LastIndex(buf, eventEnd) + len(eventEnd)
+		if err == io.EOF {
+			end = len(buf)
+		}
+		if end >= len(eventEnd) || err == io.EOF {
+			if fail := q.events(plan, a, buf[:end], sent); fail != nil {
+				return *fail
+			}
+			buf = append(buf[:0], buf[end:]...)
+		}
+		if err == io.EOF {
+			q.Board.Reached(id, false)
+			return result{}
+		}
+		if err != nil {
+			q.Board.Reached(id, true)
+			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
+		}
+	}
+}
+
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
+// events sends whole events to the caller.
+func (q *request) events(plan *place.Plan, a *back.Answer, events []byte, sent mn.Millis) *result {
+	if q.firstAt == 0 {
+		q.firstAt = q.Clock.Now()
+		if plan.Reader == nil {
+			q.Board.HasRead(plan, max(0, q.firstAt-sent-place.FirstToken))
+		}
+	}
+	if !q.begun {
+		q.head(a.Status, a.Header)
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	if q.route.Resumable {
+		for _, e := range bytes.Split(events, eventEnd) {
+			if event := q.Dialect.EventID(e); event != "" {
+				q.lastEvent = event
+			}
+		}
+	}
+	_, err := q.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(q.w).Flush()
+	}
+	if err != nil {
+		return &result{endpoint: plan.Target.ID, final: true, err: mn.Errorf(mn.Cancelled, "writing to the caller: %w", err)}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,98 @@
+// Package logs writes log lines without ever holding up whoever logs.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+)
+
+// queued is how many lines wait for a slow reader before lines are dropped.
+const queued = 2048
+
+// Writer hands lines to a writer in the background. Lines that don't fit its
+// queue are dropped and counted; the count is written once there is room.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter returns a writer before w.
+func NewWriter(w io.Writer) *Writer {
+	l := &Writer{lines: make(chan []byte, queued), done: make(chan struct{})}
+	go l.run(w)
+	return l
+}
+
+// Write implements [io.Writer]. It never blocks and never fails.
+func (l *Writer) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	select {
+	case l.lines <- line:
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what is queued. Nothing must be written after it.
+func (l *Writer) Close() {
+	l.once.Do(func() { close(l.lines) })
+	<-l.done
+}
+
+func (l *Writer) run(w io.Writer) {
+	defer close(l.done)
+	for line := range l.lines {
+		if n := l.dropped.Swap(0); n > 0 {
+			line = append(line, fmt.Sprintf("event=log_lines_dropped count=%d\n", n)...)
+		}
+		// A log that can't be written has nowhere to say so.
+		_, _ = w.Write(line)
+	}
+}
+
+// New returns a logger of one key=value line for each event.
+func New(w io.Writer) *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return l
+}
+
+// Sampler bounds the lines of an event that is frequent and well. It is safe
+// for concurrent use.
+type Sampler struct {
+	clock  mn.Clock
+	most   int64
+	mu     sync.Mutex
+	second mn.Millis
+	count  int64
+	left   int64
+}
+
+// NewSampler returns a sampler that lets most lines a second through.
+func NewSampler(most int64, clock mn.Clock) *Sampler { return &Sampler{clock: clock, most: most} }
+
+// Allow says whether to write a line, and how many were left out before it.
+func (s *Sampler) Allow() (left int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second := s.clock.Now() / mn.Second; second != s.second {
+		s.second, s.count = second, 0
+	}
+	if s.count >= s.most {
+		s.left++
+		return 0, false
+	}
+	s.count++
+	left, s.left = s.left, 0
+	return left, true
+}
--- /dev/null
+++ b/io/mates/mates.go
@@ -0,0 +1,140 @@
+// Package mates carries facts between fronts.
+package mates
+
+import (
+	"context"
+
+	"storj.io/drpc"
+
+	mn "mustardnotch"
+	"mustardnotch/gen/meshpb"
+	"mustardnotch/io/wire"
+)
+
+// Host is the front that speaks.
+type Host interface {
+	// Facts returns what the front tells now.
+	Facts() mn.Facts
+	// Hear takes in what another front told; sent is when this front asked for
+	// it, or 0 if the other front spoke unasked.
+	Hear(f mn.Facts, sent mn.Millis)
+	// CatalogItem returns the newest catalog item, with an empty key if none.
+	CatalogItem() mn.Item
+}
+
+// Server answers other fronts.
+type Server struct {
+	meshpb.DRPCFrontsUnimplementedServer
+	host Host
+}
+
+// NewServer returns a server that speaks for host.
+func NewServer(host Host) *Server { return &Server{host: host} }
+
+// Register adds the Fronts service to mux.
+func (s *Server) Register(mux drpc.Mux) error { return meshpb.DRPCRegisterFronts(mux, s) }
+
+// Exchange implements the Fronts service.
+func (s *Server) Exchange(_ context.Context, in *meshpb.FrontFacts) (*meshpb.FrontFacts, error) {
+	s.host.Hear(decode(in), 0)
+	return encode(s.host.Facts()), nil
+}
+
+// Catalog implements the Fronts service.
+func (s *Server) Catalog(context.Context, *meshpb.CatalogRequest) (*meshpb.CatalogReply, error) {
+	i := s.host.CatalogItem()
+	return &meshpb.CatalogReply{Offset: int64(i.Offset), Key: i.Key, Value: i.Value}, nil
+}
+
+// Client talks to other fronts.
+type Client struct {
+	host  Host
+	clock mn.Clock
+	conns *wire.Conns
+}
+
+// NewClient returns a client that speaks for host from the address local.
+func NewClient(host Host, clock mn.Clock, local string) *Client {
+	return &Client{host: host, clock: clock, conns: wire.NewProbes(local)}
+}
+
+// Exchange tells the front at addr this front's facts and takes in its own.
+func (c *Client) Exchange(ctx context.Context, addr string) error {
+	sent := c.clock.Now()
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.Facts()))
+	if err != nil {
+		c.conns.Drop(addr)
+		return err
+	}
+	c.host.Hear(decode(reply), sent)
+	return nil
+}
+
+// Catalog returns the newest catalog item that the front at addr has.
+func (c *Client) Catalog(ctx context.Context, addr string) (mn.Item, error) {
+	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Catalog(ctx, &meshpb.CatalogRequest{})
+	if err != nil {
+		return mn.Item{}, err
+	}
+	return mn.Item{Key: r.Key, Value: r.Value, Offset: mn.Offset(r.Offset)}, nil
+}
+
+// Close closes all connections.
+func (c *Client) Close() error { return c.conns.Close() }
+
+func encode(f mn.Facts) *meshpb.FrontFacts {
+	out := &meshpb.FrontFacts{
+		Vm: string(f.VM), Incarnation: string(f.Incarnation),
+		CatalogOffset: int64(f.CatalogOffset), CatalogAgeMs: int64(f.CatalogAge),
+	}
+	for _, u := range f.Uses {
+		out.Uses = append(out.Uses, &meshpb.EndpointUse{
+			Endpoint: string(u.Endpoint), Requests: u.Requests, PrefillMs: int64(u.Prefill), Failing: u.Failing})
+	}
+	for c, v := range f.Spent {
+		out.Spent = append(out.Spent, &meshpb.Spent{Customer: string(c), Amount: v})
+	}
+	for _, r := range f.Runs {
+		out.Runs = append(out.Runs, &meshpb.RunCount{Window: r.Window, Customer: string(r.Customer), Count: r.Count})
+	}
+	for _, p := range f.Crashes {
+		out.Crashes = append(out.Crashes, &meshpb.FrontCrash{Fingerprint: p.Fingerprint, Endpoint: string(p.VM), WallMs: int64(p.Wall)})
+	}
+	for _, r := range f.Reads {
+		m := &meshpb.PromptRead{Endpoint: string(r.Endpoint)}
+		for _, p := range r.Parts {
+			m.Parts = append(m.Parts, &meshpb.PromptPart{Id: p.ID, Tokens: p.Tokens})
+		}
+		out.Reads = append(out.Reads, m)
+	}
+	return out
+}
+
+func decode(in *meshpb.FrontFacts) mn.Facts {
+	f := mn.Facts{
+		VM: mn.VMID(in.Vm), Incarnation: mn.Incarnation(in.Incarnation),
+		CatalogOffset: mn.Offset(in.CatalogOffset), CatalogAge: mn.Millis(in.CatalogAgeMs),
+		Spent: make(map[mn.CustomerID]float64, len(in.Spent)),
+	}
+	for _, u := range in.Uses {
+		f.Uses = append(f.Uses, mn.EndpointUse{
+			Endpoint: mn.EndpointID(u.Endpoint), Requests: u.Requests, Prefill: mn.Millis(u.PrefillMs), Failing: u.Failing})
+	}
+	for _, s := range in.Spent {
+		f.Spent[mn.CustomerID(s.Customer)] = s.Amount
+	}
+	for _, r := range in.Runs {
+		f.Runs = append(f.Runs, mn.RunCount{Window: r.Window, Customer: mn.CustomerID(r.Customer), Count: r.Count})
+	}
+	for _, p := range in.Crashes {
+		f.Crashes = append(f.Crashes, mn.Poison{Fingerprint: p.Fingerprint, VM: mn.VMID(p.Endpoint), Wall: mn.Millis(p.WallMs)})
+	}
+	for _, r := range in.Reads {
+		m := mn.PromptRead{Endpoint: mn.EndpointID(r.Endpoint)}
+		for _, p := range r.Parts {
+			m.Parts = append(m.Parts, mn.PromptPart{ID: p.Id, Tokens: p.Tokens})
+		}
+		f.Reads = append(f.Reads, m)
+	}
+	return f
+}
--- /dev/null
+++ b/node/front.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	mn "mustardnotch"
+	"mustardnotch/core/duty"
+	"mustardnotch/core/place"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/quota"
+	"mustardnotch/core/retry"
+	"mustardnotch/core/stats"
+	"mustardnotch/io/back"
+	"mustardnotch/io/front"
+	"mustardnotch/io/mates"
+	"mustardnotch/io/wire"
+	"mustardnotch/setup"
+)
+
+const (
+	// memoryShare is the part of a process's memory at which Go collects harder.
+	memoryShare = 0.7
+	// lameSpan is how long a leaving front still takes connections: the
+	// platform asks once a second and takes a front out after two misses.
+	lameSpan = 2600 * mn.Millisecond
+	// exitMargin is kept from the time that a leaving process has.
+	exitMargin = 700 * mn.Millisecond
+	// headerBytes bounds a request's headers before a configuration does.
+	headerBytes = 64 << 10
+	// headerTimeout bounds the time for a request's headers.
+	headerTimeout = 5 * mn.Second
+	// callerIdle is how long idle callers' connections are kept: longer than any
+	// configuration's limit, which callers keep by themselves.
+	callerIdle = 60 * mn.Second
+	// retryPart is the part of the shared retry budget that is given out; the
+	// rest covers prompts that are read twice and fronts that start anew.
+	retryPart = 0.5
+)
+
+// Platform is what a front needs of the users' platform.
+type Platform struct {
+	Store   mn.Store
+	Duties  mn.Duties
+	Dialect mn.Dialect
+}
+
+// Front is the process that serves callers' HTTP requests.
+type Front struct {
+	settings *setup.Front
+	platform Platform
+	clock    mn.Clock
+	log      *logrus.Entry
+	self     mn.Front
+	stats    *stats.Set
+	view     *frontView
+	board    *place.Board
+	line     *place.Line
+	meter    *quota.Meter
+	poisons  *poison.Tracker
+	runs     *duty.Runs
+	holder   *duty.Holder
+	back     *back.Client
+	mates    *mates.Client
+	peers    *peerSet
+	leaving  atomic.Bool
+	// reload asks for the settings file to be read again.
+	reload <-chan struct{}
+}
+
+// NewFront returns a front with settings s on a platform. A message on reload
+// says that the settings file may have changed.
+func NewFront(s *setup.Front, p Platform, log *logrus.Logger, reload <-chan struct{}) *Front {
+	clock := mn.NewSystemClock()
+	self := mn.Front{
+		VM: s.VM, Incarnation: mn.NewIncarnation(), DataCentre: s.DataCentre,
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
+	}
+	f := &Front{
+		settings: s, platform: p, clock: clock, self: self, reload: reload,
+		log:     log.WithFields(logrus.Fields{"vm": s.VM, "role": "front"}),
+		stats:   stats.New(),
+		board:   place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive"}, clock),
+		meter:   quota.New(clock),
+		poisons: poison.New(poison.DefaultConfig(), clock),
+		runs:    duty.NewRuns(s.UsageWindow, clock),
+		holder:  duty.New(s.VM, self.Incarnation, s.HolderApart, clock),
+		back:    back.New(clock, s.IP),
+		peers:   newPeerSet(self),
+	}
+	f.line = place.NewLine(f.board, clock)
+	f.view = newFrontView(f)
+	f.mates = mates.NewClient(f, clock, self.Addr)
+	return f
+}
+
+// Run serves until ctx is done, then leaves gracefully.
+func (f *Front) Run(ctx context.Context) error {
+	s := f.settings
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+	}
+	ls, err := listenAll(s.Callers, s.Readiness, f.self.Addr, net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)))
+	if err != nil {
+		return err
+	}
+	f.log.WithFields(logrus.Fields{"event": "start", "incarnation": f.self.Incarnation, "callers": s.Callers, "peers": f.self.Addr, "file": s.File}).Info()
+	peers := drpcmux.New()
+	if err := mates.NewServer(f).Register(peers); err != nil {
+		return err
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	callers := &http.Server{
+		Handler:           f.serving(),
+		ReadHeaderTimeout: headerTimeout.Duration(),
+		IdleTimeout:       callerIdle.Duration(),
+		MaxHeaderBytes:    headerBytes,
+	}
+	g.Go(func() error { return ignoreClosed(callers.Serve(ls[0])) })
+	serveHTTP(run, g, ls[1], http.HandlerFunc(f.serveReady))
+	g.Go(func() error { return wire.Serve(run, ls[2], peers) })
+	serveHTTP(run, g, ls[3], f.stats)
+	g.Go(func() error { return f.view.followCatalog(run) })
+	g.Go(func() error { return f.view.followEndpoints(run) })
+	g.Go(func() error { return f.followFronts(run) })
+	g.Go(func() error { return f.talk(run) })
+	g.Go(func() error { return f.performDuties(run) })
+	g.Go(func() error { return f.watchSettings(run) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			f.leave(run, callers)
+		case <-run.Done():
+		}
+		stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// leave takes the front out of service without cutting a request.
+func (f *Front) leave(ctx context.Context, callers *http.Server) {
+	begun := f.clock.Now()
+	f.leaving.Store(true)
+	f.holder.Lost()
+	f.log.WithField("event", "leaving").Info()
+	_ = f.clock.Sleep(ctx, min(lameSpan, f.settings.Grace/2))
+	left := f.settings.Grace - exitMargin - (f.clock.Now() - begun)
+	drain, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	if err := callers.Shutdown(drain); err != nil {
+		f.log.WithField("event", "drain_incomplete").Warn(err)
+	}
+	if _, err := f.platform.Store.Put(drain, mn.FrontFeed, string(f.self.VM), nil, -1); err != nil {
+		f.log.WithField("event", "depart_failed").Warn(err)
+	}
+	f.back.Close()
+	if err := f.mates.Close(); err != nil {
+		f.log.WithField("event", "close_failed").Warn(err)
+	}
+	f.log.WithField("event", "left").Info()
+}
+
+// serveReady answers the balancer. A front that knows no configuration, or that
+// must soon refuse keys, is not ready.
+func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if f.ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (f *Front) ready() bool {
+	table, _ := f.view.Table()
+	return table != nil && !f.leaving.Load() && f.view.KeysHold() && f.view.listed()
+}
+
+func (f *Front) serving() http.Handler {
+	c := retry.Config{
+		Ratio:   f.settings.RetryRatio * retryPart,
+		Reserve: max(1, f.settings.RetrySlack*retryPart/expectedFronts),
+		Refill:  0,
+	}
+	return front.New(front.Config{
+		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Line: f.line, Board: f.board,
+		Meter: f.meter, Budget: retry.New(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
+		Stats: f.stats, Log: f.log, ApplyWithin: f.settings.ApplyWithin, Leaving: f.leaving.Load,
+	})
+}
+
+// expectedFronts divides the slack of the retry budget before the fronts are
+// known; the users' deployments start with five or six.
+const expectedFronts = 6
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return fmt.Errorf("serving callers: %w", err)
+}
+
+// watchSettings reports changes of the settings file: on a signal, and by
+// looking now and then.
+func (f *Front) watchSettings(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.reload:
+			f.log.WithFields(logrus.Fields{"event": "reload", "file": f.settings.File}).Info("the settings in force are those read at start")
+		case <-time.After(time.Hour):
+		}
+	}
+}
--- /dev/null
+++ b/node/front_duties.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+	"mustardnotch/core/duty"
+)
+
+const (
+	// dutyEvery is the time between two looks at the duty feed, and between two
+	// renewals of a holder.
+	dutyEvery = 1200 * mn.Millisecond
+	// dutyCall bounds a call of a holder to the platform.
+	dutyCall = 1200 * mn.Millisecond
+	// settleSoon is how long after a window's end it is reported if all fronts
+	// were heard since; settleLate is when it is reported in any case, as a part
+	// of the time in which it is due.
+	settleSoon      = 1500 * mn.Millisecond
+	settleLateShare = 0.65
+)
+
+// performDuties follows the duty feed, and performs the duties while this front
+// holds them.
+func (f *Front) performDuties(ctx context.Context) error {
+	if f.settings.Duties == "" {
+		return nil
+	}
+	link := newLink(f, "store", "duties")
+	var delivered int64
+	held := false
+	for ctx.Err() == nil {
+		// Fronts that start together do not all bid at once.
+		_ = f.clock.Sleep(ctx, dutyEvery+rand.N(dutyEvery/4))
+		if f.leaving.Load() || ctx.Err() != nil {
+			return nil
+		}
+		link.result(f.contend(ctx))
+		term, ok := f.holder.Held()
+		if ok != held {
+			held = ok
+			f.log.WithFields(logrus.Fields{"event": "duties", "held": held, "term": term}).Info()
+		}
+		if ok {
+			delivered = f.reportUsage(ctx, delivered)
+		}
+	}
+	return nil
+}
+
+// contend reads the duty feed and claims or renews if it is this front's turn.
+func (f *Front) contend(ctx context.Context) error {
+	_, held := f.holder.Held()
+	if !held {
+		items, after, err := f.readFeed(ctx, mn.DutyFeed, f.holder.Next())
+		if err != nil {
+			return err
+		}
+		f.holder.Follow(items, after)
+	}
+	bid, ok := f.holder.Bid()
+	if !ok {
+		return nil
+	}
+	return f.append(ctx, bid)
+}
+
+// append adds a bid to the duty feed. After a conflict, or an error that leaves
+// the outcome unknown, the feed is read before the next bid.
+func (f *Front) append(ctx context.Context, bid duty.Bid) error {
+	offset, err := f.platform.Store.Put(ctx, mn.DutyFeed, bid.Key, bid.Value, bid.At)
+	if err == nil {
+		f.holder.Won(bid, offset)
+		return nil
+	}
+	items, after, readErr := f.readFeed(ctx, mn.DutyFeed, f.holder.Next())
+	if readErr != nil {
+		return readErr
+	}
+	f.holder.Follow(items, after)
+	if mn.CodeOf(err) == mn.Conflict {
+		return nil
+	}
+	return err
+}
+
+// reportUsage reports windows that are due, and returns the last one that the
+// platform has taken.
+func (f *Front) reportUsage(ctx context.Context, delivered int64) int64 {
+	span := f.settings.UsageWindow
+	now := f.runs.Wall()
+	last := int64(now/span) - 1
+	if r := f.holder.Decided(); r != nil && r.Window > delivered {
+		if !f.deliver(ctx, *r) {
+			return delivered
+		}
+		delivered = r.Window
+	}
+	first := last
+	if r := f.holder.Decided(); r != nil {
+		first = max(r.Window+1, last-int64(f.settings.UsageLate/span))
+	}
+	for w := first; w <= last; w++ {
+		end := mn.Millis(w+1) * span
+		counts, silent := f.runs.Total(w, f.peers.alive(f.clock.Now(), expectedLife))
+		if now < end+settleSoon || silent > 0 && now < end+mn.Millis(settleLateShare*float64(f.settings.UsageLate)) {
+			return delivered
+		}
+		if !f.decide(ctx, duty.Report{Window: w, Counts: counts}, silent) {
+			return delivered
+		}
+		if !f.deliver(ctx, *f.holder.Decided()) {
+			return delivered
+		}
+		delivered = w
+	}
+	return delivered
+}
+
+// decide writes a report into the duty feed, after which it does not change.
+func (f *Front) decide(ctx context.Context, r duty.Report, silent int) bool {
+	bid, err := f.holder.Decide(r)
+	if err == nil {
+		err = f.append(ctx, bid)
+	}
+	decided := f.holder.Decided()
+	ok := err == nil && decided != nil && decided.Window == r.Window
+	f.log.WithFields(logrus.Fields{"event": "usage_decided", "window": r.Window, "ok": ok, "silent_fronts": silent}).Info()
+	return ok
+}
+
+// deliver reports a decided window to the platform.
+func (f *Front) deliver(ctx context.Context, r duty.Report) bool {
+	term, ok := f.holder.Held()
+	if !ok {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, dutyCall.Duration())
+	defer cancel()
+	err := f.platform.Duties.ReportRuns(call, mn.DutyStamp{Holder: f.self.VM, Fence: term}, r.Window, r.Counts)
+	l := f.log.WithFields(logrus.Fields{"event": "usage_reported", "window": r.Window, "term": term, "customers": len(r.Counts)})
+	if err != nil {
+		l.Warn(err)
+		return false
+	}
+	l.Info()
+	return true
+}
--- /dev/null
+++ b/node/front_mates.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	mn "mustardnotch"
+)
+
+const (
+	// talkPerFront is the time between exchanges with one front for each front
+	// there is, so that what a front hears a second does not grow with them.
+	talkPerFront = 25 * mn.Millisecond
+	// talkLeast is the least time between exchanges with one front.
+	talkLeast = 120 * mn.Millisecond
+	// talkTimeout bounds one exchange: many round trips between data centres.
+	talkTimeout = 500 * mn.Millisecond
+	// talkLost is the pause before a front that did not answer is asked again.
+	talkLost = 700 * mn.Millisecond
+	// frontsEvery is the time between reads of the fronts' feed.
+	frontsEvery = 4000 * mn.Millisecond
+	// expectedLife is how long a front that can't be reached counts among those
+	// whose counts a report waits for.
+	expectedLife = 10 * mn.Second
+)
+
+// peerSet is the set of the other fronts.
+type peerSet struct {
+	self mn.Front
+
+	mu     sync.Mutex
+	fronts map[mn.VMID]mn.Front
+	heard  map[mn.VMID]mn.Millis
+}
+
+func newPeerSet(self mn.Front) *peerSet {
+	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, heard: map[mn.VMID]mn.Millis{}}
+}
+
+// apply takes in a front's entry and says whether this front's own is missing
+// or another's.
+func (p *peerSet) apply(i mn.Item) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var f mn.Front
+	if len(i.Value) == 0 || json.Unmarshal(i.Value, &f) != nil || string(f.VM) != i.Key || f.VM == p.self.VM {
+		delete(p.fronts, mn.VMID(i.Key))
+		return
+	}
+	p.fronts[f.VM] = f
+}
+
+// list returns the other fronts in the order of their names.
+func (p *peerSet) list() []mn.Front {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]mn.Front, 0, len(p.fronts))
+	for _, f := range p.fronts {
+		out = append(out, f)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+// alive returns the fronts that were heard within span before now.
+func (p *peerSet) alive(now, span mn.Millis) []mn.VMID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []mn.VMID
+	for vm, at := range p.heard {
+		if now-at <= span {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// followFronts enters this front into the feed of fronts and keeps the list.
+func (f *Front) followFronts(ctx context.Context) error {
+	link := newLink(f, "store", "fronts")
+	next, entered := mn.Offset(-1), false
+	for ctx.Err() == nil {
+		var err error
+		if !entered {
+			if err = f.enter(ctx); err == nil {
+				entered = true
+			}
+		}
+		if err == nil {
+			next, err = f.readFronts(ctx, next)
+		}
+		link.result(err)
+		pause := frontsEvery
+		if err != nil || len(f.peers.list()) == 0 {
+			pause = frontsEvery / 8
+		}
+		_ = f.clock.Sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (f *Front) enter(ctx context.Context) error {
+	value, err := json.Marshal(f.self)
+	if err != nil {
+		return err
+	}
+	_, err = f.platform.Store.Put(ctx, mn.FrontFeed, string(f.self.VM), value, -1)
+	return err
+}
+
+func (f *Front) readFronts(ctx context.Context, next mn.Offset) (mn.Offset, error) {
+	items, after, err := f.readFeed(ctx, mn.FrontFeed, next)
+	if err != nil {
+		return next, err
+	}
+	for _, i := range items {
+		f.peers.apply(i)
+	}
+	return after, nil
+}
+
+// readFeed returns what a feed holds from offset next on, or the newest items
+// where next is negative or its records are gone.
+func (f *Front) readFeed(ctx context.Context, feed mn.FeedKind, next mn.Offset) ([]mn.Item, mn.Offset, error) {
+	if next >= 0 {
+		items, after, err := f.platform.Store.Follow(ctx, feed, next, 0)
+		if mn.CodeOf(err) != mn.RecordsExpired {
+			return items, after, err
+		}
+	}
+	return f.platform.Store.Newest(ctx, feed)
+}
+
+// talk exchanges facts with each other front until ctx is done.
+func (f *Front) talk(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	talking := map[mn.VMID]context.CancelFunc{}
+	addrs := map[mn.VMID]string{}
+	for ctx.Err() == nil {
+		listed := map[mn.VMID]bool{}
+		for _, p := range f.peers.list() {
+			listed[p.VM] = true
+			if addrs[p.VM] == p.Addr {
+				continue
+			}
+			if stop := talking[p.VM]; stop != nil {
+				stop()
+			}
+			peerCtx, stop := context.WithCancel(ctx)
+			talking[p.VM], addrs[p.VM] = stop, p.Addr
+			g.Go(func() error { return f.talkTo(peerCtx, p) })
+		}
+		for vm, stop := range talking {
+			if !listed[vm] {
+				stop()
+				delete(talking, vm)
+				delete(addrs, vm)
+			}
+		}
+		_ = f.clock.Sleep(ctx, talkLeast)
+	}
+	for _, stop := range talking {
+		stop()
+	}
+	return g.Wait()
+}
+
+func (f *Front) talkTo(ctx context.Context, p mn.Front) error {
+	link := newLink(f, "front "+string(p.VM), "facts")
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, talkTimeout.Duration())
+		err := f.mates.Exchange(call, p.Addr)
+		cancel()
+		if ctx.Err() != nil {
+			return nil
+		}
+		link.result(err)
+		pause := max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
+		if err != nil {
+			pause = max(pause, talkLost)
+		}
+		_ = f.clock.Sleep(ctx, pause)
+	}
+	return nil
+}
+
+// Facts implements [mates.Host].
+func (f *Front) Facts() mn.Facts {
+	f.view.mu.Lock()
+	offset, confirmed, known := f.view.item.Offset, f.view.confirmedAt, f.view.table != nil
+	f.view.mu.Unlock()
+	age := mn.Millis(-1)
+	if known {
+		age = f.clock.Now() - confirmed
+	}
+	return mn.Facts{
+		VM: f.self.VM, Incarnation: f.self.Incarnation, CatalogOffset: offset, CatalogAge: age,
+		Uses: f.board.Uses(), Spent: f.meter.Spent(), Runs: f.runs.Own(),
+		Reads: f.board.Reads(),
+	}
+}
+
+// Hear implements [mates.Host].
+func (f *Front) Hear(facts mn.Facts, sent mn.Millis) {
+	f.peers.mu.Lock()
+	f.peers.heard[facts.VM] = f.clock.Now()
+	f.peers.mu.Unlock()
+	f.board.Hear(facts)
+	f.meter.Hear(facts)
+	f.runs.Hear(facts)
+	for _, p := range facts.Crashes {
+		f.poisons.Add(p)
+	}
+	if sent == 0 || facts.CatalogAge < 0 {
+		return
+	}
+	f.vouched(facts, sent)
+}
+
+// vouched takes in another front's evidence on the catalog: what was the newest
+// when it answered was so its evidence's age before, and it answered after sent.
+func (f *Front) vouched(facts mn.Facts, sent mn.Millis) {
+	f.view.mu.Lock()
+	same := f.view.table != nil && f.view.item.Offset == facts.CatalogOffset
+	f.view.mu.Unlock()
+	if same {
+		f.view.confirm(0, sent-facts.CatalogAge-vouchSlack)
+	}
+}
+
+// CatalogItem implements [mates.Host].
+func (f *Front) CatalogItem() mn.Item {
+	f.view.mu.Lock()
+	defer f.view.mu.Unlock()
+	return f.view.item
+}
--- /dev/null
+++ b/node/front_view.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	mn "mustardnotch"
+	"mustardnotch/core/lists"
+	"mustardnotch/core/paths"
+)
+
+const (
+	// catalogWait is how long a read of the catalog waits for a change. An empty
+	// answer after it shows that the view was the newest until then.
+	catalogWait = 900 * mn.Millisecond
+	// endpointsEvery is the time between reads of the endpoints' feed, which
+	// changes all the time: a part of the time in which a leaving endpoint must
+	// get no more work.
+	endpointsEvery = 600 * mn.Millisecond
+	// storePause is the pause after a failed read.
+	storePause = 150 * mn.Millisecond
+	// keyMargin is kept from the time within which a withdrawn key must be
+	// refused, for the way of a request from its caller.
+	keyMargin = 250 * mn.Millisecond
+	// vouchSlack is added to the age of another front's evidence.
+	vouchSlack = 20 * mn.Millisecond
+)
+
+// frontView is what a front believes of the configuration and the endpoints.
+type frontView struct {
+	*Front
+
+	mu    sync.Mutex
+	item  mn.Item
+	table *paths.Table
+	// next is the offset from which the catalog's feed is to be read.
+	next mn.Offset
+	// confirmedAt is the latest instant at which the view was surely the newest.
+	confirmedAt mn.Millis
+	hasList     bool
+}
+
+func newFrontView(f *Front) *frontView { return &frontView{Front: f} }
+
+// Table returns the catalog in force and the age of the evidence for it.
+func (v *frontView) Table() (*paths.Table, mn.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table, v.clock.Now() - v.confirmedAt
+}
+
+// KeysHold says whether the view is new enough to accept keys.
+func (v *frontView) KeysHold() bool {
+	if !v.settings.StrictRevoke {
+		return true
+	}
+	_, age := v.Table()
+	return age < v.settings.RevokeWithin-keyMargin
+}
+
+// listed says whether the endpoints were ever listed.
+func (v *frontView) listed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.hasList
+}
+
+// apply takes in a catalog item unless a newer one is in force.
+func (v *frontView) apply(i mn.Item) {
+	c, err := v.platform.Store.Catalog(i)
+	if err != nil {
+		v.log.WithFields(logrus.Fields{"event": "config_unreadable", "offset": i.Offset}).Error(err)
+		return
+	}
+	if c == nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table != nil && (i.Offset <= v.item.Offset || c.Version < v.table.Catalog.Version) {
+		return
+	}
+	v.item, v.table = i, paths.New(c)
+	v.meter.Declare(c.Subscribers)
+	v.board.Declare(c.Pools)
+	v.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "offset": i.Offset,
+		"routes": len(c.Routes), "customers": len(c.Subscribers)}).Info()
+}
+
+// confirm notes that the view took in everything up to next at instant at.
+func (v *frontView) confirm(next mn.Offset, at mn.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next = max(v.next, next)
+	v.confirmedAt = max(v.confirmedAt, at)
+}
+
+// position returns the offset from which the catalog is to be read.
+func (v *frontView) position() (next mn.Offset, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.next, v.table != nil
+}
+
+// followCatalog keeps the catalog up to date until ctx is done.
+func (v *frontView) followCatalog(ctx context.Context) error {
+	link := newLink(v.Front, "store", "catalog")
+	for ctx.Err() == nil {
+		err := v.readCatalog(ctx)
+		link.result(err)
+		if err != nil {
+			_ = v.clock.Sleep(ctx, storePause)
+		}
+	}
+	return nil
+}
+
+func (v *frontView) readCatalog(ctx context.Context) error {
+	sent := v.clock.Now()
+	next, known := v.position()
+	if !known {
+		return v.readNewest(ctx, sent)
+	}
+	items, after, err := v.platform.Store.Follow(ctx, mn.CatalogFeed, next, catalogWait)
+	if mn.CodeOf(err) == mn.RecordsExpired {
+		return v.readNewest(ctx, sent)
+	}
+	if err != nil {
+		return err
+	}
+	for _, i := range items {
+		v.apply(i)
+	}
+	confirmed := sent
+	if len(items) == 0 {
+		// The store looked again when the wait was over.
+		confirmed = min(sent+catalogWait, v.clock.Now())
+	}
+	v.confirm(after, confirmed)
+	return nil
+}
+
+func (v *frontView) readNewest(ctx context.Context, sent mn.Millis) error {
+	items, after, err := v.platform.Store.Newest(ctx, mn.CatalogFeed)
+	if err != nil {
+		return err
+	}
+	for _, i := range items {
+		v.apply(i)
+	}
+	v.confirm(after, sent)
+	if _, known := v.position(); !known {
+		_ = v.clock.Sleep(ctx, storePause) // The operator has written nothing yet.
+	}
+	return nil
+}
+
+// followEndpoints keeps the list of endpoints up to date until ctx is done.
+func (v *frontView) followEndpoints(ctx context.Context) error {
+	list := lists.New(v.platform.Store.Endpoint)
+	link := newLink(v.Front, "store", "endpoints")
+	next := mn.Offset(-1)
+	for ctx.Err() == nil {
+		var err error
+		next, err = v.readEndpoints(ctx, list, next)
+		link.result(err)
+		v.board.Update(list.Endpoints(v.clock.Now()))
+		pause := endpointsEvery
+		if err != nil {
+			pause = storePause
+		}
+		_ = v.clock.Sleep(ctx, pause)
+	}
+	return nil
+}
+
+func (v *frontView) readEndpoints(ctx context.Context, list *lists.List, next mn.Offset) (mn.Offset, error) {
+	var items []mn.Item
+	var err error
+	if next >= 0 {
+		var after mn.Offset
+		if items, after, err = v.platform.Store.Follow(ctx, mn.EndpointFeed, next, 0); err == nil {
+			now := v.clock.Now()
+			list.Read(now)
+			for _, i := range items {
+				v.noteEntry(i, list.Apply(i, now))
+			}
+			return after, nil
+		}
+		if mn.CodeOf(err) != mn.RecordsExpired {
+			return next, err
+		}
+	}
+	items, after, err := v.platform.Store.Newest(ctx, mn.EndpointFeed)
+	if err != nil {
+		return next, err
+	}
+	now := v.clock.Now()
+	list.Read(now)
+	for _, fault := range list.Replace(items, now) {
+		v.noteEntry(mn.Item{}, fault)
+	}
+	v.mu.Lock()
+	v.hasList = true
+	v.mu.Unlock()
+	return after, nil
+}
+
+func (v *frontView) noteEntry(i mn.Item, err error) {
+	if err != nil {
+		v.log.WithFields(logrus.Fields{"event": "endpoint_unreadable", "endpoint": i.Key, "offset": i.Offset}).Warn(err)
+	}
+}
+
+// link logs when a dependency is lost and when it is back.
+type link struct {
+	log  *logrus.Entry
+	f    *Front
+	name string
+	lost mn.Millis
+}
+
+func newLink(f *Front, peer, use string) *link {
+	return &link{f: f, name: peer + "_" + use, log: f.log.WithFields(logrus.Fields{"dependency": peer, "use": use})}
+}
+
+// result takes in the result of a call.
+func (l *link) result(err error) {
+	now := l.f.clock.Now()
+	switch {
+	case err != nil && l.lost == 0:
+		l.lost = now
+		l.f.stats.Add("lost_"+l.name, 1)
+		l.log.WithField("event", "dependency_lost").Warn(err)
+	case err == nil && l.lost > 0:
+		l.log.WithFields(logrus.Fields{"event": "dependency_back", "away_ms": now - l.lost}).Info()
+		l.lost = 0
+	}
+}
--- /dev/null
+++ b/setup/front.go
@@ -0,0 +1,75 @@
+package setup
+
+import mn "mustardnotch"
+
+// Front holds the settings of a front, the process that serves callers' HTTP
+// requests from endpoints of the users' platform.
+type Front struct {
+	File string
+
+	VM         mn.VMID
+	DataCentre mn.DataCentre
+	// IP is the VM's own address; PeerPort and MetricsPort are ports on it.
+	IP          string
+	PeerPort    int
+	MetricsPort int
+	// Callers and Readiness are listening addresses, ip:port.
+	Callers   string
+	Readiness string
+	// Store and Duties are addresses of the platform. Duties may be empty.
+	Store  string
+	Duties string
+
+	// MemoryMB bounds the process's memory, 0 for no bound.
+	MemoryMB int64
+	// RevokeWithin is how soon after its withdrawal a key must be refused, also
+	// by a process that can't reach the store if StrictRevoke is set.
+	RevokeWithin mn.Millis
+	StrictRevoke bool
+	// ApplyWithin is how soon a new configuration must be in force.
+	ApplyWithin mn.Millis
+	// LeavingWithin is how soon a leaving endpoint must get no more work.
+	LeavingWithin mn.Millis
+	// Grace is how long a process has to end after SIGTERM.
+	Grace mn.Millis
+	// Stable is how long after a disturbance the platform counts as calm.
+	Stable mn.Millis
+	// RetryRatio and RetrySlack bound the retries of all fronts together in any
+	// RetryWindow: RetryRatio for each request, and RetrySlack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow mn.Millis
+	// HolderApart is the time within which two holders must not alternate.
+	HolderApart mn.Millis
+	// UsageWindow is the span of a usage window; its report is due UsageLate
+	// after its end.
+	UsageWindow mn.Millis
+	UsageLate   mn.Millis
+	// Router is "cost" or, as a baseline, "naive".
+	Router string
+}
+
+// DefaultFront returns the settings that the platform's file need not have.
+func DefaultFront() *Front {
+	return &Front{
+		RevokeWithin:  5 * mn.Second,
+		ApplyWithin:   2 * mn.Second,
+		LeavingWithin: 2 * mn.Second,
+		Grace:         8 * mn.Second,
+		Stable:        3 * mn.Second,
+		RetryRatio:    0.2,
+		RetryWindow:   10 * mn.Second,
+		HolderApart:   3 * mn.Second,
+		UsageWindow:   5 * mn.Second,
+		UsageLate:     10 * mn.Second,
+		Router:        "cost",
+	}
+}
+
+// Check returns what is wrong with settings that come from the command line.
+func (s *Front) Check() error {
+	if err := checkOneOf(s.Router, "cost", "naive"); err != nil {
+		return mn.Errorf(mn.BadSetting, "router %q: %w", s.Router, err)
+	}
+	return nil
+}
