Tell other fronts of prompts at once; send short prompts late rather than refuse them

Now: facts go out at each long prompt; short and long prompts wait apart; short ones are sent late and may be read elsewhere; ranks at the engine put what is read first. Ruled out: retry budget, keys (unknown keys are withdrawn ones). Counts of runs are written down, so that usage survives the end of all fronts; a VM that held the duties claims them at once after its restart.

--- a/core/duty/holder.go
+++ b/core/duty/holder.go
@@ -18,13 +18,13 @@
 const (
 	// callMargin is kept between the last call of a holder and the end of its
 	// lease: the time that a call may take on the way.
-	callMargin = 1500 * mn.Millisecond
+	callMargin = 1000 * mn.Millisecond
 	// claimMargin is added to the lease before another front claims, for the
 	// drift of two clocks.
 	claimMargin = 200 * mn.Millisecond
 	// leaseOver is the part of the lease beyond the time in which holders must
 	// not alternate.
-	leaseOver = 1000 * mn.Millisecond
+	leaseOver = 200 * mn.Millisecond
 )
 
 // holderKey and reportKey are the keys of the feed.
@@ -128,8 +128,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	mine := h.term > 0
-	if !h.followed || !mine && now-h.seenAt < h.lease+claimMargin && h.last.VM != "" {
+	if !h.followed || h.due(now) > 0 {
 		return Bid{}, false
 	}
 	c := claim{VM: h.vm, Incarnation: h.incarnation, Term: h.term}
@@ -140,6 +139,22 @@
 	return Bid{Key: holderKey, Value: value, At: h.next, sent: now, claim: c}, true
 }
 
+// due returns how long until this process may claim or renew. A VM that was the
+// holder before its process started anew need not wait for itself.
+func (h *Holder) due(now mn.Millis) mn.Millis {
+	if h.last.VM == "" || h.last.VM == h.vm {
+		return 0
+	}
+	return h.seenAt + h.lease + claimMargin - now
+}
+
+// Due returns how long until this process may claim the duty, 0 if it may now.
+func (h *Holder) Due() mn.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, h.due(h.clock.Now()))
+}
+
 // Won takes in that a bid was appended at offset.
 func (h *Holder) Won(b Bid, offset mn.Offset) {
 	h.mu.Lock()
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -1,6 +1,8 @@
 package duty
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	mn "mustardnotch"
@@ -96,6 +98,9 @@
 	for k, n := range r.own {
 		out = append(out, mn.RunCount{Window: k.window, Customer: k.customer, Count: n})
 	}
+	slices.SortFunc(out, func(a, b mn.RunCount) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Customer, b.Customer))
+	})
 	return out
 }
 
@@ -104,6 +109,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heardAt[f.VM] = r.wall()
+	r.merge(f)
+}
+
+// Restore takes in counts that a front wrote down; it need not live any more.
+func (r *Runs) Restore(f mn.Facts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.merge(f)
+}
+
+func (r *Runs) merge(f mn.Facts) {
 	byIncarnation := r.others[f.VM]
 	if byIncarnation == nil {
 		byIncarnation = map[mn.Incarnation]map[key]int64{}
@@ -116,7 +132,8 @@
 	}
 	oldest := int64(r.wall()/r.window) - keptWindows
 	for _, n := range f.Runs {
-		counts[key{n.Window, n.Customer}] = n.Count
+		k := key{n.Window, n.Customer}
+		counts[k] = max(counts[k], n.Count)
 	}
 	for k := range counts {
 		if k.window < oldest {
--- a/core/place/board.go
+++ b/core/place/board.go
@@ -1,8 +1,10 @@
 package place
 
 import (
+	"context"
 	"math"
 	"sync"
+	"time"
 
 	mn "mustardnotch"
 )
@@ -23,7 +25,7 @@
 	// speedWeight is the weight of one observation in a learned speed.
 	speedWeight = 0.15
 	// fewestSlow and mostSlow bound the learned speed factor of an endpoint.
-	fewestSlow, mostSlow = 0.5, 12.0
+	fewestSlow, mostSlow = 0.75, 12.0
 	// plainStart is the time of an answer that is assumed of a plain endpoint
 	// which has not answered yet.
 	plainStart = 30.0
@@ -48,6 +50,10 @@
 	engines   map[mn.PoolID]mn.EngineSpec
 	fronts    map[mn.VMID]told
 	reads     []toldRead
+	// news counts changes that other fronts should hear of at once; changed is
+	// closed at the next.
+	news    int64
+	changed chan struct{}
 }
 
 // told is what another front said of its work, and when.
@@ -88,6 +94,7 @@
 		byPool:    map[mn.PoolID][]*state{},
 		engines:   map[mn.PoolID]mn.EngineSpec{},
 		fronts:    map[mn.VMID]told{},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -160,6 +167,39 @@
 	return out
 }
 
+// News returns how many changes other fronts should have heard of at once.
+func (b *Board) News() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.news
+}
+
+// AwaitNews waits for a change since News returned seen, for span at most, and
+// returns News.
+func (b *Board) AwaitNews(ctx context.Context, seen int64, span mn.Millis) int64 {
+	b.mu.Lock()
+	changed, news := b.changed, b.news
+	b.mu.Unlock()
+	if news != seen {
+		return news
+	}
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return b.News()
+}
+
+// announce notes a change that other fronts should hear of at once.
+func (b *Board) announce() {
+	b.news++
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
 // load returns the requests and the reading time of all fronts at s.
 func (b *Board) load(s *state, now mn.Millis) (requests int64, reading float64) {
 	requests, reading = s.requests, s.reading
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -21,8 +21,12 @@
 	pairCost = 0.22
 	// firstToken is the time from the end of a prompt to its first event.
 	firstToken = 45.0
-	// FirstToken is the same as a span.
-	FirstToken mn.Millis = firstToken
+	// readFixed is what reading a prompt for another engine takes beside its
+	// tokens.
+	readFixed = 40.0
+	// shortBehind is the part of the reading before a short prompt for which it
+	// waits.
+	shortBehind = 0.55
 	// handoffSetup is the time that a transfer of a prompt's KV cache takes
 	// beside its bytes.
 	handoffSetup = 8.0
@@ -37,6 +41,9 @@
 	// the generations that it runs: more would hold up their tokens and the
 	// short prompts behind it.
 	directMost = 6000
+	// newsWork is the reading, in milliseconds, of which other fronts hear at
+	// once.
+	newsWork = 15.0
 	// homes is how many engines of a role may hold a shared part.
 	homes = 2
 	// stepCost is what each running request adds to a step, in milliseconds, at
@@ -50,6 +57,14 @@
 	plainQueue = 1
 )
 
+// Ranks of requests at an engine: what another engine has read only needs a
+// place, and a short prompt little more.
+const (
+	urgencyRead  = 0
+	urgencyShort = 2
+	urgencyLong  = 4
+)
+
 // Job is a request that is to be placed.
 type Job struct {
 	ID   mn.RequestID
@@ -74,6 +89,10 @@
 	// prompt is read, both as estimated.
 	Expect mn.Millis
 	Read   mn.Millis
+	// Before is the reading, in milliseconds, that was before it at its reader.
+	Before mn.Millis
+	// Urgency is the engine's rank for the request, 0 for the most urgent.
+	Urgency int
 
 	work float64
 	// readerLeft says that the reader's part has been given back.
@@ -135,7 +154,7 @@
 	case now+p.Expect <= j.GoalAt:
 		b.reserve(p, spec)
 		return p, Send
-	case late && now+p.Expect <= j.EndAt-lateMargin && backlog <= lateBacklog:
+	case now+p.Expect <= j.EndAt-lateMargin && (j.Prompt.Tokens <= shortPrompt && backlog <= shortBacklog || late && backlog <= lateBacklog):
 		b.reserve(p, spec)
 		return p, SendLate
 	}
@@ -206,15 +225,20 @@
 			best, low, backlog = p, cost, before
 		}
 	}
+	readers, targets := split(usable)
 	if j.Prompt.Tokens <= shortPrompt {
-		for _, s := range usable {
-			if s.Role != mn.EnginePrefill && b.room(s, now) {
-				consider(s, s)
+		reader := b.idlest(readers, now)
+		for _, t := range targets {
+			if !b.room(t, now) {
+				continue
+			}
+			consider(t, t)
+			if reader != nil {
+				consider(reader, t)
 			}
 		}
 		return best, backlog
 	}
-	readers, targets := split(usable)
 	readers, targets = homesOf(j.Prompt, readers), homesOf(j.Prompt, targets)
 	for _, t := range targets {
 		if !b.room(t, now) {
@@ -230,6 +254,18 @@
 	return best, backlog
 }
 
+// idlest returns the engine with the least reading before it, nil for none.
+func (b *Board) idlest(engines []*state, now mn.Millis) *state {
+	var best *state
+	low := math.Inf(1)
+	for _, s := range engines {
+		if _, reading := b.load(s, now); reading < low {
+			best, low = s, reading
+		}
+	}
+	return best
+}
+
 // split divides engines into those that only read prompts and those that
 // generate.
 func split(usable []*state) (readers, targets []*state) {
@@ -254,14 +290,27 @@
 		n, reading := b.load(target, now)
 		first += stepCost*float64(n) + reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
 	}
-	expect := b.hop(reader) + backlog + work + first
+	behind := 1.0
+	if reader == target && j.Prompt.Tokens <= shortPrompt {
+		behind = shortBehind
+	}
+	if reader != target {
+		first += readFixed
+	}
+	expect := b.hop(reader) + behind*backlog + work + first
 	// What has to be read again elsewhere takes time from others.
 	again := float64(max(0, missing-own(j.Prompt))) / readPace
 	fail := failCost * (reader.failing(now) + target.failing(now))
-	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(backlog + work), work: work, prompt: j.Prompt}
-	if reader != target {
+	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), work: work, prompt: j.Prompt}
+	switch {
+	case reader != target:
 		e := reader.Endpoint
 		p.Reader = &e
+		p.Urgency = urgencyRead
+	case j.Prompt.Tokens <= shortPrompt:
+		p.Urgency = urgencyShort
+	default:
+		p.Urgency = urgencyLong
 	}
 	return p, expect + again + fail, backlog
 }
@@ -337,6 +386,9 @@
 			s.probing = true
 		}
 	}
+	if p.work >= newsWork {
+		b.announce()
+	}
 	if s := b.endpoints[p.reader()]; s != nil {
 		s.reading += p.work
 		if p.prompt != nil {
@@ -364,8 +416,9 @@
 	return out
 }
 
-// HasRead notes that the prompt was read, took after it was sent; took is
-// negative if it was not read.
+// HasRead notes that the prompt was read. What it took counts from when the
+// request was sent to when the reader answered, or the target's first event came;
+// it is negative if the prompt was not read.
 func (b *Board) HasRead(p *Plan, took mn.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -375,8 +428,11 @@
 		return
 	}
 	if took >= 0 && p.Read > 0 {
-		ratio := (float64(took) + 1) / (float64(p.Read) + 1)
-		s.slow = min(mostSlow, max(fewestSlow, s.slow*(1+speedWeight*(min(3, ratio)-1))))
+		fixed := firstToken
+		if p.Reader != nil {
+			fixed = readFixed
+		}
+		s.learn(float64(took)-fixed, float64(p.Read))
 	}
 	if p.Reader != nil && !p.readerLeft {
 		p.readerLeft = true
@@ -384,11 +440,26 @@
 	}
 }
 
+// learn moves the speed factor towards a value that two in five observations are below: the
+// rest waited for work that was not known when it was placed.
+func (s *state) learn(took, expected float64) {
+	const up, down = 0.04, 0.06
+	if took > expected {
+		s.slow *= 1 + up
+	} else {
+		s.slow *= 1 - down
+	}
+	s.slow = min(mostSlow, max(fewestSlow, s.slow))
+}
+
 func (b *Board) unread(p *Plan) {
 	if p.workLeft {
 		return
 	}
 	p.workLeft = true
+	if p.work >= newsWork {
+		b.announce()
+	}
 	if s := b.endpoints[p.reader()]; s != nil {
 		s.reading = max(0, s.reading-p.work)
 	}
--- a/core/place/line.go
+++ b/core/place/line.go
@@ -15,6 +15,9 @@
 	// lateBacklog is the most reading, in milliseconds, that may be before a
 	// late request: one long prompt, so that requests on time hardly wait.
 	lateBacklog = 60.0
+	// shortBacklog is the same before a late short prompt, which takes hardly
+	// anything from others.
+	shortBacklog = 900.0
 	// pumpEvery is how often waiting requests are looked at: several times in
 	// the time of a long prompt.
 	pumpEvery = 8 * mn.Millisecond
@@ -42,7 +45,41 @@
 	Waited mn.Millis
 }
 
-// Line holds the jobs that wait for a place.
+// Lines are the lines of all pools. Short and long prompts of a pool wait apart:
+// a short one hardly takes anything from the long ones that would have to wait.
+type Lines struct {
+	board *Board
+	clock mn.Clock
+
+	mu    sync.Mutex
+	lines map[lineKey]*Line
+}
+
+type lineKey struct {
+	pool mn.PoolID
+	long bool
+}
+
+// NewLines returns lines before board.
+func NewLines(board *Board, clock mn.Clock) *Lines {
+	return &Lines{board: board, clock: clock, lines: map[lineKey]*Line{}}
+}
+
+// Place returns a reserved plan for j, now or after a wait, or a refusal. It
+// returns neither if ctx ended.
+func (l *Lines) Place(ctx context.Context, j *Job) (*Plan, *Refusal) {
+	key := lineKey{j.Pool, j.Prompt != nil && j.Prompt.Tokens > shortPrompt}
+	l.mu.Lock()
+	line := l.lines[key]
+	if line == nil {
+		line = newLine(l.board, l.clock)
+		l.lines[key] = line
+	}
+	l.mu.Unlock()
+	return line.place(ctx, j)
+}
+
+// Line holds the jobs of one kind that wait for a place.
 //
 // Load pattern: for seconds at a time callers ask for more prompts than all
 // engines read. What can be answered on time goes first; what can't waits for
@@ -68,21 +105,11 @@
 	granted chan *Plan
 }
 
-// NewLine returns an empty line before board.
-func NewLine(board *Board, clock mn.Clock) *Line {
+func newLine(board *Board, clock mn.Clock) *Line {
 	return &Line{board: board, clock: clock, grants: startRate * float64(rateSpan) / float64(mn.Second), grantsAt: clock.Now()}
 }
 
-// Waiting returns how many jobs wait.
-func (l *Line) Waiting() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.waiting)
-}
-
-// Place returns a reserved plan for j, now or after a wait, or a refusal. It
-// returns neither if ctx ended.
-func (l *Line) Place(ctx context.Context, j *Job) (*Plan, *Refusal) {
+func (l *Line) place(ctx context.Context, j *Job) (*Plan, *Refusal) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	idle := len(l.waiting) == 0
--- a/facts.go
+++ b/facts.go
@@ -28,28 +28,31 @@
 
 // RunCount is how many requests of a customer began to run in a window.
 type RunCount struct {
-	Window   int64
-	Customer CustomerID
-	Count    int64
+	Window   int64      `json:"window"`
+	Customer CustomerID `json:"customer"`
+	Count    int64      `json:"count"`
 }
 
-// Facts is what a front tells the other fronts of itself.
+// Facts is what a front tells the other fronts of itself. What it also writes
+// down has a JSON name.
 type Facts struct {
-	VM          VMID
-	Incarnation Incarnation
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
 	// CatalogOffset and CatalogAge say how far the front follows the catalog,
 	// and how old its evidence was when it spoke. The age is negative if it has
 	// no evidence.
-	CatalogOffset Offset
-	CatalogAge    Millis
-	Uses          []EndpointUse
+	CatalogOffset Offset        `json:"-"`
+	CatalogAge    Millis        `json:"-"`
+	Uses          []EndpointUse `json:"-"`
+	// Whole says that Spent and Runs are given too.
+	Whole bool `json:"-"`
 	// Spent is what each customer spent at this incarnation, in the unit of
 	// its rate.
-	Spent map[CustomerID]float64
+	Spent map[CustomerID]float64 `json:"-"`
 	// Runs are the counts of recent windows at this incarnation.
-	Runs []RunCount
+	Runs []RunCount `json:"runs"`
 	// Crashes are recent crashes that this incarnation saw.
-	Crashes []Poison
+	Crashes []Poison `json:"-"`
 	// Reads are the shared parts of prompts that were read lately.
-	Reads []PromptRead
+	Reads []PromptRead `json:"-"`
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -42,7 +42,6 @@
 	body     []byte
 	job      place.Job
 	cost     float64
-	urgency  int
 	print    string
 
 	viewAge mn.Millis
@@ -53,12 +52,14 @@
 	// began says that the run was counted for usage.
 	began bool
 	// begun says that the head of an answer was sent to the caller.
-	begun   bool
-	tries   int
-	plan    *place.Plan
-	waited  mn.Millis
-	status  int
-	firstAt mn.Millis
+	begun  bool
+	tries  int
+	plan   *place.Plan
+	waited mn.Millis
+	// readTook is the time in which another endpoint read the prompt.
+	readTook mn.Millis
+	status   int
+	firstAt  mn.Millis
 	// lastEvent is the last whole event of a stream that the caller got.
 	lastEvent string
 	// spare is an endpoint's failure that is passed on if no other endpoint does
@@ -106,7 +107,6 @@
 		return mn.Errorf(NoRoute, "host %q path %q", q.r.Host, q.r.URL.Path)
 	}
 	q.route = route
-	q.urgency = route.Urgency
 	q.cost = 1
 	q.job = place.Job{ID: q.env.ID, Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt}
 	within := defaultWithin
@@ -141,9 +141,6 @@
 			q.cost = q.env.Prompt.Cost()
 		}
 	}
-	if sub.Urgency != nil {
-		q.urgency = *sub.Urgency
-	}
 	return nil
 }
 
@@ -187,7 +184,7 @@
 			return q.failed(mn.Errorf(mn.EndpointFailed, "endpoints failed and the retry budget is used up"))
 		}
 		from := q.Clock.Now()
-		plan, refusal := q.Line.Place(ctx, &q.job)
+		plan, refusal := q.Lines.Place(ctx, &q.job)
 		q.waited += q.Clock.Now() - from
 		if refusal != nil {
 			return q.turnedAway(refusal)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -65,7 +65,7 @@
 	Clock   mn.Clock
 	Dialect mn.Dialect
 	View    View
-	Line    *place.Line
+	Lines   *place.Lines
 	Board   *place.Board
 	Meter   *quota.Meter
 	Budget  *retry.Budget
@@ -156,9 +156,12 @@
 		f["customer"] = q.customer
 	}
 	if q.plan != nil {
-		f["endpoint"], f["expect_ms"], f["waited_ms"] = q.plan.Target.ID, q.plan.Expect, q.waited
+		f["endpoint"], f["expect_ms"], f["before_ms"], f["waited_ms"] = q.plan.Target.ID, q.plan.Expect, q.plan.Before, q.waited
+		if p := q.env.Prompt; p != nil {
+			f["prompt_tokens"] = p.Tokens
+		}
 		if q.plan.Reader != nil {
-			f["reader"] = q.plan.Reader.ID
+			f["reader"], f["read_ms"], f["read_expect_ms"] = q.plan.Reader.ID, q.readTook, q.plan.Read
 		}
 	}
 	if q.firstAt > 0 {
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -73,7 +73,7 @@
 func (q *request) try(ctx context.Context, plan *place.Plan) result {
 	d := mn.Dispatch{Urgency: -1}
 	if q.env.Prompt != nil {
-		d.Urgency = min(q.urgency, 9)
+		d.Urgency = plan.Urgency
 	}
 	d.LastEvent = q.env.LastEvent
 	if q.lastEvent != "" {
@@ -85,7 +85,8 @@
 		if failed != nil {
 			return *failed
 		}
-		q.Board.HasRead(plan, q.Clock.Now()-sent)
+		q.readTook = q.Clock.Now() - sent
+		q.Board.HasRead(plan, q.readTook)
 		d.From = &mn.Handoff{Addr: plan.Reader.Addr, Handle: handle}
 	}
 	if e, ok := q.Board.Endpoint(plan.Target.ID); ok && e.State != mn.EndpointReady {
@@ -298,7 +299,7 @@
 	if q.firstAt == 0 {
 		q.firstAt = q.Clock.Now()
 		if plan.Reader == nil {
-			q.Board.HasRead(plan, max(0, q.firstAt-sent-place.FirstToken))
+			q.Board.HasRead(plan, q.firstAt-sent)
 		}
 	}
 	if !q.begun {
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -13,8 +13,9 @@
 
 // Host is the front that speaks.
 type Host interface {
-	// Facts returns what the front tells now.
-	Facts() mn.Facts
+	// Facts returns what the front tells now; with whole, also what changes
+	// slowly.
+	Facts(whole bool) mn.Facts
 	// Hear takes in what another front told; sent is when this front asked for
 	// it, or 0 if the other front spoke unasked.
 	Hear(f mn.Facts, sent mn.Millis)
@@ -37,7 +38,7 @@
 // Exchange implements the Fronts service.
 func (s *Server) Exchange(_ context.Context, in *meshpb.FrontFacts) (*meshpb.FrontFacts, error) {
 	s.host.Hear(decode(in), 0)
-	return encode(s.host.Facts()), nil
+	return encode(s.host.Facts(in.Whole)), nil
 }
 
 // Catalog implements the Fronts service.
@@ -59,9 +60,9 @@
 }
 
 // Exchange tells the front at addr this front's facts and takes in its own.
-func (c *Client) Exchange(ctx context.Context, addr string) error {
+func (c *Client) Exchange(ctx context.Context, addr string, whole bool) error {
 	sent := c.clock.Now()
-	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.Facts()))
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.Facts(whole)))
 	if err != nil {
 		c.conns.Drop(addr)
 		return err
@@ -86,6 +87,7 @@
 	out := &meshpb.FrontFacts{
 		Vm: string(f.VM), Incarnation: string(f.Incarnation),
 		CatalogOffset: int64(f.CatalogOffset), CatalogAgeMs: int64(f.CatalogAge),
+		Whole: f.Whole,
 	}
 	for _, u := range f.Uses {
 		out.Uses = append(out.Uses, &meshpb.EndpointUse{
@@ -113,7 +115,7 @@
 func decode(in *meshpb.FrontFacts) mn.Facts {
 	f := mn.Facts{
 		VM: mn.VMID(in.Vm), Incarnation: mn.Incarnation(in.Incarnation),
-		CatalogOffset: mn.Offset(in.CatalogOffset), CatalogAge: mn.Millis(in.CatalogAgeMs),
+		CatalogOffset: mn.Offset(in.CatalogOffset), CatalogAge: mn.Millis(in.CatalogAgeMs), Whole: in.Whole,
 		Spent: make(map[mn.CustomerID]float64, len(in.Spent)),
 	}
 	for _, u := range in.Uses {
--- a/node/front.go
+++ b/node/front.go
@@ -65,7 +65,7 @@
 	stats    *stats.Set
 	view     *frontView
 	board    *place.Board
-	line     *place.Line
+	lines    *place.Lines
 	meter    *quota.Meter
 	poisons  *poison.Tracker
 	runs     *duty.Runs
@@ -98,7 +98,7 @@
 		back:    back.New(clock, s.IP),
 		peers:   newPeerSet(self),
 	}
-	f.line = place.NewLine(f.board, clock)
+	f.lines = place.NewLines(f.board, clock)
 	f.view = newFrontView(f)
 	f.mates = mates.NewClient(f, clock, self.Addr)
 	return f
@@ -137,6 +137,7 @@
 	g.Go(func() error { return f.followFronts(run) })
 	g.Go(func() error { return f.talk(run) })
 	g.Go(func() error { return f.performDuties(run) })
+	g.Go(func() error { return f.writeRuns(run) })
 	g.Go(func() error { return f.watchSettings(run) })
 	g.Go(func() error {
 		select {
@@ -195,7 +196,7 @@
 		Refill:  0,
 	}
 	return front.New(front.Config{
-		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Line: f.line, Board: f.board,
+		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
 		Meter: f.meter, Budget: retry.New(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
 		Stats: f.stats, Log: f.log, ApplyWithin: f.settings.ApplyWithin, Leaving: f.leaving.Load,
 	})
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 
 	"github.com/sirupsen/logrus"
@@ -11,15 +13,22 @@
 )
 
 const (
-	// dutyEvery is the time between two looks at the duty feed, and between two
-	// renewals of a holder.
-	dutyEvery = 1200 * mn.Millisecond
+	// renewEvery is the time between renewals of a holder: two of them may fail
+	// before it stops to act.
+	renewEvery = 700 * mn.Millisecond
+	// lookEvery is the longest time between looks of the others at the feed.
+	lookEvery = 1500 * mn.Millisecond
+	// writeRunsEvery is the time between writes of a front's counts: what it
+	// counted since is lost if all fronts are killed at once.
+	writeRunsEvery = 1200 * mn.Millisecond
+	// leastLook is the least time between looks.
+	leastLook = 150 * mn.Millisecond
 	// dutyCall bounds a call of a holder to the platform.
-	dutyCall = 1200 * mn.Millisecond
+	dutyCall = 900 * mn.Millisecond
 	// settleSoon is how long after a window's end it is reported if all fronts
 	// were heard since; settleLate is when it is reported in any case, as a part
 	// of the time in which it is due.
-	settleSoon      = 1500 * mn.Millisecond
+	settleSoon      = 2000 * mn.Millisecond
 	settleLateShare = 0.65
 )
 
@@ -34,7 +43,11 @@
 	held := false
 	for ctx.Err() == nil {
 		// Fronts that start together do not all bid at once.
-		_ = f.clock.Sleep(ctx, dutyEvery+rand.N(dutyEvery/4))
+		pause := min(lookEvery, f.holder.Due()+rand.N(renewEvery/5))
+		if held {
+			pause = renewEvery
+		}
+		_ = f.clock.Sleep(ctx, max(pause, leastLook))
 		if f.leaving.Load() || ctx.Err() != nil {
 			return nil
 		}
@@ -105,8 +118,14 @@
 	}
 	for w := first; w <= last; w++ {
 		end := mn.Millis(w+1) * span
+		if now < end+settleSoon {
+			return delivered
+		}
+		if err := f.restoreRuns(ctx); err != nil {
+			f.log.WithField("event", "runs_unread").Warn(err)
+		}
 		counts, silent := f.runs.Total(w, f.peers.alive(f.clock.Now(), expectedLife))
-		if now < end+settleSoon || silent > 0 && now < end+mn.Millis(settleLateShare*float64(f.settings.UsageLate)) {
+		if silent > 0 && now < end+mn.Millis(settleLateShare*float64(f.settings.UsageLate)) {
 			return delivered
 		}
 		if !f.decide(ctx, duty.Report{Window: w, Counts: counts}, silent) {
@@ -149,3 +168,49 @@
 	l.Info()
 	return true
 }
+
+// writeRuns writes this front's counts down until ctx is done, so that they
+// outlive it.
+func (f *Front) writeRuns(ctx context.Context) error {
+	if f.settings.Duties == "" {
+		return nil
+	}
+	link := newLink(f, "store", "runs")
+	key := string(f.self.VM) + "/" + string(f.self.Incarnation)
+	var last []byte
+	for ctx.Err() == nil {
+		_ = f.clock.Sleep(ctx, writeRunsEvery)
+		value, err := json.Marshal(mn.Facts{VM: f.self.VM, Incarnation: f.self.Incarnation, Runs: f.runs.Own()})
+		if err != nil {
+			return err
+		}
+		if bytes.Equal(value, last) {
+			continue
+		}
+		_, err = f.platform.Store.Put(ctx, mn.RunFeed, key, value, -1)
+		link.result(err)
+		if err == nil {
+			last = value
+		}
+	}
+	return nil
+}
+
+// restoreRuns takes in the counts that fronts wrote down.
+func (f *Front) restoreRuns(ctx context.Context) error {
+	items, _, err := f.platform.Store.Newest(ctx, mn.RunFeed)
+	if err != nil {
+		return err
+	}
+	for _, i := range items {
+		var facts mn.Facts
+		if err := json.Unmarshal(i.Value, &facts); err != nil {
+			f.log.WithFields(logrus.Fields{"event": "runs_unreadable", "key": i.Key}).Warn(err)
+			continue
+		}
+		if facts.VM != f.self.VM || facts.Incarnation != f.self.Incarnation {
+			f.runs.Restore(facts)
+		}
+	}
+	return nil
+}
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -19,6 +19,9 @@
 	talkLeast = 120 * mn.Millisecond
 	// talkTimeout bounds one exchange: many round trips between data centres.
 	talkTimeout = 500 * mn.Millisecond
+	// newsApart is the least time between two exchanges with one front: a few
+	// round trips, in which several changes go together.
+	newsApart = 10 * mn.Millisecond
 	// talkLost is the pause before a front that did not answer is asked again.
 	talkLost = 700 * mn.Millisecond
 	// frontsEvery is the time between reads of the fronts' feed.
@@ -171,25 +174,33 @@
 
 func (f *Front) talkTo(ctx context.Context, p mn.Front) error {
 	link := newLink(f, "front "+string(p.VM), "facts")
+	news := f.board.News()
+	wholeAt := mn.Millis(0)
 	for ctx.Err() == nil {
+		period := max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
+		whole := f.clock.Now()-wholeAt >= period
 		call, cancel := context.WithTimeout(ctx, talkTimeout.Duration())
-		err := f.mates.Exchange(call, p.Addr)
+		err := f.mates.Exchange(call, p.Addr, whole)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
 		}
 		link.result(err)
-		pause := max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
 		if err != nil {
-			pause = max(pause, talkLost)
+			_ = f.clock.Sleep(ctx, max(period, talkLost))
+			continue
 		}
-		_ = f.clock.Sleep(ctx, pause)
+		if whole {
+			wholeAt = f.clock.Now()
+		}
+		_ = f.clock.Sleep(ctx, newsApart)
+		news = f.board.AwaitNews(ctx, news, period)
 	}
 	return nil
 }
 
 // Facts implements [mates.Host].
-func (f *Front) Facts() mn.Facts {
+func (f *Front) Facts(whole bool) mn.Facts {
 	f.view.mu.Lock()
 	offset, confirmed, known := f.view.item.Offset, f.view.confirmedAt, f.view.table != nil
 	f.view.mu.Unlock()
@@ -197,11 +208,14 @@
 	if known {
 		age = f.clock.Now() - confirmed
 	}
-	return mn.Facts{
+	facts := mn.Facts{
 		VM: f.self.VM, Incarnation: f.self.Incarnation, CatalogOffset: offset, CatalogAge: age,
-		Uses: f.board.Uses(), Spent: f.meter.Spent(), Runs: f.runs.Own(),
-		Reads: f.board.Reads(),
+		Uses: f.board.Uses(), Reads: f.board.Reads(), Whole: whole,
 	}
+	if whole {
+		facts.Spent, facts.Runs = f.meter.Spent(), f.runs.Own()
+	}
+	return facts
 }
 
 // Hear implements [mates.Host].
@@ -210,8 +224,10 @@
 	f.peers.heard[facts.VM] = f.clock.Now()
 	f.peers.mu.Unlock()
 	f.board.Hear(facts)
-	f.meter.Hear(facts)
-	f.runs.Hear(facts)
+	if facts.Whole {
+		f.meter.Hear(facts)
+		f.runs.Hear(facts)
+	}
 	for _, p := range facts.Crashes {
 		f.poisons.Add(p)
 	}
--- a/store.go
+++ b/store.go
@@ -22,6 +22,8 @@
 	FrontFeed FeedKind = "fronts"
 	// DutyFeed carries the claims and decisions of duty holders.
 	DutyFeed FeedKind = "duties"
+	// RunFeed carries the fronts' counts of runs.
+	RunFeed FeedKind = "runs"
 )
 
 // Store is the platform's store. A call that fails with [PlatformUnavailable]
