Let two fronts read the store and the others ask them

Counts of runs are written by the two only, for all, every 0.5 s. What a herd kill still loses: runs since the last write.

--- a/core/duty/holder.go
+++ b/core/duty/holder.go
@@ -56,6 +56,7 @@
 
 	mu       sync.Mutex
 	next     mn.Offset
+	heard    mn.Offset
 	last     claim
 	seenAt   mn.Millis
 	report   *Report
@@ -148,6 +149,16 @@
 	return h.seenAt + h.lease + claimMargin - now
 }
 
+// Heard takes in how far another front knows the duty feed: what is beyond this
+// front's own knowledge shows that somebody holds the duty.
+func (h *Holder) Heard(next mn.Offset) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if next > h.heard {
+		h.heard, h.seenAt = next, h.clock.Now()
+	}
+}
+
 // Due returns how long until this process may claim the duty, 0 if it may now.
 func (h *Holder) Due() mn.Millis {
 	h.mu.Lock()
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -94,14 +94,7 @@
 func (r *Runs) Own() []mn.RunCount {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]mn.RunCount, 0, len(r.own))
-	for k, n := range r.own {
-		out = append(out, mn.RunCount{Window: k.window, Customer: k.customer, Count: n})
-	}
-	slices.SortFunc(out, func(a, b mn.RunCount) int {
-		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Customer, b.Customer))
-	})
-	return out
+	return sorted(r.own)
 }
 
 // Hear takes in another front's counts. Those of an earlier incarnation stay.
@@ -142,6 +135,36 @@
 	}
 }
 
+// All returns the counts of every front's incarnations that this front knows,
+// its own as those of self.
+func (r *Runs) All(self mn.VMID, incarnation mn.Incarnation) []mn.Facts {
+	out := []mn.Facts{{VM: self, Incarnation: incarnation, Runs: r.Own()}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for vm, byIncarnation := range r.others {
+		for i, counts := range byIncarnation {
+			if len(counts) > 0 {
+				out = append(out, mn.Facts{VM: vm, Incarnation: i, Runs: sorted(counts)})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b mn.Facts) int {
+		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
+
+func sorted(counts map[key]int64) []mn.RunCount {
+	out := make([]mn.RunCount, 0, len(counts))
+	for k, n := range counts {
+		out = append(out, mn.RunCount{Window: k.window, Customer: k.customer, Count: n})
+	}
+	slices.SortFunc(out, func(a, b mn.RunCount) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Customer, b.Customer))
+	})
+	return out
+}
+
 // Total returns the counts of a window at all fronts, and the fronts among
 // those given that were not heard since the window ended.
 func (r *Runs) Total(window int64, fronts []mn.VMID) (counts map[mn.CustomerID]int64, silent int) {
--- a/core/place/board.go
+++ b/core/place/board.go
@@ -193,6 +193,14 @@
 	return b.News()
 }
 
+// Announce notes that something changed of which other fronts should hear at
+// once.
+func (b *Board) Announce() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announce()
+}
+
 // announce notes a change that other fronts should hear of at once.
 func (b *Board) announce() {
 	b.news++
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,66 @@
+// Package relay decides which fronts read the platform's store, and which take
+// what they need from other fronts.
+//
+// Load pattern: the store's calls are limited and paid for, and every front needs
+// the same few facts within a second or two. Two fronts, the same ones in the
+// eyes of all, read at any time; the others ask them. A front whose evidence
+// grows old, because the readers are gone, cut off or turned away by the store,
+// reads by itself until it hears of newer evidence.
+package relay
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	mn "mustardnotch"
+)
+
+// Readers is how many fronts read at any time; with two, the loss of one is not
+// noticed by the others.
+const Readers = 2
+
+// Rank returns the place of self among the fronts that are alive, from 0. All
+// fronts that know the same ones alive agree on it.
+func Rank(self mn.VMID, alive []mn.VMID) int {
+	score := func(vm mn.VMID) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(vm)) // A hash never fails to write.
+		return h.Sum64()
+	}
+	own := score(self)
+	rank := 0
+	for _, vm := range alive {
+		if s := score(vm); s < own || s == own && vm < self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// MustRead says whether a front reads by itself: one of the first by rank always
+// does, the others while their evidence is older than old.
+func MustRead(rank int, age, old mn.Millis) bool { return rank < Readers || age > old }
+
+// Fingerprint returns a number that tells two lists of endpoints apart; the
+// order does not matter.
+func Fingerprint(list []mn.Endpoint) uint64 {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b mn.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	h := fnv.New64a()
+	for _, e := range sorted {
+		// A hash never fails to write.
+		h.Write([]byte(string(e.ID) + "\x00" + string(e.Pool) + "\x00" + e.Addr + "\x00" +
+			string(e.DataCentre) + "\x00" + string(e.State) + "\x00" + string(e.Role) + "\x00"))
+		var n [17]byte
+		for i := range 8 {
+			n[i] = byte(e.Born >> (8 * i))
+			n[8+i] = byte(e.Capacity >> (8 * i))
+		}
+		if e.Changing {
+			n[16] = 1
+		}
+		h.Write(n[:])
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+func TestFrontsAgreeOnTwoReaders(t *testing.T) {
+	all := []mn.VMID{"a-1", "a-2", "b-1", "c-1", "c-2", "d-1", "d-2"}
+	readers := 0
+	seen := map[int]bool{}
+	for i, self := range all {
+		others := append(append([]mn.VMID{}, all[i+1:]...), all[:i]...)
+		rank := Rank(self, others)
+		require.False(t, seen[rank], "two fronts have rank %d", rank)
+		seen[rank] = true
+		if MustRead(rank, 0, 1000) {
+			readers++
+		}
+	}
+	require.Equal(t, Readers, readers)
+}
+
+func TestFrontThatHearsNobodyReads(t *testing.T) {
+	require.True(t, MustRead(Rank("a-1", nil), 0, 1000))
+	require.False(t, MustRead(5, 1000, 1000))
+	require.True(t, MustRead(5, 1001, 1000), "evidence is old")
+}
+
+func TestFingerprintTellsListsApart(t *testing.T) {
+	a := mn.Endpoint{ID: "i-1", Pool: "p", Addr: "10.0.0.1:80", State: mn.EndpointReady, Capacity: 6}
+	b := mn.Endpoint{ID: "i-2", Pool: "p", Addr: "10.0.0.2:80", State: mn.EndpointReady, Capacity: 6}
+	require.Equal(t, Fingerprint([]mn.Endpoint{a, b}), Fingerprint([]mn.Endpoint{b, a}))
+	leaving, reborn, changing := a, a, a
+	leaving.State, reborn.Born, changing.Changing = mn.EndpointLeaving, 7, true
+	for _, c := range []mn.Endpoint{leaving, reborn, changing} {
+		require.NotEqual(t, Fingerprint([]mn.Endpoint{a, b}), Fingerprint([]mn.Endpoint{c, b}))
+	}
+	require.NotEqual(t, Fingerprint([]mn.Endpoint{a, b}), Fingerprint([]mn.Endpoint{a}))
+}
--- a/facts.go
+++ b/facts.go
@@ -38,6 +38,15 @@
 type Facts struct {
 	VM          VMID        `json:"vm"`
 	Incarnation Incarnation `json:"incarnation"`
+	// Addr and DataCentre are those of the front's entry.
+	Addr       string     `json:"-"`
+	DataCentre DataCentre `json:"-"`
+	// List is a fingerprint of the front's list of endpoints, ListAge the age of
+	// its evidence, negative for none.
+	List    uint64 `json:"-"`
+	ListAge Millis `json:"-"`
+	// DutyNext is the end of the duty feed as far as the front knows it.
+	DutyNext Offset `json:"-"`
 	// CatalogOffset and CatalogAge say how far the front follows the catalog,
 	// and how old its evidence was when it spoke. The age is negative if it has
 	// no evidence.
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -21,6 +21,9 @@
 	Hear(f mn.Facts, sent mn.Millis)
 	// CatalogItem returns the newest catalog item, with an empty key if none.
 	CatalogItem() mn.Item
+	// Endpoints returns the list of endpoints and the age of the evidence for
+	// it, negative for none.
+	Endpoints() ([]mn.Endpoint, mn.Millis)
 }
 
 // Server answers other fronts.
@@ -47,6 +50,19 @@
 	return &meshpb.CatalogReply{Offset: int64(i.Offset), Key: i.Key, Value: i.Value}, nil
 }
 
+// Endpoints implements the Fronts service.
+func (s *Server) Endpoints(context.Context, *meshpb.EndpointsRequest) (*meshpb.EndpointsReply, error) {
+	list, age := s.host.Endpoints()
+	reply := &meshpb.EndpointsReply{AgeMs: int64(age)}
+	for _, e := range list {
+		reply.Endpoints = append(reply.Endpoints, &meshpb.EndpointEntry{
+			Id: string(e.ID), BornMs: int64(e.Born), Pool: string(e.Pool), Addr: e.Addr, DataCentre: string(e.DataCentre),
+			Capacity: e.Capacity, State: string(e.State), Role: string(e.Role), Changing: e.Changing,
+		})
+	}
+	return reply, nil
+}
+
 // Client talks to other fronts.
 type Client struct {
 	host  Host
@@ -80,6 +96,25 @@
 	return mn.Item{Key: r.Key, Value: r.Value, Offset: mn.Offset(r.Offset)}, nil
 }
 
+// Endpoints returns the list of endpoints that the front at addr has, and since
+// when it was surely the newest by this front's clock; ok is false if the other
+// front has none.
+func (c *Client) Endpoints(ctx context.Context, addr string) (list []mn.Endpoint, at mn.Millis, ok bool, err error) {
+	sent := c.clock.Now()
+	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Endpoints(ctx, &meshpb.EndpointsRequest{})
+	if err != nil || r.AgeMs < 0 {
+		return nil, 0, false, err
+	}
+	for _, e := range r.Endpoints {
+		list = append(list, mn.Endpoint{
+			ID: mn.EndpointID(e.Id), Born: mn.Millis(e.BornMs), Pool: mn.PoolID(e.Pool), Addr: e.Addr,
+			DataCentre: mn.DataCentre(e.DataCentre), Capacity: e.Capacity, State: mn.EndpointState(e.State),
+			Role: mn.EngineRole(e.Role), Changing: e.Changing,
+		})
+	}
+	return list, sent - mn.Millis(r.AgeMs), true, nil
+}
+
 // Close closes all connections.
 func (c *Client) Close() error { return c.conns.Close() }
 
@@ -87,7 +122,8 @@
 	out := &meshpb.FrontFacts{
 		Vm: string(f.VM), Incarnation: string(f.Incarnation),
 		CatalogOffset: int64(f.CatalogOffset), CatalogAgeMs: int64(f.CatalogAge),
-		Whole: f.Whole,
+		Whole: f.Whole, Addr: f.Addr, DataCentre: string(f.DataCentre),
+		List: f.List, ListAgeMs: int64(f.ListAge), DutyNext: int64(f.DutyNext),
 	}
 	for _, u := range f.Uses {
 		out.Uses = append(out.Uses, &meshpb.EndpointUse{
@@ -116,7 +152,9 @@
 	f := mn.Facts{
 		VM: mn.VMID(in.Vm), Incarnation: mn.Incarnation(in.Incarnation),
 		CatalogOffset: mn.Offset(in.CatalogOffset), CatalogAge: mn.Millis(in.CatalogAgeMs), Whole: in.Whole,
-		Spent: make(map[mn.CustomerID]float64, len(in.Spent)),
+		Addr: in.Addr, DataCentre: mn.DataCentre(in.DataCentre), List: in.List, ListAge: mn.Millis(in.ListAgeMs),
+		DutyNext: mn.Offset(in.DutyNext),
+		Spent:    make(map[mn.CustomerID]float64, len(in.Spent)),
 	}
 	for _, u := range in.Uses {
 		f.Uses = append(f.Uses, mn.EndpointUse{
--- a/node/front.go
+++ b/node/front.go
@@ -74,6 +74,8 @@
 	mates    *mates.Client
 	peers    *peerSet
 	leaving  atomic.Bool
+	// fetching says that something is being fetched from another front.
+	fetching atomic.Bool
 	// reload asks for the settings file to be read again.
 	reload <-chan struct{}
 }
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -10,6 +10,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/core/duty"
+	"mustardnotch/core/relay"
 )
 
 const (
@@ -17,10 +18,10 @@
 	// before it stops to act.
 	renewEvery = 700 * mn.Millisecond
 	// lookEvery is the longest time between looks of the others at the feed.
-	lookEvery = 1500 * mn.Millisecond
+	lookEvery = 3000 * mn.Millisecond
 	// writeRunsEvery is the time between writes of a front's counts: what it
 	// counted since is lost if all fronts are killed at once.
-	writeRunsEvery = 1200 * mn.Millisecond
+	writeRunsEvery = 500 * mn.Millisecond
 	// leastLook is the least time between looks.
 	leastLook = 150 * mn.Millisecond
 	// dutyCall bounds a call of a holder to the platform.
@@ -169,25 +170,37 @@
 	return true
 }
 
-// writeRuns writes this front's counts down until ctx is done, so that they
-// outlive it.
+// writeRuns writes the counts that this front knows down until ctx is done, if
+// it is one of the first by rank, so that they outlive all fronts.
 func (f *Front) writeRuns(ctx context.Context) error {
 	if f.settings.Duties == "" {
 		return nil
 	}
 	link := newLink(f, "store", "runs")
-	key := string(f.self.VM) + "/" + string(f.self.Incarnation)
 	var last []byte
+	restored := false
 	for ctx.Err() == nil {
 		_ = f.clock.Sleep(ctx, writeRunsEvery)
-		value, err := json.Marshal(mn.Facts{VM: f.self.VM, Incarnation: f.self.Incarnation, Runs: f.runs.Own()})
+		if !restored {
+			// What this VM wrote before its process started anew must not be lost.
+			err := f.restoreRuns(ctx)
+			link.result(err)
+			if err != nil {
+				continue
+			}
+			restored = true
+		}
+		if f.rank() >= relay.Readers {
+			continue
+		}
+		value, err := json.Marshal(f.runs.All(f.self.VM, f.self.Incarnation))
 		if err != nil {
 			return err
 		}
 		if bytes.Equal(value, last) {
 			continue
 		}
-		_, err = f.platform.Store.Put(ctx, mn.RunFeed, key, value, -1)
+		_, err = f.platform.Store.Put(ctx, mn.RunFeed, string(f.self.VM), value, -1)
 		link.result(err)
 		if err == nil {
 			last = value
@@ -203,13 +216,15 @@
 		return err
 	}
 	for _, i := range items {
-		var facts mn.Facts
-		if err := json.Unmarshal(i.Value, &facts); err != nil {
+		var all []mn.Facts
+		if err := json.Unmarshal(i.Value, &all); err != nil {
 			f.log.WithFields(logrus.Fields{"event": "runs_unreadable", "key": i.Key}).Warn(err)
 			continue
 		}
-		if facts.VM != f.self.VM || facts.Incarnation != f.self.Incarnation {
-			f.runs.Restore(facts)
+		for _, facts := range all {
+			if facts.VM != f.self.VM || facts.Incarnation != f.self.Incarnation {
+				f.runs.Restore(facts)
+			}
 		}
 	}
 	return nil
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -6,6 +6,7 @@
 	"sort"
 	"sync"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
@@ -24,8 +25,12 @@
 	newsApart = 10 * mn.Millisecond
 	// talkLost is the pause before a front that did not answer is asked again.
 	talkLost = 700 * mn.Millisecond
-	// frontsEvery is the time between reads of the fronts' feed.
-	frontsEvery = 4000 * mn.Millisecond
+	// frontsEvery is the time between reads of the fronts' feed: a front that
+	// starts makes itself known to the others. frontsSoon is the same while the
+	// process is young or nobody else is known.
+	frontsEvery = 15 * mn.Second
+	frontsSoon  = 700 * mn.Millisecond
+	youngSpan   = 5 * mn.Second
 	// expectedLife is how long a front that can't be reached counts among those
 	// whose counts a report waits for.
 	expectedLife = 10 * mn.Second
@@ -57,6 +62,16 @@
 	p.fronts[f.VM] = f
 }
 
+// hear notes a front's word; a front that was not known is one from now on.
+func (p *peerSet) hear(facts mn.Facts, now mn.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[facts.VM] = now
+	if facts.VM != p.self.VM && facts.Addr != "" && p.fronts[facts.VM].Incarnation != facts.Incarnation {
+		p.fronts[facts.VM] = mn.Front{VM: facts.VM, Incarnation: facts.Incarnation, Addr: facts.Addr, DataCentre: facts.DataCentre}
+	}
+}
+
 // list returns the other fronts in the order of their names.
 func (p *peerSet) list() []mn.Front {
 	p.mu.Lock()
@@ -86,6 +101,7 @@
 func (f *Front) followFronts(ctx context.Context) error {
 	link := newLink(f, "store", "fronts")
 	next, entered := mn.Offset(-1), false
+	begun := f.clock.Now()
 	for ctx.Err() == nil {
 		var err error
 		if !entered {
@@ -98,8 +114,8 @@
 		}
 		link.result(err)
 		pause := frontsEvery
-		if err != nil || len(f.peers.list()) == 0 {
-			pause = frontsEvery / 8
+		if err != nil || len(f.peers.list()) == 0 || f.clock.Now()-begun < youngSpan {
+			pause = frontsSoon
 		}
 		_ = f.clock.Sleep(ctx, pause)
 	}
@@ -202,15 +218,20 @@
 // Facts implements [mates.Host].
 func (f *Front) Facts(whole bool) mn.Facts {
 	f.view.mu.Lock()
-	offset, confirmed, known := f.view.item.Offset, f.view.confirmedAt, f.view.table != nil
-	f.view.mu.Unlock()
-	age := mn.Millis(-1)
-	if known {
-		age = f.clock.Now() - confirmed
+	now := f.clock.Now()
+	age, listAge := mn.Millis(-1), mn.Millis(-1)
+	if f.view.table != nil {
+		age = now - f.view.confirmedAt
 	}
+	if f.view.listedAt > 0 {
+		listAge = now - f.view.listedAt
+	}
+	offset, list := f.view.item.Offset, f.view.print
+	f.view.mu.Unlock()
 	facts := mn.Facts{
 		VM: f.self.VM, Incarnation: f.self.Incarnation, CatalogOffset: offset, CatalogAge: age,
 		Uses: f.board.Uses(), Reads: f.board.Reads(), Whole: whole,
+		Addr: f.self.Addr, DataCentre: f.self.DataCentre, List: list, ListAge: listAge, DutyNext: f.holder.Next(),
 	}
 	if whole {
 		facts.Spent, facts.Runs = f.meter.Spent(), f.runs.Own()
@@ -220,9 +241,7 @@
 
 // Hear implements [mates.Host].
 func (f *Front) Hear(facts mn.Facts, sent mn.Millis) {
-	f.peers.mu.Lock()
-	f.peers.heard[facts.VM] = f.clock.Now()
-	f.peers.mu.Unlock()
+	f.peers.hear(facts, f.clock.Now())
 	f.board.Hear(facts)
 	if facts.Whole {
 		f.meter.Hear(facts)
@@ -231,21 +250,83 @@
 	for _, p := range facts.Crashes {
 		f.poisons.Add(p)
 	}
-	if sent == 0 || facts.CatalogAge < 0 {
+	f.holder.Heard(facts.DutyNext)
+	f.learnCatalog(facts, sent)
+	f.learnList(facts, sent)
+}
+
+// learnCatalog takes in another front's evidence on the catalog: what was the
+// newest when it answered was so its evidence's age before, and it answered after
+// sent. A front that spoke unasked may have done so long ago; its catalog counts
+// if it is newer, but is no evidence.
+func (f *Front) learnCatalog(facts mn.Facts, sent mn.Millis) {
+	if facts.CatalogAge < 0 {
 		return
 	}
-	f.vouched(facts, sent)
+	f.view.mu.Lock()
+	own, known := f.view.item.Offset, f.view.table != nil
+	f.view.mu.Unlock()
+	switch {
+	case !known || facts.CatalogOffset > own:
+		f.fetch(facts, func(ctx context.Context) error {
+			i, err := f.mates.Catalog(ctx, facts.Addr)
+			if err == nil {
+				f.view.apply(i)
+			}
+			return err
+		})
+	case facts.CatalogOffset == own && sent > 0:
+		f.view.confirm(0, sent-facts.CatalogAge-vouchSlack)
+	}
 }
 
-// vouched takes in another front's evidence on the catalog: what was the newest
-// when it answered was so its evidence's age before, and it answered after sent.
-func (f *Front) vouched(facts mn.Facts, sent mn.Millis) {
+// learnList takes in another front's evidence on the list of endpoints.
+func (f *Front) learnList(facts mn.Facts, sent mn.Millis) {
+	if facts.ListAge < 0 {
+		return
+	}
 	f.view.mu.Lock()
-	same := f.view.table != nil && f.view.item.Offset == facts.CatalogOffset
+	same, at := f.view.print == facts.List && f.view.list != nil, f.view.listedAt
+	newer := f.clock.Now()-facts.ListAge > at
+	if same && sent > 0 {
+		f.view.listedAt = max(at, sent-facts.ListAge-vouchSlack)
+	}
 	f.view.mu.Unlock()
-	if same {
-		f.view.confirm(0, sent-facts.CatalogAge-vouchSlack)
+	if same || !newer {
+		return
+	}
+	f.fetch(facts, func(ctx context.Context) error {
+		list, at, ok, err := f.mates.Endpoints(ctx, facts.Addr)
+		if ok {
+			f.view.setList(list, at-vouchSlack)
+		}
+		return err
+	})
+}
+
+// fetch calls another front in the background, unless a fetch is under way.
+func (f *Front) fetch(facts mn.Facts, call func(context.Context) error) {
+	if !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), talkTimeout.Duration())
+		defer cancel()
+		if err := call(ctx); err != nil {
+			f.log.WithFields(logrus.Fields{"event": "fetch_failed", "front": facts.VM}).Warn(err)
+		}
+	}()
+}
+
+// Endpoints implements [mates.Host].
+func (f *Front) Endpoints() ([]mn.Endpoint, mn.Millis) {
+	f.view.mu.Lock()
+	defer f.view.mu.Unlock()
+	if f.view.listedAt == 0 {
+		return nil, -1
 	}
+	return f.view.list, f.clock.Now() - f.view.listedAt
 }
 
 // CatalogItem implements [mates.Host].
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -9,6 +9,7 @@
 	mn "mustardnotch"
 	"mustardnotch/core/lists"
 	"mustardnotch/core/paths"
+	"mustardnotch/core/relay"
 )
 
 const (
@@ -19,6 +20,14 @@
 	// changes all the time: a part of the time in which a leaving endpoint must
 	// get no more work.
 	endpointsEvery = 600 * mn.Millisecond
+	// catalogOld and listOld are the ages of evidence from which a front reads by
+	// itself: the readers' evidence is this old where several exchanges fail.
+	catalogOld = 1300 * mn.Millisecond
+	listOld    = 1200 * mn.Millisecond
+	// relayLook is the time between looks at the age of evidence.
+	relayLook = 80 * mn.Millisecond
+	// aliveSpan is how long after its last word a front counts as alive.
+	aliveSpan = 1500 * mn.Millisecond
 	// storePause is the pause after a failed read.
 	storePause = 150 * mn.Millisecond
 	// keyMargin is kept from the time within which a withdrawn key must be
@@ -39,7 +48,11 @@
 	next mn.Offset
 	// confirmedAt is the latest instant at which the view was surely the newest.
 	confirmedAt mn.Millis
-	hasList     bool
+	// list is the list of endpoints, the newest at listedAt; listedAt is 0 for
+	// none.
+	list     []mn.Endpoint
+	print    uint64
+	listedAt mn.Millis
 }
 
 func newFrontView(f *Front) *frontView { return &frontView{Front: f} }
@@ -60,11 +73,16 @@
 	return age < v.settings.RevokeWithin-keyMargin
 }
 
+// rank returns this front's place among those that are alive.
+func (f *Front) rank() int {
+	return relay.Rank(f.self.VM, f.peers.alive(f.clock.Now(), aliveSpan))
+}
+
 // listed says whether the endpoints were ever listed.
 func (v *frontView) listed() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.hasList
+	return v.listedAt > 0
 }
 
 // apply takes in a catalog item unless a newer one is in force.
@@ -85,6 +103,7 @@
 	v.item, v.table = i, paths.New(c)
 	v.meter.Declare(c.Subscribers)
 	v.board.Declare(c.Pools)
+	v.board.Announce()
 	v.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "offset": i.Offset,
 		"routes": len(c.Routes), "customers": len(c.Subscribers)}).Info()
 }
@@ -108,6 +127,10 @@
 func (v *frontView) followCatalog(ctx context.Context) error {
 	link := newLink(v.Front, "store", "catalog")
 	for ctx.Err() == nil {
+		if _, age := v.Table(); !relay.MustRead(v.rank(), age, catalogOld) {
+			_ = v.clock.Sleep(ctx, relayLook)
+			continue
+		}
 		err := v.readCatalog(ctx)
 		link.result(err)
 		if err != nil {
@@ -163,12 +186,20 @@
 	link := newLink(v.Front, "store", "endpoints")
 	next := mn.Offset(-1)
 	for ctx.Err() == nil {
-		var err error
-		next, err = v.readEndpoints(ctx, list, next)
+		if !relay.MustRead(v.rank(), v.listAge(), listOld) {
+			// What other fronts read since is not in this front's own list.
+			next = -1
+			_ = v.clock.Sleep(ctx, relayLook)
+			continue
+		}
+		sent := v.clock.Now()
+		after, err := v.readEndpoints(ctx, list, next)
 		link.result(err)
-		v.board.Update(list.Endpoints(v.clock.Now()))
 		pause := endpointsEvery
-		if err != nil {
+		if err == nil {
+			next = after
+			v.setList(list.Endpoints(v.clock.Now()), sent)
+		} else {
 			pause = storePause
 		}
 		_ = v.clock.Sleep(ctx, pause)
@@ -176,12 +207,36 @@
 	return nil
 }
 
+// listAge returns the age of the evidence for the list of endpoints.
+func (v *frontView) listAge() mn.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.Now() - v.listedAt
+}
+
+// setList takes in a list of endpoints that was the newest at instant at, unless
+// a newer one is known.
+func (v *frontView) setList(list []mn.Endpoint, at mn.Millis) {
+	print := relay.Fingerprint(list)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at < v.listedAt {
+		return
+	}
+	v.listedAt = at
+	if print == v.print && v.list != nil {
+		return
+	}
+	v.list, v.print = list, print
+	v.board.Update(list)
+	v.board.Announce()
+	v.log.WithFields(logrus.Fields{"event": "endpoints", "count": len(list), "age_ms": v.clock.Now() - at}).Info()
+}
+
 func (v *frontView) readEndpoints(ctx context.Context, list *lists.List, next mn.Offset) (mn.Offset, error) {
-	var items []mn.Item
-	var err error
 	if next >= 0 {
-		var after mn.Offset
-		if items, after, err = v.platform.Store.Follow(ctx, mn.EndpointFeed, next, 0); err == nil {
+		items, after, err := v.platform.Store.Follow(ctx, mn.EndpointFeed, next, 0)
+		if err == nil {
 			now := v.clock.Now()
 			list.Read(now)
 			for _, i := range items {
@@ -202,9 +257,6 @@
 	for _, fault := range list.Replace(items, now) {
 		v.noteEntry(mn.Item{}, fault)
 	}
-	v.mu.Lock()
-	v.hasList = true
-	v.mu.Unlock()
 	return after, nil
 }
 
