Fetch shared parts between engines, pay retries by pool and window, weigh stalls

The retry reserve was 4.8 a front, so that streams of a crashed endpoint found the budget used up (47 to 103). Now an engine fetches what another one keeps; copies, stalls and late ends have a cost; a front may retry what the last ten seconds' first tries paid for.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -44,11 +44,26 @@
 	// newsWork is the reading, in milliseconds, of which other fronts hear at
 	// once.
 	newsWork = 15.0
+	// fetchLeast is the least tokens for which a transfer between engines is
+	// faster than reading them.
+	fetchLeast = 2000
 	// homes is how many engines of a role may hold a shared part.
 	homes = 2
 	// stepCost is what each running request adds to a step, in milliseconds, at
 	// about the number of steps until an event.
 	stepCost = 0.9
+	// crowdShare is what it costs that an engine gets a token of a shared part
+	// which it did not have, as a share of reading it.
+	crowdShare = 0.3
+	// stallShare is what a millisecond of reading at a generating engine costs for
+	// each request that it runs, as a share of it.
+	stallShare = 0.02
+	// stepBase, stepEach and chunkTime make up the time of a step, in
+	// milliseconds: alone, for each running request, and with a piece of a prompt;
+	// from the users' sheets.
+	stepBase, stepEach, chunkTime = 3.5, 0.1, 9.0
+	// lastMargin is kept between the expected last token and a request's end.
+	lastMargin = 200.0
 	// fullMargin keeps some of an engine's places for what other fronts have
 	// sent and not yet told.
 	fullMargin = 0.85
@@ -85,12 +100,17 @@
 	// Reader reads the prompt for Target, which then fetches it; nil if Target
 	// reads it itself.
 	Reader *mn.Endpoint
+	// KeptBy is an engine from which the one that reads the prompt fetches the
+	// shared parts that it lacks; nil for none.
+	KeptBy *mn.Endpoint
 	// Expect is the time until the first event, and Read that in which the
 	// prompt is read, both as estimated.
 	Expect mn.Millis
 	Read   mn.Millis
 	// Before is the reading, in milliseconds, that was before it at its reader.
 	Before mn.Millis
+	// Missing is how many tokens of the prompt are to be read.
+	Missing int64
 	// Urgency is the engine's rank for the request, 0 for the most urgent.
 	Urgency int
 
@@ -202,9 +222,15 @@
 	return farHop
 }
 
-// read returns the time in which s reads the prompt.
+// read returns the time in which s reads the prompt, and the tokens that it
+// reads.
 func (b *Board) read(s *state, info *mn.PromptInfo) (work float64, missing int64) {
-	missing = max(1, info.Tokens-min(s.parts.cached(info), info.Tokens-1))
+	return b.readBut(s, info, s.parts.cached(info))
+}
+
+// readBut returns the same for an engine that has the first tokens of the prompt.
+func (b *Board) readBut(s *state, info *mn.PromptInfo, has int64) (work float64, missing int64) {
+	missing = max(1, info.Tokens-min(has, info.Tokens-1))
 	pace := mixedPace
 	if s.Role == mn.EnginePrefill {
 		pace = readPace
@@ -282,6 +308,12 @@
 // plan estimates a prompt that reader reads and target goes on with.
 func (b *Board) plan(j *Job, reader, target *state, spec mn.EngineSpec, now mn.Millis) (p *Plan, cost, backlog float64) {
 	work, missing := b.read(reader, j.Prompt)
+	var keeper *state
+	if keep, fetched := b.keeper(j, reader, now); keep != nil {
+		if w, m := b.readBut(reader, j.Prompt, fetched); w+handoff(keep, reader, spec, missing-m) < work {
+			keeper, work, missing = keep, w+handoff(keep, reader, spec, missing-m), m
+		}
+	}
 	running, backlog := b.load(reader, now)
 	first := firstToken
 	if reader == target {
@@ -300,8 +332,22 @@
 	expect := b.hop(reader) + behind*backlog + work + first
 	// What has to be read again elsewhere takes time from others.
 	again := float64(max(0, missing-own(j.Prompt))) / readPace
+	// What an engine gets anew takes the place of parts that it keeps for others.
+	again += crowdShare * float64(b.lacks(reader, j.Prompt)) / readPace
+	if reader != target {
+		again += crowdShare * float64(b.lacks(target, j.Prompt)) / readPace
+	}
+	// What a generating engine reads holds up each token of what it runs.
+	if reader == target {
+		again += stallShare * work * float64(running)
+	}
+	again += b.overrun(j, target, expect, now)
 	fail := failCost * (reader.failing(now) + target.failing(now))
-	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), work: work, prompt: j.Prompt}
+	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), Missing: missing, work: work, prompt: j.Prompt}
+	if keeper != nil {
+		e := keeper.Endpoint
+		p.KeptBy = &e
+	}
 	switch {
 	case reader != target:
 		e := reader.Endpoint
@@ -315,6 +361,23 @@
 	return p, expect + again + fail, backlog
 }
 
+// lacks returns how many tokens of the prompt's shared parts s does not have.
+func (b *Board) lacks(s *state, info *mn.PromptInfo) int64 {
+	return max(0, info.Tokens-own(info)-s.parts.cached(info))
+}
+
+// overrun returns by how much a request's last token is expected to come too
+// late at target, where first is the time until its first.
+func (b *Board) overrun(j *Job, target *state, first float64, now mn.Millis) float64 {
+	running, reading := b.load(target, now)
+	step := stepBase + stepEach*float64(running)
+	if reading > 0 {
+		step += chunkTime
+	}
+	left := float64(j.EndAt-now) - lastMargin
+	return max(0, first+target.slow*step*float64(j.Prompt.MaxOutput)-left)
+}
+
 // own returns the tokens of the prompt's last part, which it shares with none.
 func own(info *mn.PromptInfo) int64 {
 	if len(info.Parts) == 0 {
@@ -323,6 +386,22 @@
 	return info.Parts[len(info.Parts)-1].Tokens
 }
 
+// keeper returns the engine from which reader can fetch most of the prompt's
+// shared parts beyond what it has itself, and how many tokens it would have then.
+func (b *Board) keeper(j *Job, reader *state, now mn.Millis) (keep *state, has int64) {
+	has = reader.parts.cached(j.Prompt) + fetchLeast
+	for _, s := range b.byPool[j.Pool] {
+		if s == reader || now < s.pausedUntil || s.pause > 0 {
+			continue
+		}
+		n := s.parts.cached(j.Prompt)
+		if n > has || n == has && keep != nil && s.DataCentre == reader.DataCentre {
+			keep, has = s, n
+		}
+	}
+	return keep, has
+}
+
 // handoff returns the time in which target fetches a prompt from reader.
 func handoff(reader, target *state, spec mn.EngineSpec, tokens int64) float64 {
 	t := handoffSetup
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -17,7 +17,7 @@
 
 // partsShare is the part of an engine's memory that is taken to hold parts; the
 // rest is for requests that run.
-const partsShare = 0.7
+const partsShare = 1.0
 
 func newParts() *parts { return &parts{used: map[string]*part{}} }
 
@@ -61,15 +61,6 @@
 	delete(p.used, oldest)
 }
 
-// shared returns the parts of a prompt that other requests may have too: all
-// but the last.
-func shared(info *mn.PromptInfo) []mn.PromptPart {
-	if len(info.Parts) < 2 {
-		return nil
-	}
-	return info.Parts[:len(info.Parts)-1]
-}
-
 const (
 	// readsTold is how long a front tells the others of a prompt that was read:
 	// several exchanges.
@@ -84,14 +75,14 @@
 	at mn.Millis
 }
 
-// tell notes that s has the shared parts of a prompt.
+// tell notes that s has the parts of a prompt. The last one is told too: no
+// other request has it, but it takes memory from the others.
 func (b *Board) tell(s *state, info *mn.PromptInfo, memory int64) {
 	s.parts.read(info.Parts, memory)
-	parts := shared(info)
-	if len(parts) == 0 || info.Tokens <= shortPrompt {
+	if len(info.Parts) == 0 || info.Tokens <= shortPrompt {
 		return
 	}
-	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: parts}, b.clock.Now()})
+	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: info.Parts}, b.clock.Now()})
 }
 
 // Reads returns the prompts that were read lately, for the other fronts.
--- /dev/null
+++ b/core/retry/pools.go
@@ -0,0 +1,87 @@
+package retry
+
+import (
+	"sync"
+
+	mn "mustardnotch"
+)
+
+// PoolsConfig sets the budgets of pools.
+type PoolsConfig struct {
+	// Ratio is how many retries each first try pays for, Slack how many retries
+	// there are besides.
+	Ratio, Slack float64
+	// Window is the time in which the retries of a pool are counted.
+	Window mn.Millis
+}
+
+// Pools has a budget for each pool, bounded over any window.
+//
+// Load pattern: an endpoint crashes, or begins to fail, while it runs tens of
+// requests; all of them are to be sent again at once, which the first tries of
+// the seconds before have paid for, but never more than a window allows.
+type Pools struct {
+	config PoolsConfig
+	clock  mn.Clock
+
+	mu    sync.Mutex
+	pools map[mn.PoolID]*poolBudget
+}
+
+// parts is how many parts of a window are counted apart.
+const parts = 10
+
+// poolBudget counts first tries and retries by parts of a window.
+type poolBudget struct {
+	first   [parts]float64
+	retries [parts]float64
+	part    int64
+}
+
+// NewPools returns budgets without any tries.
+func NewPools(config PoolsConfig, clock mn.Clock) *Pools {
+	return &Pools{config: config, clock: clock, pools: map[mn.PoolID]*poolBudget{}}
+}
+
+// Deposit counts a first try of a pool.
+func (p *Pools) Deposit(pool mn.PoolID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.budget(pool)
+	b.first[b.part%parts]++
+}
+
+// Withdraw takes one retry from a pool's budget and says whether there was one.
+func (p *Pools) Withdraw(pool mn.PoolID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.budget(pool)
+	var first, retries float64
+	for i := range parts {
+		first += b.first[i]
+		retries += b.retries[i]
+	}
+	if retries+1 > p.config.Ratio*first+p.config.Slack {
+		return false
+	}
+	b.retries[b.part%parts]++
+	return true
+}
+
+// budget returns a pool's budget with the parts cleared that are over.
+func (p *Pools) budget(pool mn.PoolID) *poolBudget {
+	b := p.pools[pool]
+	now := int64(p.clock.Now() / max(1, p.config.Window/parts))
+	if b == nil {
+		b = &poolBudget{part: now}
+		p.pools[pool] = b
+	}
+	if now-b.part > parts {
+		b.part = now - parts
+	}
+	for ; b.part < now; b.part++ {
+		next := (b.part + 1) % parts
+		b.first[next], b.retries[next] = 0, 0
+	}
+	return b
+}
--- /dev/null
+++ b/core/retry/pools_test.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+)
+
+func TestCrashOfABusyEndpointIsPaidForByEarlierRequests(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	p := NewPools(PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second}, clock)
+	// Fifty requests a second for ten seconds, then forty streams break at once.
+	for range 500 {
+		p.Deposit("model")
+		clock.Advance(20)
+	}
+	sent := 0
+	for range 40 {
+		if p.Withdraw("model") {
+			sent++
+		}
+	}
+	require.Equal(t, 40, sent)
+	require.True(t, p.Withdraw("plain"), "the slack of another pool is its own")
+}
+
+// Checks the platform's rule over any window that slides, by a list of all
+// tries, under any interleaving of tries and time.
+func TestRetriesStayWithinAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := mn.NewManualClock(1_000_000)
+		c := PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second}
+		p := NewPools(c, clock)
+		var first, retries []mn.Millis
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				p.Deposit("pool")
+				first = append(first, clock.Now())
+			case 1:
+				if p.Withdraw("pool") {
+					retries = append(retries, clock.Now())
+				}
+			case 2:
+				clock.Advance(mn.Millis(rapid.IntRange(0, 3000).Draw(t, "gap")))
+			}
+		}
+		for _, end := range retries {
+			count := func(at []mn.Millis, span mn.Millis) (n float64) {
+				for _, a := range at {
+					if a > end-span && a <= end {
+						n++
+					}
+				}
+				return n
+			}
+			// The platform counts the requests of this window or of the one half a
+			// window before it; a part of a window may be counted besides.
+			requests := count(first, c.Window+c.Window/2)
+			require.LessOrEqual(t, count(retries, c.Window-c.Window/parts), c.Ratio*requests+c.Slack)
+		}
+	})
+}
--- a/dialect.go
+++ b/dialect.go
@@ -47,6 +47,9 @@
 	PrefillOnly bool
 	// From is where to fetch the KV cache of the prompt, or nil.
 	From *Handoff
+	// KeptBy is the address of an endpoint from which to fetch what it keeps of
+	// the prompt, or empty.
+	KeptBy string
 	// Urgency is 0 for the most urgent work, 9 for the least, or negative to
 	// leave it to the endpoint.
 	Urgency int
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -178,9 +178,9 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), end)
 	defer cancel()
 	q.extendWrites(end.Add(time.Second))
-	q.Budget.Deposit()
+	q.Budget.Deposit(q.job.Pool)
 	for {
-		if q.tries > 0 && !q.Budget.Withdraw() {
+		if q.tries > 0 && !q.Budget.Withdraw(q.job.Pool) {
 			return q.failed(mn.Errorf(mn.EndpointFailed, "endpoints failed and the retry budget is used up"))
 		}
 		from := q.Clock.Now()
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -68,7 +68,7 @@
 	Lines   *place.Lines
 	Board   *place.Board
 	Meter   *quota.Meter
-	Budget  *retry.Budget
+	Budget  *retry.Pools
 	Poisons *poison.Tracker
 	Runs    *duty.Runs
 	Back    *back.Client
@@ -158,7 +158,13 @@
 	if q.plan != nil {
 		f["endpoint"], f["expect_ms"], f["before_ms"], f["waited_ms"] = q.plan.Target.ID, q.plan.Expect, q.plan.Before, q.waited
 		if p := q.env.Prompt; p != nil {
-			f["prompt_tokens"] = p.Tokens
+			f["prompt_tokens"], f["missing_tokens"] = p.Tokens, q.plan.Missing
+			if len(p.Parts) > 0 {
+				f["part"] = p.Parts[0].ID
+			}
+		}
+		if q.plan.KeptBy != nil {
+			f["kept_by"] = q.plan.KeptBy.ID
 		}
 		if q.plan.Reader != nil {
 			f["reader"], f["read_ms"], f["read_expect_ms"] = q.plan.Reader.ID, q.readTook, q.plan.Read
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -79,6 +79,9 @@
 	if q.lastEvent != "" {
 		d.LastEvent = q.lastEvent
 	}
+	if plan.KeptBy != nil {
+		d.KeptBy = plan.KeptBy.Addr
+	}
 	sent := q.Clock.Now()
 	if plan.Reader != nil {
 		handle, failed := q.readPrompt(ctx, plan, d)
@@ -87,6 +90,7 @@
 		}
 		q.readTook = q.Clock.Now() - sent
 		q.Board.HasRead(plan, q.readTook)
+		d.KeptBy = ""
 		d.From = &mn.Handoff{Addr: plan.Reader.Addr, Handle: handle}
 	}
 	if e, ok := q.Board.Endpoint(plan.Target.ID); ok && e.State != mn.EndpointReady {
--- a/node/front.go
+++ b/node/front.go
@@ -192,14 +192,14 @@
 }
 
 func (f *Front) serving() http.Handler {
-	c := retry.Config{
-		Ratio:   f.settings.RetryRatio * retryPart,
-		Reserve: max(1, f.settings.RetrySlack*retryPart/expectedFronts),
-		Refill:  0,
+	c := retry.PoolsConfig{
+		Ratio:  f.settings.RetryRatio * retryPart,
+		Slack:  max(1, f.settings.RetrySlack*retryPart/expectedFronts),
+		Window: f.settings.RetryWindow,
 	}
 	return front.New(front.Config{
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
-		Meter: f.meter, Budget: retry.New(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
+		Meter: f.meter, Budget: retry.NewPools(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
 		Stats: f.stats, Log: f.log, ApplyWithin: f.settings.ApplyWithin, Leaving: f.leaving.Load,
 	})
 }
