--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -111,8 +111,10 @@
 	Before mn.Millis
 	// Missing is how many tokens of the prompt are to be read.
 	Missing int64
-	// Urgency is the engine's rank for the request, 0 for the most urgent.
-	Urgency int
+	// Urgency is the target's rank for the request, 0 for the most urgent, and
+	// ReadUrgency the reader's.
+	Urgency     int
+	ReadUrgency int
 
 	work float64
 	// readerLeft says that the reader's part has been given back.
@@ -323,7 +325,7 @@
 		first += stepCost*float64(n) + reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
 	}
 	behind := 1.0
-	if reader == target && j.Prompt.Tokens <= shortPrompt {
+	if j.Prompt.Tokens <= shortPrompt {
 		behind = shortBehind
 	}
 	if reader != target {
@@ -348,15 +350,14 @@
 		e := keeper.Endpoint
 		p.KeptBy = &e
 	}
-	switch {
-	case reader != target:
+	p.Urgency = urgencyLong
+	if j.Prompt.Tokens <= shortPrompt {
+		p.Urgency = urgencyShort
+	}
+	if reader != target {
 		e := reader.Endpoint
 		p.Reader = &e
-		p.Urgency = urgencyRead
-	case j.Prompt.Tokens <= shortPrompt:
-		p.Urgency = urgencyShort
-	default:
-		p.Urgency = urgencyLong
+		p.ReadUrgency, p.Urgency = p.Urgency, urgencyRead
 	}
 	return p, expect + again + fail, backlog
 }
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -120,7 +120,7 @@
 
 // readPrompt has the plan's reader read the prompt.
 func (q *request) readPrompt(ctx context.Context, plan *place.Plan, d mn.Dispatch) (string, *result) {
-	d.PrefillOnly, d.LastEvent = true, ""
+	d.PrefillOnly, d.LastEvent, d.Urgency = true, "", plan.ReadUrgency
 	a, err := q.Back.Do(ctx, q.Dialect, q.call(*plan.Reader, d))
 	if err != nil {
 		q.unreachable(plan.Reader.ID, err)
