--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -226,7 +226,7 @@
 	if f.view.listedAt > 0 {
 		listAge = now - f.view.listedAt
 	}
-	offset, list := f.view.item.Offset, f.view.print
+	offset, list := f.view.item.Offset, f.view.fingerprint
 	f.view.mu.Unlock()
 	facts := mn.Facts{
 		VM: f.self.VM, Incarnation: f.self.Incarnation, CatalogOffset: offset, CatalogAge: age,
@@ -286,7 +286,7 @@
 		return
 	}
 	f.view.mu.Lock()
-	same, at := f.view.print == facts.List && f.view.list != nil, f.view.listedAt
+	same, at := f.view.fingerprint == facts.List && f.view.list != nil, f.view.listedAt
 	newer := f.clock.Now()-facts.ListAge > at
 	if same && sent > 0 {
 		f.view.listedAt = max(at, sent-facts.ListAge-vouchSlack)
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -50,9 +50,9 @@
 	confirmedAt mn.Millis
 	// list is the list of endpoints, the newest at listedAt; listedAt is 0 for
 	// none.
-	list     []mn.Endpoint
-	print    uint64
-	listedAt mn.Millis
+	list        []mn.Endpoint
+	fingerprint uint64
+	listedAt    mn.Millis
 }
 
 func newFrontView(f *Front) *frontView { return &frontView{Front: f} }
@@ -217,17 +217,17 @@
 // setList takes in a list of endpoints that was the newest at instant at, unless
 // a newer one is known.
 func (v *frontView) setList(list []mn.Endpoint, at mn.Millis) {
-	print := relay.Fingerprint(list)
+	fingerprint := relay.Fingerprint(list)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at < v.listedAt {
 		return
 	}
 	v.listedAt = at
-	if print == v.print && v.list != nil {
+	if fingerprint == v.fingerprint && v.list != nil {
 		return
 	}
-	v.list, v.print = list, print
+	v.list, v.fingerprint = list, fingerprint
 	v.board.Update(list)
 	v.board.Announce()
 	v.log.WithFields(logrus.Fields{"event": "endpoints", "count": len(list), "age_ms": v.clock.Now() - at}).Info()
