--- /dev/null
+++ b/core/duty/duty_test.go
@@ -0,0 +1,227 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+)
+
+const apart = 3 * mn.Second
+
+// feed is the duty feed: records at offsets, appended on condition.
+type feed struct{ items []mn.Item }
+
+func (f *feed) put(b Bid) (mn.Offset, bool) {
+	if int(b.At) != len(f.items) {
+		return 0, false
+	}
+	f.items = append(f.items, mn.Item{Key: b.Key, Value: b.Value, Offset: b.At})
+	return b.At, true
+}
+
+func (f *feed) read(h *Holder) {
+	from := max(0, int(h.Next()))
+	h.Follow(f.items[from:], mn.Offset(len(f.items)))
+}
+
+func TestOneFrontClaimsAndRenews(t *testing.T) {
+	clock, f := mn.NewManualClock(1_000_000), &feed{}
+	a, b := New("a", "1", apart, clock), New("b", "1", apart, clock)
+	_, ok := a.Bid()
+	require.False(t, ok, "nothing was read yet")
+	f.read(a)
+	f.read(b)
+	bidA, ok := a.Bid()
+	require.True(t, ok)
+	bidB, ok := b.Bid()
+	require.True(t, ok)
+	off, ok := f.put(bidA)
+	require.True(t, ok)
+	a.Won(bidA, off)
+	_, ok = f.put(bidB)
+	require.False(t, ok)
+	f.read(b)
+	_, ok = b.Bid()
+	require.False(t, ok, "another front holds the duty")
+	term, ok := a.Held()
+	require.True(t, ok)
+	require.EqualValues(t, off+1, term)
+
+	clock.Advance(2300)
+	_, ok = a.Held()
+	require.False(t, ok, "the holder stops well before its lease ends")
+	_, ok = b.Bid()
+	require.False(t, ok)
+	bidA, ok = a.Bid()
+	require.True(t, ok)
+	off, _ = f.put(bidA)
+	a.Won(bidA, off)
+	renewed, ok := a.Held()
+	require.True(t, ok)
+	require.Equal(t, term, renewed, "a renewal keeps the term")
+}
+
+func TestRestartedVMNeedNotWaitForItself(t *testing.T) {
+	clock, f := mn.NewManualClock(1_000_000), &feed{}
+	a := New("a", "1", apart, clock)
+	f.read(a)
+	bid, _ := a.Bid()
+	off, _ := f.put(bid)
+	a.Won(bid, off)
+	again, other := New("a", "2", apart, clock), New("b", "1", apart, clock)
+	f.read(again)
+	f.read(other)
+	require.Zero(t, again.Due())
+	require.Positive(t, other.Due())
+	bid, ok := again.Bid()
+	require.True(t, ok)
+	off2, _ := f.put(bid)
+	again.Won(bid, off2)
+	term, _ := again.Held()
+	require.Greater(t, int64(term), int64(off), "its term is a new one")
+	f.read(a)
+	_, ok = a.Held()
+	require.False(t, ok)
+}
+
+func TestClaimWhoseAnswerWasLost(t *testing.T) {
+	clock, f := mn.NewManualClock(1_000_000), &feed{}
+	a := New("a", "1", apart, clock)
+	f.read(a)
+	bid, _ := a.Bid()
+	_, ok := f.put(bid) // The answer is lost.
+	require.True(t, ok)
+	f.read(a)
+	_, ok = a.Held()
+	require.False(t, ok, "nothing shows when the claim was sent")
+	bid, ok = a.Bid()
+	require.True(t, ok)
+	off, ok := f.put(bid)
+	require.True(t, ok)
+	a.Won(bid, off)
+	term, ok := a.Held()
+	require.True(t, ok)
+	require.EqualValues(t, 1, term, "the term is the lost claim's")
+}
+
+// Any interleaving of reads, bids that come late, pauses and restarts: never do
+// two fronts hold the duty at once, terms never go down, and no front acts again
+// within the time apart after another acted between.
+func TestHoldersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock, f := mn.NewManualClock(1_000_000), &feed{items: []mn.Item{{Key: "first"}}}
+		count := rapid.IntRange(2, 4).Draw(t, "fronts")
+		fronts := make([]*Holder, count)
+		late := make([]*Bid, count)
+		for i := range fronts {
+			fronts[i] = New(mn.VMID(fmt.Sprint(i)), "1", apart, clock)
+		}
+		type act struct {
+			front int
+			term  mn.Term
+			at    mn.Millis
+		}
+		var acts []act
+		for n := range rapid.IntRange(20, 200).Draw(t, "steps") {
+			i := rapid.IntRange(0, count-1).Draw(t, "front")
+			h := fronts[i]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				f.read(h)
+			case 1, 2:
+				if bid, ok := h.Bid(); ok {
+					if off, ok := f.put(bid); ok {
+						h.Won(bid, off)
+					} else {
+						f.read(h)
+					}
+				}
+			case 3: // The store takes the bid later, and nobody hears of it.
+				if bid, ok := h.Bid(); ok && late[i] == nil {
+					late[i] = &bid
+				} else if late[i] != nil {
+					f.put(*late[i])
+					late[i] = nil
+				}
+			case 4:
+				clock.Advance(mn.Millis(rapid.IntRange(1, 2500).Draw(t, "pause")))
+			case 5:
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					fronts[i] = New(mn.VMID(fmt.Sprint(i)), mn.Incarnation(fmt.Sprint(n)), apart, clock)
+				}
+			}
+			held := 0
+			for j, h := range fronts {
+				if term, ok := h.Held(); ok {
+					held++
+					acts = append(acts, act{j, term, clock.Now()})
+				}
+			}
+			require.LessOrEqual(t, held, 1)
+		}
+		for k := 1; k < len(acts); k++ {
+			require.GreaterOrEqual(t, acts[k].term, acts[k-1].term)
+			if acts[k].front == acts[k-1].front {
+				continue
+			}
+			for _, earlier := range acts[:k-1] {
+				if earlier.front == acts[k].front {
+					require.Greater(t, acts[k].at-earlier.at, apart, "front %d acted, then %d, then %d", acts[k].front, acts[k-1].front, acts[k].front)
+				}
+			}
+		}
+	})
+}
+
+func TestRunsOfDeadFrontsCount(t *testing.T) {
+	clock := mn.NewManualClock(100_000)
+	r := NewRuns(5*mn.Second, clock)
+	r.Began("c")
+	r.Began("")
+	window := int64(clock.Wall() / (5 * mn.Second))
+	dead := mn.Facts{VM: "x", Incarnation: "1", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 4}}}
+	r.Hear(dead)
+	r.Hear(mn.Facts{VM: "x", Incarnation: "2", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 1}}})
+	r.Restore(mn.Facts{VM: "x", Incarnation: "1", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 3}}})
+	counts, silent := r.Total(window, []mn.VMID{"x"})
+	require.Equal(t, map[mn.CustomerID]int64{"c": 6}, counts)
+	require.Equal(t, 1, silent, "x was heard before the window ended only")
+	clock.Advance(5 * mn.Second)
+	r.Hear(dead)
+	_, silent = r.Total(window, []mn.VMID{"x"})
+	require.Zero(t, silent)
+
+	other := NewRuns(5*mn.Second, clock)
+	for _, f := range r.All("me", "1") {
+		other.Restore(f)
+	}
+	restored, _ := other.Total(window, nil)
+	require.Equal(t, counts, restored)
+}
+
+// stepClock is a clock whose time of day can be set forward or back.
+type stepClock struct {
+	*mn.ManualClock
+	step mn.Millis
+}
+
+func (c *stepClock) Wall() mn.Millis { return c.ManualClock.Wall() + c.step }
+
+func TestStepOfTheTimeOfDayIsNotFollowedAtOnce(t *testing.T) {
+	c := &stepClock{ManualClock: mn.NewManualClock(100_000)}
+	r := NewRuns(5*mn.Second, c)
+	c.step = 2400
+	c.Advance(1000)
+	require.EqualValues(t, 101_000, r.Wall())
+	c.step = 0
+	c.Advance(1000)
+	require.EqualValues(t, 102_000, r.Wall())
+	c.step = -2400
+	r.Wall()
+	c.Advance(stepStays + 1)
+	require.EqualValues(t, 102_000+stepStays+1-2400, r.Wall(), "a step that stays is the time")
+}
--- a/core/duty/holder.go
+++ b/core/duty/holder.go
@@ -37,10 +37,13 @@
 type claim struct {
 	VM          mn.VMID        `json:"vm"`
 	Incarnation mn.Incarnation `json:"incarnation"`
-	// Term is the offset of the claim that a renewal renews, 0 for a claim.
+	// Term is that of the claim that a renewal renews, 0 for a claim.
 	Term mn.Term `json:"term,omitempty"`
 }
 
+// termOf returns the term of a claim at offset; 0 is no term.
+func termOf(offset mn.Offset) mn.Term { return mn.Term(offset) + 1 }
+
 // Report is the value of reportKey: what was decided to be reported.
 type Report struct {
 	Window int64                   `json:"window"`
@@ -84,7 +87,7 @@
 				continue // Another writer's bytes claim nothing.
 			}
 			if c.Term == 0 {
-				c.Term = mn.Term(i.Offset)
+				c.Term = termOf(i.Offset)
 			}
 			h.last, h.seenAt = c, h.clock.Now()
 		case reportKey:
@@ -177,7 +180,7 @@
 		return
 	}
 	if b.claim.Term == 0 {
-		b.claim.Term = mn.Term(offset)
+		b.claim.Term = termOf(offset)
 	}
 	h.last, h.seenAt, h.term = b.claim, h.clock.Now(), b.claim.Term
 }
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,339 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+const pool = mn.PoolID("model")
+
+var spec = mn.PoolSpec{ID: pool, Engine: &mn.EngineSpec{Capacity: 128, KVTokens: 760_000, TokenBytes: 18_432, LinkMbps: 320_000}}
+
+// engines returns three engines that only read and six that generate, as the
+// users' first deployment has them, in two data centres.
+func engines() (list []mn.Endpoint) {
+	for i := range 9 {
+		role := mn.EngineDecode
+		if i < 3 {
+			role = mn.EnginePrefill
+		}
+		list = append(list, mn.Endpoint{ID: mn.EndpointID(fmt.Sprintf("e%d", i)), Pool: pool, Addr: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: mn.DataCentre(fmt.Sprintf("dc-%d", i%2)), Capacity: 128, State: mn.EndpointReady, Role: role})
+	}
+	return list
+}
+
+func newBoard(clock mn.Clock, dc mn.DataCentre) *Board {
+	b := New(Config{DataCentre: dc}, clock)
+	b.Declare(map[mn.PoolID]mn.PoolSpec{pool: spec, "plain": {ID: "plain"}})
+	b.Update(engines())
+	return b
+}
+
+func long(chain, own int) *mn.PromptInfo {
+	return &mn.PromptInfo{Tokens: 17_000, MaxOutput: 100, Parts: []mn.PromptPart{
+		{ID: fmt.Sprint("chain-", chain), Tokens: 13_300}, {ID: fmt.Sprint("own-", own), Tokens: 3_700}}}
+}
+
+func short(own int) *mn.PromptInfo {
+	return &mn.PromptInfo{Tokens: 380, MaxOutput: 45, Parts: []mn.PromptPart{
+		{ID: "hello", Tokens: 90}, {ID: fmt.Sprint("short-", own), Tokens: 290}}}
+}
+
+func job(clock mn.Clock, p *mn.PromptInfo) *Job {
+	now := clock.Now()
+	j := &Job{Pool: pool, Prompt: p, GoalAt: now + 485, EndAt: now + 4985}
+	if p == nil {
+		j.Pool = "plain"
+	}
+	return j
+}
+
+func TestFirstReadIsDoneApartAndLaterOnesWhereItIsKept(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	first, c := b.Choose(job(clock, long(1, 1)), false)
+	require.Equal(t, Send, c)
+	require.NotNil(t, first.Reader, "17,000 tokens would hold up what a generating engine runs")
+	require.EqualValues(t, 17_000, first.Missing)
+	b.HasRead(first, 190)
+	b.Done(first)
+	again, c := b.Choose(job(clock, long(1, 2)), false)
+	require.Equal(t, Send, c)
+	require.EqualValues(t, 3_700, again.Missing, "the shared part is kept, here or where it can be fetched from")
+}
+
+func TestFrontsAgreeOnHomes(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	a, b := newBoard(clock, "dc-0"), newBoard(clock, "dc-0")
+	for chain := range 30 {
+		pa, _ := a.Choose(job(clock, long(chain, 1)), false)
+		pb, _ := b.Choose(job(clock, long(chain, 2)), false)
+		require.Equal(t, pa.Reader, pb.Reader)
+		require.Equal(t, pa.Target, pb.Target)
+		a.Done(pa)
+		b.Done(pb)
+	}
+}
+
+// Two fronts get a long prompt each within some milliseconds. The second hears
+// of the first's and must not queue behind it.
+func TestPromptsOfOtherFrontsCount(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	a, b := newBoard(clock, "dc-0"), newBoard(clock, "dc-0")
+	news := b.News()
+	pa, _ := a.Choose(job(clock, long(7, 1)), false)
+	require.Greater(t, a.News(), news, "others hear of a long prompt at once")
+	b.Hear(mn.Facts{VM: "a", Uses: a.Uses(), Reads: a.Reads()})
+	pb, _ := b.Choose(job(clock, long(8, 1)), false)
+	if pa.Reader.ID == pb.Reader.ID {
+		require.Positive(t, pb.Before, "the other front's reading is before it")
+	}
+	pc, _ := b.Choose(job(clock, long(7, 2)), false)
+	require.EqualValues(t, 3_700, pc.Missing, "the other front told what was read")
+	clock.Advance(factsLife + 1)
+	fresh, _ := b.Choose(job(clock, long(9, 1)), false)
+	require.Zero(t, b.fronts["a"].uses["none"].Requests)
+	require.NotNil(t, fresh)
+}
+
+// A burst of long prompts: short ones must still be placed on time.
+func TestShortPromptsAreOnTimeBesideABurstOfLongOnes(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	refused := 0
+	for i := range 60 { // 60 long prompts in 300 ms: three times what is read.
+		if _, c := b.Choose(job(clock, long(i%20, i)), false); c == Full {
+			refused++
+		}
+		for n := range 3 {
+			p, c := b.Choose(job(clock, short(i*3+n)), false)
+			require.Equal(t, Send, c, "short prompt %d", i*3+n)
+			b.HasRead(p, 50)
+			b.Done(p)
+		}
+		clock.Advance(5)
+	}
+	require.Greater(t, refused, 20, "long prompts that can't be on time wait")
+}
+
+// Long prompts come at 1.5 times what all engines read for 3 s, then nothing
+// comes for 3 s: what is on time is sent, the rest waits for the lull.
+func TestLatePromptsAreServedInTheLull(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	type running struct {
+		p   *Plan
+		end mn.Millis
+	}
+	var work []running
+	busyUntil := map[mn.EndpointID]mn.Millis{}
+	start := func(p *Plan) {
+		id := p.reader()
+		begin := max(clock.Now(), busyUntil[id])
+		busyUntil[id] = begin + mn.Millis(p.work)
+		work = append(work, running{p, busyUntil[id]})
+	}
+	step := func() {
+		clock.Advance(5)
+		kept := work[:0]
+		for _, r := range work {
+			if clock.Now() < r.end {
+				kept = append(kept, r)
+				continue
+			}
+			b.HasRead(r.p, -1)
+			b.Done(r.p)
+		}
+		work = kept
+	}
+	onTime, late := 0, 0
+	var waiting []*Job
+	for i := range 1200 {
+		if i < 600 && i%2 == 0 {
+			j := job(clock, long(i%120, i))
+			if p, c := b.Choose(j, false); c == Send {
+				onTime++
+				start(p)
+			} else {
+				waiting = append(waiting, j)
+			}
+		}
+		if len(waiting) > 0 && clock.Now() < waiting[0].EndAt {
+			if p, c := b.Choose(waiting[0], true); c == Send || c == SendLate {
+				late++
+				start(p)
+				waiting = waiting[1:]
+			}
+		} else if len(waiting) > 0 {
+			waiting = waiting[1:]
+		}
+		step()
+	}
+	require.Greater(t, onTime, 120, "of 300")
+	require.Greater(t, late, 60, "the lull serves what waited")
+	require.Greater(t, onTime+late, 220, "of 300")
+}
+
+func TestEndpointsThatCanNotBeUsed(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	plain := func(states ...mn.EndpointState) (list []mn.Endpoint) {
+		for i, s := range states {
+			list = append(list, mn.Endpoint{ID: mn.EndpointID(fmt.Sprint("p", i)), Pool: "plain", Capacity: 6, State: s})
+		}
+		return list
+	}
+	b := newBoard(clock, "dc-0")
+	b.Update(plain(mn.EndpointLeaving, mn.EndpointReady))
+	p, c := b.Choose(job(clock, nil), false)
+	require.Equal(t, Send, c)
+	require.Equal(t, mn.EndpointID("p1"), p.Target.ID)
+	b.Done(p)
+
+	j := job(clock, nil)
+	j.Avoid = []mn.EndpointID{"p1"}
+	_, c = b.Choose(j, false)
+	require.Equal(t, None, c, "what was tried is not tried again")
+
+	b.Unreachable("p1")
+	_, c = b.Choose(job(clock, nil), false)
+	require.Equal(t, None, c)
+	clock.Advance(firstPause)
+	p, c = b.Choose(job(clock, nil), false)
+	require.Equal(t, Send, c, "one request finds out whether it is back")
+	_, c = b.Choose(job(clock, nil), false)
+	require.Equal(t, None, c, "only one")
+	b.Reached("p1", false)
+	b.Done(p)
+	_, c = b.Choose(job(clock, nil), false)
+	require.Equal(t, Send, c)
+}
+
+func TestRebornEndpointKnowsNothing(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	p, _ := b.Choose(job(clock, long(1, 1)), false)
+	list := engines()
+	for i := range list {
+		list[i].Born = 5
+	}
+	b.Update(list)
+	b.Done(p) // Belongs to the earlier run.
+	again, _ := b.Choose(job(clock, long(1, 2)), false)
+	require.EqualValues(t, 17_000, again.Missing)
+	require.Len(t, b.Uses(), 2)
+}
+
+// One of four plain endpoints fails two in five of its requests.
+func TestGreyPlainEndpointGetsLittle(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	var list []mn.Endpoint
+	for i := range 4 {
+		list = append(list, mn.Endpoint{ID: mn.EndpointID(fmt.Sprint("p", i)), Pool: "plain", Capacity: 6, State: mn.EndpointReady})
+	}
+	b.Update(list)
+	failed, grey := 0, 0
+	for i := range 700 { // 70 a second.
+		p, c := b.Choose(job(clock, nil), false)
+		require.Equal(t, Send, c)
+		bad := p.Target.ID == "p0" && i%5 < 2
+		if p.Target.ID == "p0" {
+			grey++
+		}
+		if bad {
+			failed++
+		}
+		b.Reached(p.Target.ID, bad)
+		b.Answered(p.Target.ID, 30)
+		b.Done(p)
+		clock.Advance(14)
+	}
+	require.Less(t, grey, 70, "of 700")
+	require.Less(t, failed, 25)
+}
+
+func TestPlainEndpointsFillUpAndNoMore(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	b.Update([]mn.Endpoint{{ID: "p0", Pool: "plain", Capacity: 6, State: mn.EndpointReady}})
+	for range 6 + plainQueue {
+		_, c := b.Choose(job(clock, nil), false)
+		require.Equal(t, Send, c)
+	}
+	_, c := b.Choose(job(clock, nil), false)
+	require.Equal(t, Full, c, "what would queue at the endpoint waits here")
+}
+
+func TestNaiveRouterUsesNoReaders(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := New(Config{Naive: true}, clock)
+	b.Declare(map[mn.PoolID]mn.PoolSpec{pool: spec})
+	b.Update(engines())
+	for i := range 50 {
+		p, c := b.Choose(job(clock, long(i, i)), false)
+		require.Equal(t, Send, c)
+		require.Nil(t, p.Reader)
+		require.Equal(t, mn.EngineDecode, p.Target.Role)
+	}
+}
+
+func TestPartsLeaveTheLeastRecentlyUsedFirst(t *testing.T) {
+	p := newParts()
+	read := func(id string) { p.read([]mn.PromptPart{{ID: id, Tokens: 400}}, 1000) }
+	has := func(id string) bool {
+		return p.cached(&mn.PromptInfo{Parts: []mn.PromptPart{{ID: id, Tokens: 400}}}) > 0
+	}
+	read("a")
+	read("b")
+	read("a")
+	read("c")
+	require.True(t, has("a"))
+	require.False(t, has("b"))
+	require.True(t, has("c"))
+	require.EqualValues(t, 400, p.cached(&mn.PromptInfo{Parts: []mn.PromptPart{{ID: "a", Tokens: 400}, {ID: "x"}, {ID: "c", Tokens: 400}}}),
+		"a part counts only if all before it are kept")
+}
+
+func TestFullLineRefusesAtOnceAndSaysWhen(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	b.Update([]mn.Endpoint{{ID: "p0", Pool: "plain", Capacity: 1, State: mn.EndpointReady}})
+	l := NewLines(b, clock)
+	for range 1 + plainQueue {
+		p, r := l.Place(t.Context(), job(clock, nil))
+		require.NotNil(t, p)
+		require.Nil(t, r)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan *Refusal, 100)
+	for range 100 {
+		go func() {
+			_, r := l.Place(ctx, job(clock, nil))
+			results <- r
+		}()
+	}
+	refused := 0
+	for range 60 {
+		if r := <-results; r != nil {
+			refused++
+			require.Positive(t, r.Retry)
+			require.LessOrEqual(t, r.Retry, mn.Millis(4985/3+1), "callers keep to a third of their time at most")
+		}
+	}
+	require.Equal(t, 60, refused)
+	cancel()
+}
+
+func TestPoolWithoutEndpointsRefuses(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	_, r := NewLines(b, clock).Place(t.Context(), job(clock, nil))
+	require.NotNil(t, r)
+	require.Positive(t, r.Retry)
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,158 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mn "mustardnotch"
+)
+
+func subs(rate, burst float64) []mn.Subscriber {
+	return []mn.Subscriber{{Customer: mn.Customer{ID: "c", Rate: rate, Burst: burst}}}
+}
+
+// fleet is some fronts that tell one another what they spent.
+type fleet struct {
+	clock  *mn.ManualClock
+	meters []*Meter
+	vms    []mn.VMID
+}
+
+func newFleet(count int, rate, burst float64) *fleet {
+	f := &fleet{clock: mn.NewManualClock(1_000_000)}
+	for i := range count {
+		m := New(f.clock)
+		m.Declare(subs(rate, burst))
+		f.meters = append(f.meters, m)
+		f.vms = append(f.vms, mn.VMID(fmt.Sprint("front-", i)))
+	}
+	f.gossip(func(_, _ int) bool { return true })
+	return f
+}
+
+func (f *fleet) gossip(linked func(from, to int) bool) {
+	for from := range f.meters {
+		for to := range f.meters {
+			if from != to && linked(from, to) {
+				f.meters[to].Hear(mn.Facts{VM: f.vms[from], Spent: f.meters[from].Spent()})
+			}
+		}
+	}
+}
+
+// One customer sends seven times its rate, most of it through one front.
+func TestHotCustomerGetsItsRateOnce(t *testing.T) {
+	const rate, burst = 50_000.0, 50_000.0
+	f := newFleet(6, rate, burst)
+	spent := 0.0
+	for step := range 200 { // 20 s in steps of 100 ms.
+		for n := range 35 {
+			front := 0
+			if n%3 == 0 {
+				front = (step + n) % 6
+			}
+			if _, ok := f.meters[front].Take("c", 1000); ok {
+				spent += 1000
+			}
+		}
+		f.clock.Advance(100)
+		f.gossip(func(_, _ int) bool { return true })
+	}
+	require.InDelta(t, rate*20+burst*newLevel, spent, rate*0.5)
+}
+
+// While fronts are cut off from one another, each takes the others to spend on
+// as before: the sum stays within the platform's bound.
+func TestCutFrontsDoNotGetAWholeRateEach(t *testing.T) {
+	const rate, burst = 50_000.0, 50_000.0
+	f := newFleet(6, rate, burst)
+	run := func(steps int, linked bool) float64 {
+		spent := 0.0
+		for step := range steps {
+			for n := range 35 {
+				if _, ok := f.meters[(step+n)%6].Take("c", 1000); ok {
+					spent += 1000
+				}
+			}
+			f.clock.Advance(100)
+			f.gossip(func(_, _ int) bool { return linked })
+		}
+		return spent
+	}
+	run(60, true)
+	require.LessOrEqual(t, run(80, false), (rate*8+burst)*1.1)
+}
+
+func TestLowerRateAndReturn(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	m := New(clock)
+	m.Declare(subs(1000, 1000))
+	_, ok := m.Take("c", 400)
+	require.True(t, ok)
+	m.Return("c", 400)
+	require.Zero(t, m.Spent()["c"])
+	m.Declare(subs(10, 10))
+	wait, ok := m.Take("c", 10)
+	require.True(t, ok, "a level is cut to the burst")
+	require.Zero(t, wait)
+	wait, ok = m.Take("c", 5)
+	require.False(t, ok)
+	require.InDelta(t, 500, int64(wait), 2)
+	_, ok = m.Take("nobody", 1e9)
+	require.True(t, ok, "a customer without a rate has no limit")
+}
+
+func TestRequestLargerThanTheBurstPassesWhenFull(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	m := New(clock)
+	m.Declare(subs(100, 100))
+	clock.Advance(mn.Minute)
+	_, ok := m.Take("c", 250)
+	require.True(t, ok)
+	wait, ok := m.Take("c", 1)
+	require.False(t, ok)
+	require.Greater(t, wait, 1500*mn.Millisecond)
+}
+
+// Under any order of requests, time, words and restarts, fronts that hear each
+// other every 150 ms keep within rate x window + burst, a tenth over, and what
+// they can't yet know of one another.
+func TestSumOverAnyWindow(t *testing.T) {
+	const rate, burst, cost = 10_000.0, 10_000.0, 500.0
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 6).Draw(t, "fronts")
+		f := newFleet(count, rate, burst)
+		type spend struct {
+			at   mn.Millis
+			cost float64
+		}
+		var spends []spend
+		most := 0
+		for range rapid.IntRange(50, 200).Draw(t, "steps") {
+			sent := rapid.IntRange(0, 8).Draw(t, "sent")
+			most = max(most, sent)
+			for range sent {
+				i := rapid.IntRange(0, count-1).Draw(t, "front")
+				if _, ok := f.meters[i].Take("c", cost); ok {
+					spends = append(spends, spend{f.clock.Now(), cost})
+				}
+			}
+			f.clock.Advance(mn.Millis(rapid.IntRange(10, 150).Draw(t, "gap")))
+			f.gossip(func(_, _ int) bool { return true })
+		}
+		const window = 8 * mn.Second
+		for _, end := range spends {
+			sum := 0.0
+			for _, s := range spends {
+				if s.at > end.at-window && s.at <= end.at {
+					sum += s.cost
+				}
+			}
+			unknown := float64(most) * cost
+			require.LessOrEqual(t, sum, (rate*8+burst)*1.1+unknown)
+		}
+	})
+}
--- /dev/null
+++ b/io/back/back_test.go
@@ -0,0 +1,270 @@
+package back
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+// dialect reads the headers that these tests use.
+type dialect struct{ mn.Dialect }
+
+func (dialect) Reply(_ int, h http.Header) mn.ReplyInfo {
+	return mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Sealed: true, Closing: h.Get("Connection") == "close"}
+}
+
+// endpoint is a listener whose connections are served by a script.
+type endpoint struct {
+	addr  string
+	conns atomic.Int64
+}
+
+func newEndpoint(t *testing.T, serve func(n int64, c net.Conn, r *bufio.Reader)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	e := &endpoint{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := e.conns.Add(1)
+			go func() {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return e
+}
+
+// answerAll reads requests and answers each with answer.
+func answerAll(answer func(r *http.Request) string) func(int64, net.Conn, *bufio.Reader) {
+	return func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body := make([]byte, max(0, r.ContentLength))
+			if _, err := r.Body.Read(body); err != nil && r.ContentLength > 0 && len(body) == 0 {
+				return
+			}
+			fmt.Fprint(c, answer(r))
+		}
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(e *endpoint, id string) *Call {
+	return &Call{ID: mn.RequestID(id), Addr: e.addr, Method: http.MethodGet, Target: "/p?q=1", Host: "h.example",
+		Header: http.Header{"Id": {id}}, Fresh: mn.Minute}
+}
+
+func body(t *testing.T, c *Client, call *Call) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, dialect{}, call)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := a.All(1 << 20)
+	return string(b), err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(r *http.Request) string { return ok(r.Header.Get("Id"), r.RequestURI) }))
+	c := New(mn.NewSystemClock(), "")
+	for i := range 5 {
+		b, err := body(t, c, call(e, fmt.Sprint(i)))
+		require.NoError(t, err)
+		require.Equal(t, "/p?q=1", b)
+	}
+	require.EqualValues(t, 1, e.conns.Load())
+}
+
+// The query of a target was once written twice.
+func TestTargetIsWrittenAsItCame(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(r *http.Request) string { return ok(r.Header.Get("Id"), r.RequestURI) }))
+	c := New(mn.NewSystemClock(), "")
+	for _, target := range []string{"/", "/a?", "/a?b=c&d", "//x/y", "/a%2Fb/%20?x=%26", "/a;b=1/../c"} {
+		k := call(e, "1")
+		k.Target = target
+		b, err := body(t, c, k)
+		require.NoError(t, err)
+		require.Equal(t, target, b)
+	}
+}
+
+func TestBytesThatBelongToNoRequest(t *testing.T) {
+	cases := map[string]struct {
+		answer func(r *http.Request) string
+		conns  int64
+	}{
+		"second answer at once": {func(r *http.Request) string {
+			return ok(r.Header.Get("Id"), "own") + ok("other", "foreign")
+		}, 3},
+		"answer to an earlier request first": {func(r *http.Request) string {
+			return ok("earlier", "foreign") + ok(r.Header.Get("Id"), "own")
+		}, 3},
+		"closing": {func(r *http.Request) string {
+			return strings.Replace(ok(r.Header.Get("Id"), "own"), "\r\n", "\r\nConnection: close\r\n", 1)
+		}, 3},
+		"interim answer": {func(r *http.Request) string {
+			return "HTTP/1.1 102 Processing\r\n\r\n" + ok(r.Header.Get("Id"), "own")
+		}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, answerAll(tc.answer))
+			c := New(mn.NewSystemClock(), "")
+			for i := range 3 {
+				b, err := body(t, c, call(e, fmt.Sprint(i)))
+				require.NoError(t, err)
+				require.Equal(t, "own", b)
+				time.Sleep(5 * time.Millisecond) // Lets what follows an answer arrive.
+			}
+			require.Equal(t, tc.conns, e.conns.Load())
+		})
+	}
+}
+
+func TestLateAnswerOnAnIdleConnectionIsNotTaken(t *testing.T) {
+	e := newEndpoint(t, func(n int64, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprint(c, ok(r.Header.Get("Id"), "own"))
+		time.Sleep(30 * time.Millisecond)
+		fmt.Fprint(c, ok("", "late"))
+		time.Sleep(time.Second)
+	})
+	c := New(mn.NewSystemClock(), "")
+	for i := range 2 {
+		b, err := body(t, c, call(e, fmt.Sprint(i)))
+		require.NoError(t, err)
+		require.Equal(t, "own", b)
+		time.Sleep(80 * time.Millisecond)
+	}
+	require.EqualValues(t, 2, e.conns.Load())
+}
+
+func TestBrokenAnswersAreNotWhole(t *testing.T) {
+	cases := map[string]string{
+		"short body":         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunks without end": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"no answer":          "",
+		"not an answer":      "garbage\r\n\r\n",
+	}
+	for name, answer := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err == nil {
+					fmt.Fprint(c, answer)
+				}
+			})
+			_, err := body(t, New(mn.NewSystemClock(), ""), call(e, "1"))
+			require.Error(t, err)
+		})
+	}
+}
+
+func TestOnlyAFailedDialIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	_, err = New(mn.NewSystemClock(), "").Do(t.Context(), dialect{}, &Call{Addr: addr, Method: "GET", Target: "/", Header: http.Header{}})
+	var e *Error
+	require.ErrorAs(t, err, &e)
+	require.False(t, e.Sent)
+
+	silent := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) { _, _ = http.ReadRequest(br) })
+	_, err = New(mn.NewSystemClock(), "").Do(t.Context(), dialect{}, call(silent, "1"))
+	require.ErrorAs(t, err, &e)
+	require.True(t, e.Sent, "the endpoint read the request")
+}
+
+// A request on a connection that the endpoint closed meanwhile must not be sent
+// twice, and the closed connection not be used.
+func TestRequestIsNeverRepeated(t *testing.T) {
+	var seen atomic.Int64
+	e := newEndpoint(t, func(n int64, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		seen.Add(1)
+		fmt.Fprint(c, ok(r.Header.Get("Id"), "own"))
+	})
+	c := New(mn.NewSystemClock(), "")
+	for i := range 4 {
+		_, err := body(t, c, call(e, fmt.Sprint(i)))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.EqualValues(t, 4, seen.Load())
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	gone := make(chan struct{})
+	e := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		var b [1]byte
+		_, _ = br.Read(b[:]) // Returns when the connection is closed.
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := New(mn.NewSystemClock(), "").Do(ctx, dialect{}, call(e, "1"))
+	require.True(t, errors.Is(err, context.Canceled), "%v", err)
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Fatal("the endpoint did not see the connection close")
+	}
+}
+
+// An endpoint that answers before it has read a long body is due the rest of it
+// on that connection, which is not used for anything else.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprint(c, ok(r.Header.Get("Id"), "early"))
+		time.Sleep(300 * time.Millisecond)
+	})
+	c := New(mn.NewSystemClock(), "")
+	for i := range 2 {
+		k := call(e, fmt.Sprint(i))
+		k.Method, k.Body = http.MethodPost, make([]byte, 8<<20)
+		b, err := body(t, c, k)
+		require.NoError(t, err)
+		require.Equal(t, "early", b)
+	}
+	require.EqualValues(t, 2, e.conns.Load())
+}
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,515 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/core/duty"
+	"mustardnotch/core/paths"
+	"mustardnotch/core/place"
+	"mustardnotch/core/poison"
+	"mustardnotch/core/quota"
+	"mustardnotch/core/retry"
+	"mustardnotch/core/stats"
+	"mustardnotch/io/back"
+)
+
+// testDialect carries the fields in headers of its own.
+type testDialect struct{}
+
+func (testDialect) Envelope(h http.Header) (mn.Envelope, error) {
+	e := mn.Envelope{ID: mn.RequestID(h.Get("Id")), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	if e.ID == "" {
+		return e, errors.New("header Id is missing")
+	}
+	if v := h.Get("Within"); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return e, err
+		}
+		e.Within = mn.Millis(n)
+	}
+	if v := h.Get("Tokens"); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return e, err
+		}
+		e.Prompt = &mn.PromptInfo{Tokens: n, MaxOutput: 10, Parts: []mn.PromptPart{{ID: "a", Tokens: n / 2}, {ID: string(e.ID), Tokens: n - n/2}}}
+	}
+	return e, nil
+}
+
+func (testDialect) Outgoing(h http.Header, d mn.Dispatch) http.Header {
+	out := http.Header{"Id": h["Id"], "Customer": {string(d.Customer)}, "Endpoint": {string(d.Endpoint)}}
+	out.Set("Within", strconv.FormatInt(int64(d.Within), 10))
+	if d.PrefillOnly {
+		out.Set("Prefill", "1")
+	}
+	if d.From != nil {
+		out.Set("From", d.From.Handle)
+	}
+	if d.LastEvent != "" {
+		out.Set("Last", d.LastEvent)
+	}
+	return out
+}
+
+func (testDialect) Reply(status int, h http.Header) mn.ReplyInfo {
+	return mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
+}
+
+func (testDialect) Handle(body []byte) (string, error) {
+	if len(body) == 0 {
+		return "", errors.New("no handle")
+	}
+	return string(body), nil
+}
+
+func (testDialect) ReleasePath(handle string) string { return "/release/" + handle }
+
+func (testDialect) EventID(event []byte) string {
+	_, id, _ := strings.Cut(string(event), "id: ")
+	id, _, _ = strings.Cut(id, "\n")
+	return id
+}
+
+// view is a configuration that does not change.
+type view struct {
+	table *paths.Table
+	age   mn.Millis
+	keys  bool
+}
+
+func (v *view) Table() (*paths.Table, mn.Millis) { return v.table, v.age }
+func (v *view) KeysHold() bool                   { return v.keys }
+
+// seen is a request as an endpoint got it.
+type seen struct {
+	endpoint, method, target, body string
+	header                         http.Header
+}
+
+// bench is a front before scripted endpoints.
+type bench struct {
+	t      *testing.T
+	url    string
+	view   *view
+	server *Server
+	clock  mn.SystemClock
+	mu     sync.Mutex
+	got    []seen
+}
+
+// script answers a request at an endpoint by writing to the connection; it
+// returns false to close it.
+type script func(r *http.Request, body string, c net.Conn) bool
+
+func newBench(t *testing.T, scripts map[string]script) *bench {
+	t.Helper()
+	clock := mn.NewSystemClock()
+	b := &bench{t: t, clock: clock, view: &view{keys: true, table: paths.New(&mn.Catalog{
+		Routes: []mn.Route{
+			{Name: "get", Host: "h", Prefix: "/get/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, Goal: 150, Attempts: 2},
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: mn.RouteOnce, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, Goal: 150, Attempts: 2},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: mn.RouteOnce, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, Attempts: 1, Open: true},
+			{Name: "say", Host: "h", Prefix: "/say/", Kind: mn.RouteStream, Shares: []mn.PoolShare{{Pool: "model"}}, Timeout: 2000, Goal: 500, Attempts: 2, Resumable: true},
+			{Name: "tell", Host: "h", Prefix: "/tell/", Kind: mn.RouteStream, Shares: []mn.PoolShare{{Pool: "model"}}, Timeout: 2000, Goal: 500, Attempts: 2},
+		},
+		Pools:       map[mn.PoolID]mn.PoolSpec{"model": {Engine: &mn.EngineSpec{Capacity: 8, KVTokens: 100_000, TokenBytes: 1000, LinkMbps: 1000}}},
+		Subscribers: []mn.Subscriber{{Customer: mn.Customer{ID: "cust", Rate: 1000, Burst: 1000}, Keys: []mn.KeyHash{mn.HashKey("k")}}},
+		Limits:      mn.CallerLimits{BodyBytes: 1000},
+	})}}
+	board := place.New(place.Config{}, clock)
+	board.Declare(b.view.table.Catalog.Pools)
+	var list []mn.Endpoint
+	for name, s := range scripts {
+		e := mn.Endpoint{ID: mn.EndpointID(name), Pool: "plain", Addr: b.listen(name, s), Capacity: 6, State: mn.EndpointReady}
+		switch name[0] {
+		case 'd':
+			e.Pool, e.Role = "model", mn.EngineDecode
+		case 'r':
+			e.Pool, e.Role = "model", mn.EnginePrefill
+		}
+		list = append(list, e)
+	}
+	board.Update(list)
+	meter := quota.New(clock)
+	meter.Declare(b.view.table.Catalog.Subscribers)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b.server = New(Config{
+		Clock: clock, Dialect: testDialect{}, View: b.view, Lines: place.NewLines(board, clock), Board: board, Meter: meter,
+		Budget:  retry.NewPools(retry.PoolsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second}, clock),
+		Poisons: poison.New(poison.DefaultConfig(), clock), Runs: duty.NewRuns(5*mn.Second, clock), Back: back.New(clock, ""),
+		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
+		Crashed: func(mn.Poison) {},
+	})
+	s := httptest.NewServer(b.server)
+	t.Cleanup(s.Close)
+	b.url = s.URL
+	return b
+}
+
+func (b *bench) listen(name string, s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(name, s, c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (b *bench) serve(name string, s script, c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.got = append(b.got, seen{name, r.Method, r.RequestURI, string(body), r.Header})
+		b.mu.Unlock()
+		if !s(r, string(body), c) {
+			return
+		}
+	}
+}
+
+// seen returns the requests that endpoints got.
+func (b *bench) seen() []seen {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]seen(nil), b.got...)
+}
+
+func (b *bench) do(method, path, body string, header ...string) (*http.Response, string, error) {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.t.Context(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, b.url+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "id-1")
+	req.Header.Set("Key", "k")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	all, err := io.ReadAll(resp.Body)
+	return resp, string(all), err
+}
+
+func answer(c net.Conn, r *http.Request, status int, body string, header ...string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n", status, r.Header.Get("Id"))
+	for i := 0; i < len(header); i += 2 {
+		fmt.Fprintf(c, "%s: %s\r\n", header[i], header[i+1])
+	}
+	fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return true
+}
+
+func fine(r *http.Request, body string, c net.Conn) bool {
+	return answer(c, r, 200, "done "+body, "Seal", "s", "X-Own", "1")
+}
+
+func shed(r *http.Request, _ string, c net.Conn) bool {
+	return answer(c, r, 503, "", "Not-Run", "1")
+}
+
+func broken(*http.Request, string, net.Conn) bool { return false }
+
+func TestPlainRequestPassesThroughUnchanged(t *testing.T) {
+	b := newBench(t, map[string]script{"p1": fine})
+	resp, body, err := b.do("POST", "/book/a%2Fb?x=%20&y", "payload", "Within", "700")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "done payload", body)
+	require.Equal(t, "1", resp.Header.Get("X-Own"))
+	got := b.seen()
+	require.Len(t, got, 1)
+	require.Equal(t, "/book/a%2Fb?x=%20&y", got[0].target)
+	require.Equal(t, "payload", got[0].body)
+	require.Equal(t, "cust", got[0].header.Get("Customer"))
+	require.Empty(t, got[0].header.Get("Key"))
+	within, err := strconv.Atoi(got[0].header.Get("Within"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, within, 700)
+	require.Greater(t, within, 500)
+}
+
+func TestAnswersOfTheFrontItself(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		body   string
+		header []string
+		change func(v *view)
+		status int
+	}{
+		"no route":                   {"/none/", "", nil, nil, 404},
+		"no route in an old view":    {"/none/", "", nil, func(v *view) { v.age = 2500 }, 503},
+		"no such key":                {"/book/", "", []string{"Key", "x"}, nil, 401},
+		"no such key in an old view": {"/book/", "", []string{"Key", "x"}, func(v *view) { v.age = 2500 }, 503},
+		"keys may be withdrawn":      {"/book/", "", nil, func(v *view) { v.keys = false }, 503},
+		"open route needs no key":    {"/open/", "", []string{"Key", ""}, func(v *view) { v.keys = false }, 200},
+		"no id":                      {"/book/", "", []string{"Id", ""}, nil, 400},
+		"body over the limit":        {"/book/", strings.Repeat("x", 1001), nil, nil, 413},
+		"no configuration":           {"/book/", "", nil, func(v *view) { v.table = nil }, 503},
+		"no time left":               {"/book/", "", []string{"Within", "20"}, nil, 503},
+		"no endpoint of the pool":    {"/say/", "", []string{"Tokens", "10"}, nil, 503},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, map[string]script{"p1": fine})
+			if tc.change != nil {
+				tc.change(b.view)
+			}
+			resp, _, err := b.do("POST", tc.path, tc.body, tc.header...)
+			require.NoError(t, err)
+			require.Equal(t, tc.status, resp.StatusCode)
+			if tc.status != 200 {
+				require.Empty(t, b.seen(), "nothing reached an endpoint")
+			}
+		})
+	}
+}
+
+func TestRateIsHeldAndUnspentOnRefusal(t *testing.T) {
+	b := newBench(t, map[string]script{"p1": shed})
+	_, _, err := b.do("POST", "/book/", "")
+	require.NoError(t, err)
+	require.Zero(t, b.server.Meter.Spent()["cust"], "what did not run costs nothing")
+	b.server.Meter.Declare([]mn.Subscriber{{Customer: mn.Customer{ID: "cust", Rate: 0.001, Burst: 1}}})
+	_, ok := b.server.Meter.Take("cust", 1)
+	require.True(t, ok)
+	resp, _, err := b.do("POST", "/book/", "")
+	require.NoError(t, err)
+	require.Equal(t, 429, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// What may be sent again after which failure, and what the caller is told.
+func TestSendingAgain(t *testing.T) {
+	fails := func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 500, "own failure", "Seal", "s") }
+	forged := func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "no seal") }
+	cut := func(r *http.Request, _ string, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSeal: s\r\nContent-Length: 50\r\n\r\nhalf", r.Header.Get("Id"))
+		return false
+	}
+	cases := map[string]struct {
+		script script
+		path   string
+		sent   int
+		status int
+	}{
+		"idempotent, answer lost":        {broken, "/get/", 2, 502},
+		"idempotent, answer cut":         {cut, "/get/", 2, 502},
+		"idempotent, failure":            {fails, "/get/", 2, 500},
+		"idempotent, forged":             {forged, "/get/", 2, 502},
+		"booking, answer lost":           {broken, "/book/", 1, 502},
+		"booking, answer cut":            {cut, "/book/", 1, 502},
+		"booking, failure":               {fails, "/book/", 1, 500},
+		"booking, forged":                {forged, "/book/", 1, 502},
+		"booking, shed by all":           {shed, "/book/", 2, 503},
+		"booking, another has the place": {func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 421, "") }, "/book/", 2, 503},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, map[string]script{"p1": tc.script, "p2": tc.script})
+			resp, body, err := b.do("POST", tc.path, "")
+			require.NoError(t, err)
+			require.Equal(t, tc.status, resp.StatusCode, body)
+			require.Len(t, b.seen(), tc.sent)
+		})
+	}
+}
+
+func TestIdempotentRequestGoesToAnotherEndpointThanTheSilentOne(t *testing.T) {
+	silent := func(*http.Request, string, net.Conn) bool { time.Sleep(2 * time.Second); return false }
+	b := newBench(t, map[string]script{"p1": silent, "p2": fine, "p3": fine, "p4": fine})
+	for range 8 {
+		begin := time.Now()
+		resp, _, err := b.do("GET", "/get/", "")
+		require.NoError(t, err)
+		require.Equal(t, 200, resp.StatusCode)
+		require.Less(t, time.Since(begin), 750*time.Millisecond)
+	}
+}
+
+func TestRouteTimeoutIsAnsweredAtOnce(t *testing.T) {
+	silent := func(*http.Request, string, net.Conn) bool { time.Sleep(2 * time.Second); return false }
+	b := newBench(t, map[string]script{"p1": silent})
+	begin := time.Now()
+	resp, _, err := b.do("POST", "/book/", "")
+	require.NoError(t, err)
+	require.Equal(t, 504, resp.StatusCode, "it may have run")
+	require.InDelta(t, 800, time.Since(begin).Milliseconds(), 150)
+}
+
+func streamHead(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+}
+
+func chunk(c net.Conn, s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+// stream sends the events after last up to 4, and breaks off in the middle of
+// the one after cutAfter unless that is 0.
+func stream(cutAfter int) script {
+	return func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		last, _ := strconv.Atoi(r.Header.Get("Last")) // Empty is 0.
+		for i := last + 1; i <= 4; i++ {
+			if cutAfter > 0 && i > cutAfter {
+				chunk(c, fmt.Sprintf("id: %d\nda", i))
+				return false
+			}
+			chunk(c, fmt.Sprintf("id: %d\ndata: x\n\n", i))
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+}
+
+const wholeStream = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+
+func TestStreams(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		b := newBench(t, map[string]script{"d1": stream(0)})
+		resp, body, err := b.do("POST", "/tell/", "p", "Tokens", "100")
+		require.NoError(t, err)
+		require.Equal(t, wholeStream, body)
+		require.Equal(t, "text/event-stream", resp.Header.Get("Content-Type"))
+	})
+	t.Run("resumed at another endpoint after the last whole event", func(t *testing.T) {
+		b := newBench(t, map[string]script{"d1": stream(2), "d2": stream(2)})
+		_, body, err := b.do("POST", "/say/", "p", "Tokens", "100")
+		// The second endpoint goes on after event 2 and breaks off at once.
+		require.Error(t, err, "an answer that broke off does not look complete")
+		require.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", body)
+		require.Equal(t, "2", b.seen()[1].header.Get("Last"))
+	})
+	t.Run("not resumable breaks off", func(t *testing.T) {
+		b := newBench(t, map[string]script{"d1": stream(2), "d2": stream(0)})
+		for range 4 {
+			sent := len(b.seen())
+			_, body, err := b.do("POST", "/tell/", "p", "Tokens", "100")
+			require.Len(t, b.seen(), sent+1, "it is sent once")
+			if err == nil {
+				require.Equal(t, wholeStream, body)
+			}
+		}
+	})
+}
+
+func TestEventsAreForwardedAsTheyCome(t *testing.T) {
+	b := newBench(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		chunk(c, "id: 1\ndata: x\n\n")
+		time.Sleep(300 * time.Millisecond)
+		chunk(c, "id: 2\ndata: x\n\n")
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}})
+	req, err := http.NewRequestWithContext(t.Context(), "POST", b.url+"/say/", strings.NewReader("p"))
+	require.NoError(t, err)
+	req.Host, req.Header = "h", http.Header{"Id": {"1"}, "Key": {"k"}, "Tokens": {"50"}}
+	begin := time.Now()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	buf := make([]byte, 100)
+	n, err := resp.Body.Read(buf)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: x\n\n", string(buf[:n]))
+	require.Less(t, time.Since(begin), 200*time.Millisecond)
+}
+
+func TestLongPromptIsReadApart(t *testing.T) {
+	b := newBench(t, map[string]script{
+		"r1": func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "handle-7") },
+		"d1": stream(0),
+	})
+	_, body, err := b.do("POST", "/tell/", "p", "Tokens", "9000")
+	require.NoError(t, err)
+	require.Equal(t, wholeStream, body)
+	got := b.seen()
+	require.Len(t, got, 2)
+	require.Equal(t, "r1", got[0].endpoint)
+	require.Equal(t, "1", got[0].header.Get("Prefill"))
+	require.Equal(t, "d1", got[1].endpoint)
+	require.Equal(t, "handle-7", got[1].header.Get("From"))
+	require.Empty(t, got[1].header.Get("Prefill"))
+}
+
+func TestHandleThatNobodyFetchedIsReleased(t *testing.T) {
+	b := newBench(t, map[string]script{
+		"r1": func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "handle-7") },
+		"d1": shed,
+	})
+	resp, _, err := b.do("POST", "/tell/", "p", "Tokens", "9000")
+	require.NoError(t, err)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Eventually(t, func() bool {
+		for _, s := range b.seen() {
+			if s.method == http.MethodDelete && s.target == "/release/handle-7" {
+				return true
+			}
+		}
+		return false
+	}, time.Second, 5*time.Millisecond)
+}
+
+func TestCallerWhoLeavesEndsTheRun(t *testing.T) {
+	ended := make(chan struct{})
+	b := newBench(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		chunk(c, "id: 1\ndata: x\n\n")
+		var one [1]byte
+		_, _ = c.Read(one[:]) // Returns when the front closes the connection.
+		close(ended)
+		return false
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", b.url+"/say/", strings.NewReader("p"))
+	require.NoError(t, err)
+	req.Host, req.Header = "h", http.Header{"Id": {"1"}, "Key": {"k"}, "Tokens": {"50"}}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	cancel()
+	resp.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the endpoint still works half a second after its caller left")
+	}
+}
