Tell other fronts only what changed

Now news goes one way and holds changes since the last exchange with that front; all of it goes with the regular exchange.

--- a/core/place/board.go
+++ b/core/place/board.go
@@ -50,6 +50,7 @@
 	engines   map[mn.PoolID]mn.EngineSpec
 	fronts    map[mn.VMID]told
 	reads     []toldRead
+	readCount int64
 	// news counts changes that other fronts should hear of at once; changed is
 	// closed at the next.
 	news    int64
@@ -58,8 +59,9 @@
 
 // told is what another front said of its work, and when.
 type told struct {
-	at   mn.Millis
-	uses map[mn.EndpointID]mn.EndpointUse
+	incarnation mn.Incarnation
+	at          mn.Millis
+	uses        map[mn.EndpointID]mn.EndpointUse
 }
 
 // state is what is known of one endpoint.
@@ -140,11 +142,16 @@
 	return s.Endpoint, true
 }
 
-// Hear takes in another front's work.
+// Hear takes in another front's work: all of it, or what changed.
 func (b *Board) Hear(f mn.Facts) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := told{at: b.clock.Now(), uses: make(map[mn.EndpointID]mn.EndpointUse, len(f.Uses))}
+	now := b.clock.Now()
+	t, ok := b.fronts[f.VM]
+	if !ok || f.Whole || t.incarnation != f.Incarnation {
+		t = told{incarnation: f.Incarnation, uses: make(map[mn.EndpointID]mn.EndpointUse, len(f.Uses))}
+	}
+	t.at = now
 	for _, u := range f.Uses {
 		t.uses[u.Endpoint] = u
 	}
@@ -152,19 +159,30 @@
 	b.heardReads(f.Reads)
 }
 
-// Uses returns this front's work for the other fronts.
-func (b *Board) Uses() []mn.EndpointUse {
+// Cursor is what another front was told. Its zero is nothing.
+type Cursor struct {
+	uses map[mn.EndpointID]mn.EndpointUse
+	read int64
+}
+
+// Told returns this front's work and what was read lately, as far as it has
+// changed since c, and moves c on. With whole it returns all.
+func (b *Board) Told(c *Cursor, whole bool) ([]mn.EndpointUse, []mn.PromptRead) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	var out []mn.EndpointUse
+	if whole || c.uses == nil {
+		c.uses = map[mn.EndpointID]mn.EndpointUse{}
+	}
+	var uses []mn.EndpointUse
 	for id, s := range b.endpoints {
 		u := mn.EndpointUse{Endpoint: id, Requests: s.requests, Prefill: mn.Millis(s.reading), Failing: now < s.pausedUntil}
-		if u.Requests > 0 || u.Failing {
-			out = append(out, u)
+		if u != c.uses[id] && (c.uses[id] != mn.EndpointUse{} || u.Requests > 0 || u.Failing) {
+			uses = append(uses, u)
+			c.uses[id] = u
 		}
 	}
-	return out
+	return uses, b.readsSince(c, now)
 }
 
 // News returns how many changes other fronts should have heard of at once.
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -62,9 +62,9 @@
 }
 
 const (
-	// readsTold is how long a front tells the others of a prompt that was read:
-	// several exchanges.
-	readsTold = 600 * mn.Millisecond
+	// readsTold is how long a front remembers a prompt that was read for fronts
+	// that it could not tell.
+	readsTold = 1000 * mn.Millisecond
 	// readsMost bounds what is told at once.
 	readsMost = 64
 )
@@ -72,7 +72,8 @@
 // toldRead is a read that the other fronts are to hear of.
 type toldRead struct {
 	mn.PromptRead
-	at mn.Millis
+	number int64
+	at     mn.Millis
 }
 
 // tell notes that s has the parts of a prompt. The last one is told too: no
@@ -82,23 +83,23 @@
 	if len(info.Parts) == 0 || info.Tokens <= shortPrompt {
 		return
 	}
-	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: info.Parts}, b.clock.Now()})
+	b.readCount++
+	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: info.Parts}, b.readCount, b.clock.Now()})
 }
 
-// Reads returns the prompts that were read lately, for the other fronts.
-func (b *Board) Reads() []mn.PromptRead {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.clock.Now()
+// readsSince returns the prompts that were read since c, and moves c on.
+func (b *Board) readsSince(c *Cursor, now mn.Millis) (out []mn.PromptRead) {
 	first := 0
 	for first < len(b.reads) && now-b.reads[first].at > readsTold {
 		first++
 	}
 	b.reads = append([]toldRead(nil), b.reads[max(first, len(b.reads)-readsMost):]...)
-	out := make([]mn.PromptRead, 0, len(b.reads))
 	for _, r := range b.reads {
-		out = append(out, r.PromptRead)
+		if r.number > c.read {
+			out = append(out, r.PromptRead)
+		}
 	}
+	c.read = b.readCount
 	return out
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -89,7 +89,9 @@
 	news := b.News()
 	pa, _ := a.Choose(job(clock, long(7, 1)), false)
 	require.Greater(t, a.News(), news, "others hear of a long prompt at once")
-	b.Hear(mn.Facts{VM: "a", Uses: a.Uses(), Reads: a.Reads()})
+	var cursor Cursor
+	uses, reads := a.Told(&cursor, false)
+	b.Hear(mn.Facts{VM: "a", Uses: uses, Reads: reads})
 	pb, _ := b.Choose(job(clock, long(8, 1)), false)
 	if pa.Reader.ID == pb.Reader.ID {
 		require.Positive(t, pb.Before, "the other front's reading is before it")
@@ -98,8 +100,20 @@
 	require.EqualValues(t, 3_700, pc.Missing, "the other front told what was read")
 	clock.Advance(factsLife + 1)
 	fresh, _ := b.Choose(job(clock, long(9, 1)), false)
-	require.Zero(t, b.fronts["a"].uses["none"].Requests)
-	require.NotNil(t, fresh)
+	require.Zero(t, fresh.Before, "what is old does not count")
+
+	uses, reads = a.Told(&cursor, false)
+	require.Empty(t, uses, "nothing has changed")
+	require.Empty(t, reads)
+	a.Done(pa)
+	uses, _ = a.Told(&cursor, false)
+	require.Len(t, uses, 2)
+	b.Hear(mn.Facts{VM: "a", Uses: uses})
+	for _, u := range b.fronts["a"].uses {
+		require.Zero(t, u.Requests)
+	}
+	uses, _ = a.Told(&cursor, true)
+	require.Empty(t, uses, "there is no work")
 }
 
 // A burst of long prompts: short ones must still be placed on time.
@@ -226,7 +240,8 @@
 	b.Done(p) // Belongs to the earlier run.
 	again, _ := b.Choose(job(clock, long(1, 2)), false)
 	require.EqualValues(t, 17_000, again.Missing)
-	require.Len(t, b.Uses(), 2)
+	uses, _ := b.Told(&Cursor{}, true)
+	require.Len(t, uses, 2)
 }
 
 // One of four plain endpoints fails two in five of its requests.
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -7,15 +7,16 @@
 	"storj.io/drpc"
 
 	mn "mustardnotch"
+	"mustardnotch/core/place"
 	"mustardnotch/gen/meshpb"
 	"mustardnotch/io/wire"
 )
 
 // Host is the front that speaks.
 type Host interface {
-	// Facts returns what the front tells now; with whole, also what changes
-	// slowly.
-	Facts(whole bool) mn.Facts
+	// Facts returns what the front tells now: all with whole, else what has
+	// changed since c. A nil cursor leaves work and reads out.
+	Facts(c *place.Cursor, whole bool) mn.Facts
 	// Hear takes in what another front told; sent is when this front asked for
 	// it, or 0 if the other front spoke unasked.
 	Hear(f mn.Facts, sent mn.Millis)
@@ -41,7 +42,10 @@
 // Exchange implements the Fronts service.
 func (s *Server) Exchange(_ context.Context, in *meshpb.FrontFacts) (*meshpb.FrontFacts, error) {
 	s.host.Hear(decode(in), 0)
-	return encode(s.host.Facts(in.Whole)), nil
+	if in.Whole {
+		return encode(s.host.Facts(&place.Cursor{}, true)), nil
+	}
+	return encode(s.host.Facts(nil, false)), nil
 }
 
 // Catalog implements the Fronts service.
@@ -75,10 +79,11 @@
 	return &Client{host: host, clock: clock, conns: wire.NewProbes(local)}
 }
 
-// Exchange tells the front at addr this front's facts and takes in its own.
-func (c *Client) Exchange(ctx context.Context, addr string, whole bool) error {
+// Exchange tells the front at addr this front's facts, as Facts returns them for
+// cursor and whole, and takes in its own.
+func (c *Client) Exchange(ctx context.Context, addr string, cursor *place.Cursor, whole bool) error {
 	sent := c.clock.Now()
-	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.Facts(whole)))
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.Facts(cursor, whole)))
 	if err != nil {
 		c.conns.Drop(addr)
 		return err
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
+	"mustardnotch/core/place"
 )
 
 const (
@@ -20,9 +21,9 @@
 	talkLeast = 120 * mn.Millisecond
 	// talkTimeout bounds one exchange: many round trips between data centres.
 	talkTimeout = 500 * mn.Millisecond
-	// newsApart is the least time between two exchanges with one front: a few
-	// round trips, in which several changes go together.
-	newsApart = 10 * mn.Millisecond
+	// newsApart is the least time between two exchanges with one front, for each
+	// front there is; changes in it go together.
+	newsApart = 1 * mn.Millisecond
 	// talkLost is the pause before a front that did not answer is asked again.
 	talkLost = 700 * mn.Millisecond
 	// frontsEvery is the time between reads of the fronts' feed: a front that
@@ -192,31 +193,33 @@
 	link := newLink(f, "front "+string(p.VM), "facts")
 	news := f.board.News()
 	wholeAt := mn.Millis(0)
+	var cursor place.Cursor
 	for ctx.Err() == nil {
 		period := max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
 		whole := f.clock.Now()-wholeAt >= period
 		call, cancel := context.WithTimeout(ctx, talkTimeout.Duration())
-		err := f.mates.Exchange(call, p.Addr, whole)
+		err := f.mates.Exchange(call, p.Addr, &cursor, whole)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
 		}
 		link.result(err)
 		if err != nil {
+			wholeAt = 0
 			_ = f.clock.Sleep(ctx, max(period, talkLost))
 			continue
 		}
 		if whole {
 			wholeAt = f.clock.Now()
 		}
-		_ = f.clock.Sleep(ctx, newsApart)
+		_ = f.clock.Sleep(ctx, newsApart*mn.Millis(len(f.peers.list())+1))
 		news = f.board.AwaitNews(ctx, news, period)
 	}
 	return nil
 }
 
 // Facts implements [mates.Host].
-func (f *Front) Facts(whole bool) mn.Facts {
+func (f *Front) Facts(c *place.Cursor, whole bool) mn.Facts {
 	f.view.mu.Lock()
 	now := f.clock.Now()
 	age, listAge := mn.Millis(-1), mn.Millis(-1)
@@ -230,8 +233,10 @@
 	f.view.mu.Unlock()
 	facts := mn.Facts{
 		VM: f.self.VM, Incarnation: f.self.Incarnation, CatalogOffset: offset, CatalogAge: age,
-		Uses: f.board.Uses(), Reads: f.board.Reads(), Whole: whole,
-		Addr: f.self.Addr, DataCentre: f.self.DataCentre, List: list, ListAge: listAge, DutyNext: f.holder.Next(),
+		Whole: whole, Addr: f.self.Addr, DataCentre: f.self.DataCentre, List: list, ListAge: listAge, DutyNext: f.holder.Next(),
+	}
+	if c != nil {
+		facts.Uses, facts.Reads = f.board.Told(c, whole)
 	}
 	if whole {
 		facts.Spent, facts.Runs = f.meter.Spent(), f.runs.Own()
@@ -242,7 +247,9 @@
 // Hear implements [mates.Host].
 func (f *Front) Hear(facts mn.Facts, sent mn.Millis) {
 	f.peers.hear(facts, f.clock.Now())
-	f.board.Hear(facts)
+	if facts.Whole || len(facts.Uses)+len(facts.Reads) > 0 {
+		f.board.Hear(facts)
+	}
 	if facts.Whole {
 		f.meter.Hear(facts)
 		f.runs.Hear(facts)
