Hold customers to the platform's window

Now a bucket fills at the window's pace, and the sum over the window is bounded, both with half of the tolerance, since what fronts know of one another is off either way.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -8,6 +8,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 
 	mn "mustardnotch"
@@ -27,9 +28,24 @@
 	newLevel = 0.5
 )
 
+// Tolerance says how the platform judges customers' spending: in any Window, a
+// customer may spend rate x window + burst, and beyond that a share of it and a
+// number of tokens.
+type Tolerance struct {
+	Window mn.Millis
+	Share  float64
+	Slack  float64
+}
+
+// aim is the part of the tolerance that customers are given. What fronts know
+// of one another's spending is off either way; in the middle, a customer is
+// neither refused within its rate nor beyond what the platform tolerates.
+const aim = 0.5
+
 // Meter counts spending. It is safe for concurrent use.
 type Meter struct {
-	clock mn.Clock
+	clock     mn.Clock
+	tolerance Tolerance
 
 	mu      sync.Mutex
 	buckets map[mn.CustomerID]*bucket
@@ -37,12 +53,23 @@
 	fronts  map[mn.VMID]*front
 }
 
+// bucket is what a customer may spend: by a level that fills at the pace which
+// the window allows in the long run, and by the sum over the window.
 type bucket struct {
 	rate, burst float64
 	level       float64
 	at          mn.Millis
+	// most is what may be spent in a window, slots what was spent in its parts.
+	most   float64
+	slots  [slots]float64
+	slot   int64
+	length mn.Millis
 }
 
+// slots is how many parts of a window are counted apart; one more is kept, so
+// that the sum covers the window whole.
+const slots = 17
+
 // front is what is known of another front's spending.
 type front struct {
 	incarnation mn.Incarnation
@@ -56,12 +83,13 @@
 }
 
 // New returns a meter that knows of no customer.
-func New(clock mn.Clock) *Meter {
+func New(tolerance Tolerance, clock mn.Clock) *Meter {
 	return &Meter{
-		clock:   clock,
-		buckets: map[mn.CustomerID]*bucket{},
-		own:     map[mn.CustomerID]float64{},
-		fronts:  map[mn.VMID]*front{},
+		clock:     clock,
+		tolerance: tolerance,
+		buckets:   map[mn.CustomerID]*bucket{},
+		own:       map[mn.CustomerID]float64{},
+		fronts:    map[mn.VMID]*front{},
 	}
 }
 
@@ -76,19 +104,38 @@
 		if s.Rate <= 0 {
 			continue
 		}
+		rate, burst, most := m.limits(s)
 		b := m.buckets[s.ID]
 		if b == nil {
-			b = &bucket{level: s.Burst * newLevel, burst: s.Burst, at: now}
+			b = &bucket{level: burst * newLevel, burst: burst, at: now, length: max(1, m.tolerance.Window/(slots-1))}
+			b.slot = int64(now / b.length)
 		}
 		b.fill(now)
-		b.level += max(0, s.Burst-b.burst)
-		b.rate, b.burst = s.Rate, s.Burst
+		b.level += max(0, burst-b.burst)
+		b.rate, b.burst, b.most = rate, burst, most
 		b.level = min(b.level, b.burst)
 		kept[s.ID] = b
 	}
 	m.buckets = kept
 }
 
+// limits returns the pace, the burst and the sum over a window that a customer is
+// held to.
+func (m *Meter) limits(s mn.Subscriber) (rate, burst, most float64) {
+	window := float64(m.tolerance.Window) / 1000
+	if window <= 0 {
+		return s.Rate, s.Burst, math.Inf(1)
+	}
+	over := 1 + aim*m.tolerance.Share
+	most = (s.Rate*window + s.Burst) * over
+	burst = s.Burst * over
+	if s.ByToken {
+		most += aim * m.tolerance.Slack
+		burst += aim * m.tolerance.Slack
+	}
+	return most / window, burst, most
+}
+
 // Take spends cost of a customer's rate. If the customer is over its rate it
 // spends nothing and returns how long until the cost will be there.
 func (m *Meter) Take(c mn.CustomerID, cost float64) (wait mn.Millis, ok bool) {
@@ -105,7 +152,10 @@
 	if b.level < need {
 		return mn.Millis((need-b.level)/b.rate*1000) + 1, false
 	}
-	b.level -= cost
+	if sum := b.sum(); sum > 0 && sum+cost > b.most {
+		return b.length, false
+	}
+	b.spend(cost)
 	m.own[c] += cost
 	return 0, true
 }
@@ -118,7 +168,7 @@
 	if b == nil {
 		return
 	}
-	b.level = min(b.burst, b.level+cost)
+	b.spend(-cost)
 	m.own[c] -= cost
 }
 
@@ -151,7 +201,7 @@
 		fresh := total - p.spent[c]
 		if b := m.buckets[c]; b != nil {
 			b.fill(now)
-			b.level = min(b.burst, b.level-(fresh-p.assumed[c]))
+			b.spend(fresh - p.assumed[c])
 		}
 		if gone > 0 {
 			w := min(1, float64(gone)/float64(paceSpan))
@@ -178,16 +228,35 @@
 		for c, pace := range p.pace {
 			if b := m.buckets[c]; b != nil && pace > 0 {
 				b.fill(now)
-				b.level -= pace * span
+				b.spend(pace * span)
 				p.assumed[c] += pace * span
 			}
 		}
 	}
 }
 
+// fill brings a bucket up to now.
 func (b *bucket) fill(now mn.Millis) {
-	if now > b.at {
-		b.level = min(b.burst, b.level+b.rate*float64(now-b.at)/1000)
-		b.at = now
+	if now <= b.at {
+		return
+	}
+	b.level = min(b.burst, b.level+b.rate*float64(now-b.at)/1000)
+	b.at = now
+	last := int64(now / b.length)
+	for b.slot = max(b.slot, last-slots); b.slot < last; b.slot++ {
+		b.slots[(b.slot+1)%slots] = 0
+	}
+}
+
+func (b *bucket) spend(cost float64) {
+	b.level = min(b.burst, b.level-cost)
+	b.slots[b.slot%slots] += cost
+}
+
+// sum returns what was spent in the last window.
+func (b *bucket) sum() (sum float64) {
+	for _, v := range b.slots {
+		sum += v
 	}
+	return sum
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -24,7 +24,7 @@
 func newFleet(count int, rate, burst float64) *fleet {
 	f := &fleet{clock: mn.NewManualClock(1_000_000)}
 	for i := range count {
-		m := New(f.clock)
+		m := New(Tolerance{}, f.clock)
 		m.Declare(subs(rate, burst))
 		f.meters = append(f.meters, m)
 		f.vms = append(f.vms, mn.VMID(fmt.Sprint("front-", i)))
@@ -88,7 +88,7 @@
 
 func TestLowerRateAndReturn(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
-	m := New(clock)
+	m := New(Tolerance{}, clock)
 	m.Declare(subs(1000, 1000))
 	_, ok := m.Take("c", 400)
 	require.True(t, ok)
@@ -107,7 +107,7 @@
 
 func TestRequestLargerThanTheBurstPassesWhenFull(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
-	m := New(clock)
+	m := New(Tolerance{}, clock)
 	m.Declare(subs(100, 100))
 	clock.Advance(mn.Minute)
 	_, ok := m.Take("c", 250)
@@ -156,3 +156,39 @@
 		}
 	})
 }
+
+// The platform judges windows of 8 s, and tolerates a tenth over and 1,000 more.
+func TestSpendingFollowsThePlatformsWindow(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	m := New(Tolerance{Window: 8 * mn.Second, Share: 0.1, Slack: 1000}, clock)
+	declared := subs(1000, 1000)
+	declared[0].ByToken = true
+	m.Declare(declared)
+	clock.Advance(mn.Minute)
+	type spend struct {
+		at   mn.Millis
+		cost float64
+	}
+	var spends []spend
+	total := 0.0
+	for range 4000 { // 40 s of a customer that takes what it gets.
+		for {
+			if _, ok := m.Take("c", 10); !ok {
+				break
+			}
+			total += 10
+			spends = append(spends, spend{clock.Now(), 10})
+		}
+		clock.Advance(10)
+	}
+	for i, end := range spends {
+		sum := 0.0
+		for _, s := range spends[:i+1] {
+			if s.at > end.at-8*mn.Second {
+				sum += s.cost
+			}
+		}
+		require.LessOrEqual(t, sum, (1000*8+1000)*1.05+500)
+	}
+	require.Greater(t, total, 0.9*5*((1000*8+1000)*1.05+500), "nothing is refused that the window has room for, but for a slot")
+}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -148,7 +148,7 @@
 		list = append(list, e)
 	}
 	board.Update(list)
-	meter := quota.New(clock)
+	meter := quota.New(quota.Tolerance{}, clock)
 	meter.Declare(b.view.table.Catalog.Subscribers)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/node/front.go
+++ b/node/front.go
@@ -93,7 +93,7 @@
 		log:     log.WithFields(logrus.Fields{"vm": s.VM, "role": "front"}),
 		stats:   stats.New(),
 		board:   place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive"}, clock),
-		meter:   quota.New(clock),
+		meter:   quota.New(quota.Tolerance{Window: s.QuotaWindow, Share: s.QuotaOver, Slack: s.QuotaSlack}, clock),
 		poisons: poison.New(poison.DefaultConfig(), clock),
 		runs:    duty.NewRuns(s.UsageWindow, clock),
 		holder:  duty.New(s.VM, self.Incarnation, s.HolderApart, clock),
--- a/setup/front.go
+++ b/setup/front.go
@@ -39,6 +39,12 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow mn.Millis
+	// QuotaOver and QuotaSlack are what the platform tolerates beyond a customer's
+	// rate and burst: a share, and a number of tokens.
+	QuotaOver  float64
+	QuotaSlack float64
+	// QuotaWindow is the span over which the platform judges spending.
+	QuotaWindow mn.Millis
 	// HolderApart is the time within which two holders must not alternate.
 	HolderApart mn.Millis
 	// UsageWindow is the span of a usage window; its report is due UsageLate
