Judge the list of endpoints by all fronts' evidence; give young fronts no burst

Late entries (a lower sequence of the same run) are left out too. Ruled out: silent connections to the store (no dependency lost at the readers).

--- a/catalog.go
+++ b/catalog.go
@@ -17,7 +17,10 @@
 	ID EndpointID
 	// Born is the endpoint's start in milliseconds since the Unix epoch. It
 	// tells two runs under one id apart.
-	Born       Millis
+	Born Millis
+	// Beat counts the entries that one run of the endpoint wrote. They may come
+	// out of order.
+	Beat       int64
 	Pool       PoolID
 	Addr       string
 	DataCentre DataCentre
@@ -26,6 +29,9 @@
 	State    EndpointState
 	// Role is empty for plain services.
 	Role EngineRole
+	// Lapsed says that the entry is missing since an outage of the list, and may
+	// come back.
+	Lapsed bool
 	// Changing says that the endpoint is carrying out an order.
 	Changing bool
 }
--- a/core/lists/lists.go
+++ b/core/lists/lists.go
@@ -2,6 +2,7 @@
 package lists
 
 import (
+	"fmt"
 	"sort"
 
 	mn "mustardnotch"
@@ -24,11 +25,19 @@
 type List struct {
 	decode Decoder
 	byID   map[mn.EndpointID]entry
+	// latest is the newest run and beat of each endpoint ever listed; what is
+	// older comes late.
+	latest map[mn.EndpointID]beat
 	// readAt is the last read that succeeded, backAt the end of the last time
 	// in which none did.
 	readAt, backAt mn.Millis
 }
 
+type beat struct {
+	born   mn.Millis
+	number int64
+}
+
 type entry struct {
 	mn.Endpoint
 	// lapsedAt is when the entry was removed around an outage, 0 while listed.
@@ -37,7 +46,7 @@
 
 // New returns an empty list.
 func New(decode Decoder) *List {
-	return &List{decode: decode, byID: map[mn.EndpointID]entry{}}
+	return &List{decode: decode, byID: map[mn.EndpointID]entry{}, latest: map[mn.EndpointID]beat{}}
 }
 
 // Read notes that the feed was read at now. Call it before the items of that
@@ -49,6 +58,23 @@
 	l.readAt = now
 }
 
+// Adopt takes in a list that was the newest at instant at by the word of another
+// front, unless this one was read later.
+func (l *List) Adopt(list []mn.Endpoint, at mn.Millis) {
+	if at <= l.readAt {
+		return
+	}
+	l.Read(at)
+	byID := make(map[mn.EndpointID]entry, len(list))
+	for _, e := range list {
+		byID[e.ID] = entry{Endpoint: e, lapsedAt: l.byID[e.ID].lapsedAt}
+		if e.Lapsed && byID[e.ID].lapsedAt == 0 {
+			byID[e.ID] = entry{Endpoint: e, lapsedAt: at}
+		}
+	}
+	l.byID = byID
+}
+
 // Replace takes in the newest items of all keys.
 func (l *List) Replace(items []mn.Item, now mn.Millis) (faults []error) {
 	listed := map[mn.EndpointID]bool{}
@@ -78,6 +104,10 @@
 		delete(l.byID, id)
 		return err
 	}
+	if last, ok := l.latest[id]; ok && (e.Born < last.born || e.Born == last.born && e.Beat < last.number) {
+		return fmt.Errorf("beat %d of the run of %d came after beat %d of the run of %d", e.Beat, e.Born, last.number, last.born)
+	}
+	l.latest[id] = beat{e.Born, e.Beat}
 	l.byID[id] = entry{Endpoint: e}
 	return nil
 }
@@ -90,7 +120,7 @@
 		return
 	}
 	if l.backAt > 0 && now-l.backAt < returnSpan && e.State == mn.EndpointReady {
-		e.lapsedAt = now
+		e.lapsedAt, e.Lapsed = now, true
 		l.byID[id] = e
 		return
 	}
--- a/core/lists/lists_test.go
+++ b/core/lists/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,13 @@
 
 func decode(i mn.Item) (mn.Endpoint, error) {
 	switch string(i.Value) {
+	case "ready 1", "leaving 2", "ready 0 reborn":
+		state, rest, _ := strings.Cut(string(i.Value), " ")
+		e := mn.Endpoint{ID: mn.EndpointID(i.Key), State: mn.EndpointState(state), Beat: int64(rest[0] - '0')}
+		if strings.HasSuffix(rest, "reborn") {
+			e.Born = 1
+		}
+		return e, nil
 	case "ready", "leaving":
 		return mn.Endpoint{ID: mn.EndpointID(i.Key), State: mn.EndpointState(i.Value)}, nil
 	}
@@ -69,3 +77,43 @@
 	require.Error(t, l.Apply(item("x", "junk"), 1100))
 	require.Equal(t, []mn.EndpointID{"b", "c"}, ids(l, 1100))
 }
+
+// An entry that was written before the one in which the endpoint leaves may come
+// after it.
+func TestLateEntryDoesNotBringALeavingEndpointBack(t *testing.T) {
+	l := New(decode)
+	l.Read(1000)
+	state := func() mn.EndpointState { return l.Endpoints(1000)[0].State }
+	require.NoError(t, l.Apply(item("a", "ready 1"), 1000))
+	require.NoError(t, l.Apply(item("a", "leaving 2"), 1000))
+	require.Error(t, l.Apply(item("a", "ready 1"), 1000))
+	require.Equal(t, mn.EndpointLeaving, state())
+	require.NoError(t, l.Apply(item("a", ""), 1000))
+	require.Error(t, l.Apply(item("a", "ready 1"), 1000))
+	require.Empty(t, ids(l, 1000), "nor one that is gone")
+	require.NoError(t, l.Apply(item("a", "ready 0 reborn"), 1000))
+	require.Equal(t, mn.EndpointReady, state(), "a new run starts to count anew")
+}
+
+// One front is cut off from the feed, and an endpoint leaves meanwhile; the other
+// fronts read on, so that the feed was not away.
+func TestFrontThatWasCutOffDoesNotBringBackWhatIsGone(t *testing.T) {
+	l := filled(t)
+	l.Adopt([]mn.Endpoint{{ID: "b", State: mn.EndpointReady}}, 2000)
+	l.Adopt([]mn.Endpoint{{ID: "b", State: mn.EndpointReady}}, 3000)
+	l.Adopt([]mn.Endpoint{{ID: "b", State: mn.EndpointReady}}, 4000)
+	l.Read(4500)
+	l.Replace([]mn.Item{item("b", "ready")}, 4500)
+	require.Equal(t, []mn.EndpointID{"b"}, ids(l, 4500))
+	l.Adopt([]mn.Endpoint{{ID: "a", State: mn.EndpointReady}}, 4400)
+	require.Equal(t, []mn.EndpointID{"b"}, ids(l, 4500), "older word does not count")
+}
+
+func TestEntriesThatLapsedForAnotherFrontMayComeBackHereToo(t *testing.T) {
+	l := filled(t)
+	l.Adopt([]mn.Endpoint{{ID: "a", State: mn.EndpointReady, Lapsed: true}}, 6000)
+	l.Read(6200)
+	l.Replace(nil, 6200)
+	require.Equal(t, []mn.EndpointID{"a"}, ids(l, 6200))
+	require.Empty(t, ids(l, 6000+returnSpan))
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -23,9 +23,6 @@
 	forgotten = 10 * mn.Second
 	// paceSpan is the time over which the pace of a front is averaged.
 	paceSpan = 2 * mn.Second
-	// newLevel is the part of its burst that a customer has when the process
-	// starts: fronts that restart together must not give out a whole burst anew.
-	newLevel = 0.5
 )
 
 // Tolerance says how the platform judges customers' spending: in any Window, a
@@ -46,6 +43,10 @@
 type Meter struct {
 	clock     mn.Clock
 	tolerance Tolerance
+	// youngUntil ends the time in which the process can't know what customers
+	// spent before it started. They get their rate and no burst in it: fronts that
+	// restart together must not give out a window's worth anew.
+	youngUntil mn.Millis
 
 	mu      sync.Mutex
 	buckets map[mn.CustomerID]*bucket
@@ -59,6 +60,9 @@
 	rate, burst float64
 	level       float64
 	at          mn.Millis
+	// young is the rate until youngUntil.
+	young      float64
+	youngUntil mn.Millis
 	// most is what may be spent in a window, slots what was spent in its parts.
 	most   float64
 	slots  [slots]float64
@@ -85,11 +89,12 @@
 // New returns a meter that knows of no customer.
 func New(tolerance Tolerance, clock mn.Clock) *Meter {
 	return &Meter{
-		clock:     clock,
-		tolerance: tolerance,
-		buckets:   map[mn.CustomerID]*bucket{},
-		own:       map[mn.CustomerID]float64{},
-		fronts:    map[mn.VMID]*front{},
+		clock:      clock,
+		tolerance:  tolerance,
+		youngUntil: clock.Now() + tolerance.Window,
+		buckets:    map[mn.CustomerID]*bucket{},
+		own:        map[mn.CustomerID]float64{},
+		fronts:     map[mn.VMID]*front{},
 	}
 }
 
@@ -107,12 +112,15 @@
 		rate, burst, most := m.limits(s)
 		b := m.buckets[s.ID]
 		if b == nil {
-			b = &bucket{level: burst * newLevel, burst: burst, at: now, length: max(1, m.tolerance.Window/(slots-1))}
+			b = &bucket{level: burst, burst: burst, at: now, length: max(1, m.tolerance.Window/(slots-1)), youngUntil: m.youngUntil}
 			b.slot = int64(now / b.length)
+			if now < m.youngUntil {
+				b.level = 0
+			}
 		}
 		b.fill(now)
 		b.level += max(0, burst-b.burst)
-		b.rate, b.burst, b.most = rate, burst, most
+		b.young, b.rate, b.burst, b.most = s.Rate, rate, burst, most
 		b.level = min(b.level, b.burst)
 		kept[s.ID] = b
 	}
@@ -240,7 +248,8 @@
 	if now <= b.at {
 		return
 	}
-	b.level = min(b.burst, b.level+b.rate*float64(now-b.at)/1000)
+	young := max(0, min(now, b.youngUntil)-b.at)
+	b.level = min(b.burst, b.level+(b.young*float64(young)+b.rate*float64(now-b.at-young))/1000)
 	b.at = now
 	last := int64(now / b.length)
 	for b.slot = max(b.slot, last-slots); b.slot < last; b.slot++ {
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -61,7 +61,7 @@
 	for _, e := range list {
 		reply.Endpoints = append(reply.Endpoints, &meshpb.EndpointEntry{
 			Id: string(e.ID), BornMs: int64(e.Born), Pool: string(e.Pool), Addr: e.Addr, DataCentre: string(e.DataCentre),
-			Capacity: e.Capacity, State: string(e.State), Role: string(e.Role), Changing: e.Changing,
+			Capacity: e.Capacity, State: string(e.State), Role: string(e.Role), Changing: e.Changing, Lapsed: e.Lapsed,
 		})
 	}
 	return reply, nil
@@ -114,7 +114,7 @@
 		list = append(list, mn.Endpoint{
 			ID: mn.EndpointID(e.Id), Born: mn.Millis(e.BornMs), Pool: mn.PoolID(e.Pool), Addr: e.Addr,
 			DataCentre: mn.DataCentre(e.DataCentre), Capacity: e.Capacity, State: mn.EndpointState(e.State),
-			Role: mn.EngineRole(e.Role), Changing: e.Changing,
+			Role: mn.EngineRole(e.Role), Changing: e.Changing, Lapsed: e.Lapsed,
 		})
 	}
 	return list, sent - mn.Millis(r.AgeMs), true, nil
--- a/node/front.go
+++ b/node/front.go
@@ -188,7 +188,8 @@
 
 func (f *Front) ready() bool {
 	table, _ := f.view.Table()
-	return table != nil && !f.leaving.Load() && f.view.KeysHold() && f.view.listed()
+	_, listedAt := f.view.listed()
+	return table != nil && listedAt > 0 && !f.leaving.Load() && f.view.KeysHold()
 }
 
 func (f *Front) serving() http.Handler {
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -305,7 +305,7 @@
 	f.fetch(facts, func(ctx context.Context) error {
 		list, at, ok, err := f.mates.Endpoints(ctx, facts.Addr)
 		if ok {
-			f.view.setList(list, at-vouchSlack)
+			f.view.learnList(list, at-vouchSlack)
 		}
 		return err
 	})
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -19,11 +20,13 @@
 	// endpointsEvery is the time between reads of the endpoints' feed, which
 	// changes all the time: a part of the time in which a leaving endpoint must
 	// get no more work.
-	endpointsEvery = 600 * mn.Millisecond
-	// catalogOld and listOld are the ages of evidence from which a front reads by
+	endpointsEvery = 450 * mn.Millisecond
+	// catalogOld is the age of evidence from which a front reads the catalog by
 	// itself: the readers' evidence is this old where several exchanges fail.
 	catalogOld = 1300 * mn.Millisecond
-	listOld    = 1200 * mn.Millisecond
+	// listOldShare is the same for the list, as a share of the time in which a
+	// leaving endpoint must get no more work: there is time for two reads.
+	listOldShare = 0.45
 	// relayLook is the time between looks at the age of evidence.
 	relayLook = 80 * mn.Millisecond
 	// aliveSpan is how long after its last word a front counts as alive.
@@ -78,11 +81,22 @@
 	return relay.Rank(f.self.VM, f.peers.alive(f.clock.Now(), aliveSpan))
 }
 
-// listed says whether the endpoints were ever listed.
-func (v *frontView) listed() bool {
+// listed returns the list of endpoints, and when it was surely the newest; 0 if
+// there was never one.
+func (v *frontView) listed() ([]mn.Endpoint, mn.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.listedAt > 0
+	return v.list, v.listedAt
+}
+
+// learnList takes in another front's list. What lapsed for the other front only
+// may have been gone for long.
+func (v *frontView) learnList(list []mn.Endpoint, at mn.Millis) {
+	own, _ := v.listed()
+	list = slices.DeleteFunc(list, func(e mn.Endpoint) bool {
+		return e.Lapsed && !slices.ContainsFunc(own, func(o mn.Endpoint) bool { return o.ID == e.ID })
+	})
+	v.setList(list, at)
 }
 
 // apply takes in a catalog item unless a newer one is in force.
@@ -186,7 +200,9 @@
 	link := newLink(v.Front, "store", "endpoints")
 	next := mn.Offset(-1)
 	for ctx.Err() == nil {
-		if !relay.MustRead(v.rank(), v.listAge(), listOld) {
+		known, at := v.listed()
+		list.Adopt(known, at)
+		if !relay.MustRead(v.rank(), v.clock.Now()-at, v.listOld()) {
 			// What other fronts read since is not in this front's own list.
 			next = -1
 			_ = v.clock.Sleep(ctx, relayLook)
@@ -207,11 +223,9 @@
 	return nil
 }
 
-// listAge returns the age of the evidence for the list of endpoints.
-func (v *frontView) listAge() mn.Millis {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.clock.Now() - v.listedAt
+// listOld is the age of the list from which a front reads it by itself.
+func (v *frontView) listOld() mn.Millis {
+	return mn.Millis(listOldShare * float64(v.settings.LeavingWithin))
 }
 
 // setList takes in a list of endpoints that was the newest at instant at, unless
