Keep poison from endpoints, reload settings, test whole fronts

A request that crashes endpoints is counted by content at all fronts and refused after the third (test: three crashes, then 503, other content served). They found two faults for short usage windows: counts were forgotten after six windows, before a report is late, and the first window was never due. Both mended. check takes front:FILE.

--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -10,6 +10,7 @@
 	mn "mustardnotch"
 	"mustardnotch/io/logs"
 	"mustardnotch/node"
+	"mustardnotch/platform"
 	"mustardnotch/setup"
 )
 
@@ -62,7 +63,7 @@
 		Name:        "check",
 		Usage:       "check settings files, each alone and all together",
 		ArgsUsage:   "ROLE:FILE...",
-		Description: example("mustardnotch check entry:entry-1.ini entry:entry-2.ini agent:taalpers-1.ini"),
+		Description: example("mustardnotch check entry:entry-1.ini entry:entry-2.ini agent:taalpers-1.ini front:settings.conf"),
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.NArg() == 0 {
 				return fmt.Errorf("want at least one ROLE:FILE")
@@ -72,13 +73,25 @@
 	}
 }
 
+// roleFront is the role of a front in arguments of the check command.
+const roleFront = "front"
+
 func check(c *cli.Command) error {
 	var all []*setup.Settings
 	var faults []string
+	fronts := 0
 	for _, a := range c.Args().Slice() {
 		role, file, ok := strings.Cut(a, ":")
+		if ok && role == roleFront {
+			if _, err := platform.LoadSettings(file); err != nil {
+				faults = append(faults, mn.AsError(err).Detail)
+				continue
+			}
+			fronts++
+			continue
+		}
 		if !ok || role != string(mn.RoleEntry) && role != string(mn.RoleAgent) {
-			return fmt.Errorf("argument %q: want entry:FILE or agent:FILE", a)
+			return fmt.Errorf("argument %q: want entry:FILE, agent:FILE or front:FILE", a)
 		}
 		s, err := setup.Load(file, mn.Role(role))
 		if err != nil {
@@ -93,6 +106,6 @@
 	if len(faults) > 0 {
 		return mn.Errorf(mn.BadSetting, "%s", strings.Join(faults, "; "))
 	}
-	fmt.Fprintf(c.Root().Writer, "%d settings files are correct\n", len(all))
+	fmt.Fprintf(c.Root().Writer, "%d settings files are correct\n", len(all)+fronts)
 	return nil
 }
--- a/cmds/front.go
+++ b/cmds/front.go
@@ -11,6 +11,7 @@
 	"mustardnotch/io/logs"
 	"mustardnotch/node"
 	"mustardnotch/platform"
+	"mustardnotch/setup"
 )
 
 func frontCommand() *cli.Command {
@@ -23,12 +24,16 @@
 			&cli.StringFlag{Name: "router", Usage: "cost, or naive as a baseline", Value: "cost"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := platform.LoadSettings(c.String("settings"))
-			if err != nil {
-				return err
+			read := func() (*setup.Front, error) {
+				s, err := platform.LoadSettings(c.String("settings"))
+				if err != nil {
+					return nil, err
+				}
+				s.Router = c.String("router")
+				return s, s.Check()
 			}
-			s.Router = c.String("router")
-			if err := s.Check(); err != nil {
+			s, err := read()
+			if err != nil {
 				return err
 			}
 			out := logs.NewWriter(c.Root().Writer)
@@ -41,7 +46,7 @@
 				Duties:  platform.NewDuties(s.Duties),
 				Dialect: platform.Dialect{},
 			}
-			return node.NewFront(s, p, logs.New(out), reload).Run(ctx)
+			return node.NewFront(s, p, logs.New(out), reload, read).Run(ctx)
 		},
 	}
 }
--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -179,7 +179,7 @@
 
 func TestRunsOfDeadFrontsCount(t *testing.T) {
 	clock := mn.NewManualClock(100_000)
-	r := NewRuns(5*mn.Second, clock)
+	r := NewRuns(5*mn.Second, 10*mn.Second, clock)
 	r.Began("c")
 	r.Began("")
 	window := int64(clock.Wall() / (5 * mn.Second))
@@ -195,7 +195,7 @@
 	_, silent = r.Total(window, []mn.VMID{"x"})
 	require.Zero(t, silent)
 
-	other := NewRuns(5*mn.Second, clock)
+	other := NewRuns(5*mn.Second, 10*mn.Second, clock)
 	for _, f := range r.All("me", "1") {
 		other.Restore(f)
 	}
@@ -213,7 +213,7 @@
 
 func TestStepOfTheTimeOfDayIsNotFollowedAtOnce(t *testing.T) {
 	c := &stepClock{ManualClock: mn.NewManualClock(100_000)}
-	r := NewRuns(5*mn.Second, c)
+	r := NewRuns(5*mn.Second, 10*mn.Second, c)
 	c.step = 2400
 	c.Advance(1000)
 	require.EqualValues(t, 101_000, r.Wall())
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// keptWindows is how many windows are told and remembered: those that end
-	// within the time in which a report is due, and one more.
-	keptWindows = 6
+	// moreWindows is how many windows are told and remembered beyond those whose
+	// reports are not yet late: for a holder that takes over late.
+	moreWindows = 4
 	// stepAfter is how far the time of day must be from where the steady clock
 	// puts it to count as a step, and stepStays how long a step must last to be
 	// believed: steps are mostly taken back.
@@ -24,6 +24,8 @@
 type Runs struct {
 	clock  mn.Clock
 	window mn.Millis
+	// kept is how many windows are told and remembered.
+	kept int64
 
 	mu sync.Mutex
 	// offset is the time of day less the steady clock; steppedAt is when the
@@ -40,11 +42,13 @@
 	customer mn.CustomerID
 }
 
-// NewRuns returns an empty count with windows of the given span.
-func NewRuns(window mn.Millis, clock mn.Clock) *Runs {
+// NewRuns returns an empty count with windows of the given span, whose reports
+// are due late after their end.
+func NewRuns(window, late mn.Millis, clock mn.Clock) *Runs {
 	return &Runs{
 		clock:   clock,
 		window:  window,
+		kept:    int64(late/window) + moreWindows,
 		offset:  clock.Wall() - clock.Now(),
 		own:     map[key]int64{},
 		others:  map[mn.VMID]map[mn.Incarnation]map[key]int64{},
@@ -84,7 +88,7 @@
 	w := int64(r.wall() / r.window)
 	r.own[key{w, c}]++
 	for k := range r.own {
-		if k.window < w-keptWindows {
+		if k.window < w-r.kept {
 			delete(r.own, k)
 		}
 	}
@@ -123,7 +127,7 @@
 		counts = map[key]int64{}
 		byIncarnation[f.Incarnation] = counts
 	}
-	oldest := int64(r.wall()/r.window) - keptWindows
+	oldest := int64(r.wall()/r.window) - r.kept
 	for _, n := range f.Runs {
 		k := key{n.Window, n.Customer}
 		counts[k] = max(counts[k], n.Count)
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -150,6 +150,17 @@
 	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer)}, nil
 }
 
+// Refuses says whether the endpoint at addr refuses connections, as one does
+// whose process has ended.
+func (c *Client) Refuses(ctx context.Context, addr string) bool {
+	k, err := c.dial(ctx, addr)
+	if err == nil {
+		c.put(addr, k, 0)
+		return false
+	}
+	return errors.Is(err, unix.ECONNREFUSED)
+}
+
 // put keeps k for later requests; keep is what the endpoint says of idle
 // connections, 0 if nothing.
 func (c *Client) put(addr string, k *conn, keep mn.Millis) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -155,7 +155,7 @@
 	b.server = New(Config{
 		Clock: clock, Dialect: testDialect{}, View: b.view, Lines: place.NewLines(board, clock), Board: board, Meter: meter,
 		Budget:  retry.NewPools(retry.PoolsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second}, clock),
-		Poisons: poison.New(poison.DefaultConfig(), clock), Runs: duty.NewRuns(5*mn.Second, clock), Back: back.New(clock, ""),
+		Poisons: poison.New(poison.Config{Crashes: 3, Hold: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRuns(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, ""),
 		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
 		Crashed: func(mn.Poison) {},
 	})
@@ -513,3 +513,40 @@
 		t.Fatal("the endpoint still works half a second after its caller left")
 	}
 }
+
+// A request crashes each endpoint that begins to run it; its caller sends it again
+// and again. After the third crash no endpoint gets it any more, and others of
+// other content are served.
+func TestPoisonIsKeptFromEndpoints(t *testing.T) {
+	scripts := map[string]script{}
+	b := newBench(t, scripts)
+	for i := range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			l.Close()
+			c.Close()
+		}()
+		name := fmt.Sprint("p", i)
+		b.server.Board.Update([]mn.Endpoint{{ID: mn.EndpointID(name), Pool: "plain", Addr: l.Addr().String(), Capacity: 6, State: mn.EndpointReady}})
+		resp, _, err := b.do("POST", "/book/poison", "same")
+		require.NoError(t, err)
+		if i < 3 {
+			require.Equal(t, 502, resp.StatusCode, "try %d", i)
+		} else {
+			require.Equal(t, 503, resp.StatusCode, "try %d", i)
+		}
+		time.Sleep(60 * time.Millisecond) // The endpoint is asked whether it listens.
+	}
+	addr := b.listen("p9", fine)
+	b.server.Board.Update([]mn.Endpoint{{ID: "p9", Pool: "plain", Addr: addr, Capacity: 6, State: mn.EndpointReady}})
+	resp, _, err := b.do("POST", "/book/poison", "other")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+
+	"github.com/sirupsen/logrus"
 
 	mn "mustardnotch"
 	"mustardnotch/core/place"
@@ -178,6 +181,7 @@
 		return result{endpoint: to.ID, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s: %w", to.ID, err)}
 	}
 	q.ran = true
+	q.suspect(to, err)
 	return result{endpoint: to.ID, err: mn.Errorf(mn.OutcomeNotKnown, "endpoint %s: %w", to.ID, err)}
 }
 
@@ -246,6 +250,7 @@
 	q.Board.Answered(id, q.Clock.Now()-sent)
 	good := a.Status < 300 && a.Sealed && a.Header.Get("Content-Encoding") == ""
 	q.Board.Reached(id, !good)
+	q.exonerate()
 	if good || a.Status < 500 && a.Status >= 300 && a.Sealed {
 		q.firstAt = q.Clock.Now()
 		q.head(a.Status, a.Header)
@@ -286,15 +291,46 @@
 		}
 		if err == io.EOF {
 			q.Board.Reached(id, false)
+			q.exonerate()
 			return result{}
 		}
 		if err != nil {
 			q.Board.Reached(id, true)
+			q.suspect(plan.Target, err)
 			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
 		}
 	}
 }
 
+const (
+	// crashLook is how long after a broken run its endpoint is asked whether it
+	// still listens: a process that crashes closes all at once.
+	crashLook = 20 * mn.Millisecond
+	// crashTimeout bounds the question.
+	crashTimeout = 500 * mn.Millisecond
+)
+
+// suspect finds out whether the endpoint that broke off the request crashed, and
+// if so counts it against the request's content.
+func (q *request) suspect(to mn.Endpoint, err error) {
+	if q.r.Context().Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	fingerprint := q.fingerprint()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashTimeout.Duration())
+		defer cancel()
+		if q.Clock.Sleep(ctx, crashLook) != nil || !q.Back.Refuses(ctx, to.Addr) {
+			return
+		}
+		p := mn.Poison{Fingerprint: fingerprint, VM: mn.VMID(to.ID), Wall: q.Clock.Wall()}
+		q.Poisons.Add(p)
+		q.Crashed(p)
+		q.Log.WithFields(logrus.Fields{"event": "endpoint_crashed", "request": q.env.ID, "endpoint": to.ID,
+			"fingerprint": fingerprint, "crashes": q.Poisons.Crashes(fingerprint)}).Warn()
+	}()
+}
+
 // eventEnd ends an event.
 var eventEnd = []byte("\n\n")
 
@@ -328,3 +364,11 @@
 	}
 	return nil
 }
+
+// exonerate forgets crashes that the request's content was part of: it ran to its
+// end.
+func (q *request) exonerate() {
+	if q.Poisons.Any() {
+		q.Poisons.Clear(q.fingerprint())
+	}
+}
--- a/node/front.go
+++ b/node/front.go
@@ -43,6 +43,15 @@
 	// callerIdle is how long idle callers' connections are kept: longer than any
 	// configuration's limit, which callers keep by themselves.
 	callerIdle = 60 * mn.Second
+	// poisonCrashes is how many endpoints a request may crash, poisonHold how long
+	// a crash counts: endpoints also crash by themselves, with tens of requests on
+	// each, so that two crashes show little.
+	poisonCrashes = 3
+	poisonHold    = 60 * mn.Second
+	// poisonSuspects bounds the contents remembered, of some 200 bytes each.
+	poisonSuspects = 10_000
+	// settingsEvery is the time between looks at the settings.
+	settingsEvery = 5 * mn.Second
 	// retryPart is the part of the shared retry budget that is given out; the
 	// rest covers prompts that are read twice and fronts that start anew.
 	retryPart = 0.5
@@ -57,7 +66,8 @@
 
 // Front is the process that serves callers' HTTP requests.
 type Front struct {
-	settings *setup.Front
+	settings atomic.Pointer[setup.Front]
+	read     func() (*setup.Front, error)
 	platform Platform
 	clock    mn.Clock
 	log      *logrus.Entry
@@ -76,30 +86,33 @@
 	leaving  atomic.Bool
 	// fetching says that something is being fetched from another front.
 	fetching atomic.Bool
+	crashes  *crashList
 	// reload asks for the settings file to be read again.
 	reload <-chan struct{}
 }
 
 // NewFront returns a front with settings s on a platform. A message on reload
-// says that the settings file may have changed.
-func NewFront(s *setup.Front, p Platform, log *logrus.Logger, reload <-chan struct{}) *Front {
+// says that the settings may have changed; read returns them as they are.
+func NewFront(s *setup.Front, p Platform, log *logrus.Logger, reload <-chan struct{}, read func() (*setup.Front, error)) *Front {
 	clock := mn.NewSystemClock()
 	self := mn.Front{
 		VM: s.VM, Incarnation: mn.NewIncarnation(), DataCentre: s.DataCentre,
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 	}
 	f := &Front{
-		settings: s, platform: p, clock: clock, self: self, reload: reload,
+		platform: p, clock: clock, self: self, reload: reload, read: read,
 		log:     log.WithFields(logrus.Fields{"vm": s.VM, "role": "front"}),
 		stats:   stats.New(),
 		board:   place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive"}, clock),
 		meter:   quota.New(quota.Tolerance{Window: s.QuotaWindow, Share: s.QuotaOver, Slack: s.QuotaSlack}, clock),
-		poisons: poison.New(poison.DefaultConfig(), clock),
-		runs:    duty.NewRuns(s.UsageWindow, clock),
+		poisons: poison.New(poison.Config{Crashes: poisonCrashes, Hold: poisonHold, MaxSuspects: poisonSuspects}, clock),
+		runs:    duty.NewRuns(s.UsageWindow, s.UsageLate, clock),
 		holder:  duty.New(s.VM, self.Incarnation, s.HolderApart, clock),
 		back:    back.New(clock, s.IP),
 		peers:   newPeerSet(self),
+		crashes: &crashList{clock: clock},
 	}
+	f.settings.Store(s)
 	f.lines = place.NewLines(f.board, clock)
 	f.view = newFrontView(f)
 	f.mates = mates.NewClient(f, clock, self.Addr)
@@ -108,7 +121,7 @@
 
 // Run serves until ctx is done, then leaves gracefully.
 func (f *Front) Run(ctx context.Context) error {
-	s := f.settings
+	s := f.conf()
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	}
@@ -159,8 +172,8 @@
 	f.leaving.Store(true)
 	f.holder.Lost()
 	f.log.WithField("event", "leaving").Info()
-	_ = f.clock.Sleep(ctx, min(lameSpan, f.settings.Grace/2))
-	left := f.settings.Grace - exitMargin - (f.clock.Now() - begun)
+	_ = f.clock.Sleep(ctx, min(lameSpan, f.conf().Grace/2))
+	left := f.conf().Grace - exitMargin - (f.clock.Now() - begun)
 	drain, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	if err := callers.Shutdown(drain); err != nil {
@@ -194,14 +207,15 @@
 
 func (f *Front) serving() http.Handler {
 	c := retry.PoolsConfig{
-		Ratio:  f.settings.RetryRatio * retryPart,
-		Slack:  max(1, f.settings.RetrySlack*retryPart/expectedFronts),
-		Window: f.settings.RetryWindow,
+		Ratio:  f.conf().RetryRatio * retryPart,
+		Slack:  max(1, f.conf().RetrySlack*retryPart/expectedFronts),
+		Window: f.conf().RetryWindow,
 	}
 	return front.New(front.Config{
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
 		Meter: f.meter, Budget: retry.NewPools(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
-		Stats: f.stats, Log: f.log, ApplyWithin: f.settings.ApplyWithin, Leaving: f.leaving.Load,
+		Stats: f.stats, Log: f.log, ApplyWithin: f.conf().ApplyWithin, Leaving: f.leaving.Load,
+		Crashed: f.crashes.add,
 	})
 }
 
@@ -216,16 +230,44 @@
 	return fmt.Errorf("serving callers: %w", err)
 }
 
-// watchSettings reports changes of the settings file: on a signal, and by
-// looking now and then.
+// conf returns the settings in force.
+func (f *Front) conf() *setup.Front { return f.settings.Load() }
+
+// watchSettings reads the settings again on a signal, and now and then, since
+// they may change without one.
 func (f *Front) watchSettings(ctx context.Context) error {
 	for {
+		signalled := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.reload:
-			f.log.WithFields(logrus.Fields{"event": "reload", "file": f.settings.File}).Info("the settings in force are those read at start")
-		case <-time.After(time.Hour):
+			signalled = true
+		case <-time.After(settingsEvery.Duration()):
 		}
+		f.reloadSettings(signalled)
+	}
+}
+
+// reloadSettings puts changed settings in force. The process's identity and its
+// addresses stay as they were until it starts again, and so does everything if
+// the settings are wrong.
+func (f *Front) reloadSettings(signalled bool) {
+	old := f.conf()
+	next, err := f.read()
+	log := f.log.WithFields(logrus.Fields{"event": "reload", "file": old.File, "signalled": signalled})
+	if err != nil {
+		log.Error(err)
+		return
+	}
+	restart := next.WithBounds(*old) != *old
+	merged := old.WithBounds(*next)
+	if merged == *old && !restart {
+		if signalled {
+			log.Info("nothing has changed")
+		}
+		return
 	}
+	f.settings.Store(&merged)
+	log.WithFields(logrus.Fields{"changed": merged != *old, "needs_restart": restart}).Info()
 }
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -36,7 +36,7 @@
 // performDuties follows the duty feed, and performs the duties while this front
 // holds them.
 func (f *Front) performDuties(ctx context.Context) error {
-	if f.settings.Duties == "" {
+	if f.conf().Duties == "" {
 		return nil
 	}
 	link := newLink(f, "store", "duties")
@@ -104,7 +104,7 @@
 // reportUsage reports windows that are due, and returns the last one that the
 // platform has taken.
 func (f *Front) reportUsage(ctx context.Context, delivered int64) int64 {
-	span := f.settings.UsageWindow
+	span := f.conf().UsageWindow
 	now := f.runs.Wall()
 	last := int64(now/span) - 1
 	if r := f.holder.Decided(); r != nil && r.Window > delivered {
@@ -113,9 +113,9 @@
 		}
 		delivered = r.Window
 	}
-	first := last
+	first := last - int64(settleSoon/span)
 	if r := f.holder.Decided(); r != nil {
-		first = max(r.Window+1, last-int64(f.settings.UsageLate/span))
+		first = max(r.Window+1, last-int64(f.conf().UsageLate/span))
 	}
 	for w := first; w <= last; w++ {
 		end := mn.Millis(w+1) * span
@@ -126,7 +126,7 @@
 			f.log.WithField("event", "runs_unread").Warn(err)
 		}
 		counts, silent := f.runs.Total(w, f.peers.alive(f.clock.Now(), expectedLife))
-		if silent > 0 && now < end+mn.Millis(settleLateShare*float64(f.settings.UsageLate)) {
+		if silent > 0 && now < end+mn.Millis(settleLateShare*float64(f.conf().UsageLate)) {
 			return delivered
 		}
 		if !f.decide(ctx, duty.Report{Window: w, Counts: counts}, silent) {
@@ -173,7 +173,7 @@
 // writeRuns writes the counts that this front knows down until ctx is done, if
 // it is one of the first by rank, so that they outlive all fronts.
 func (f *Front) writeRuns(ctx context.Context) error {
-	if f.settings.Duties == "" {
+	if f.conf().Duties == "" {
 		return nil
 	}
 	link := newLink(f, "store", "runs")
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -239,7 +239,7 @@
 		facts.Uses, facts.Reads = f.board.Told(c, whole)
 	}
 	if whole {
-		facts.Spent, facts.Runs = f.meter.Spent(), f.runs.Own()
+		facts.Spent, facts.Runs, facts.Crashes = f.meter.Spent(), f.runs.Own(), f.crashes.list()
 	}
 	return facts
 }
@@ -342,3 +342,38 @@
 	defer f.view.mu.Unlock()
 	return f.view.item
 }
+
+const (
+	// crashesTold is how long other fronts are told of a crash: several exchanges.
+	crashesTold = 3 * mn.Second
+	// crashesMost bounds what is told at once.
+	crashesMost = 64
+)
+
+// crashList keeps the crashes that this front saw lately.
+type crashList struct {
+	clock mn.Clock
+
+	mu      sync.Mutex
+	crashes []mn.Poison
+	at      []mn.Millis
+}
+
+func (l *crashList) add(p mn.Poison) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes, l.at = append(l.crashes, p), append(l.at, l.clock.Now())
+	if n := len(l.crashes) - crashesMost; n > 0 {
+		l.crashes, l.at = l.crashes[n:], l.at[n:]
+	}
+}
+
+func (l *crashList) list() []mn.Poison {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for len(l.at) > 0 && now-l.at[0] > crashesTold {
+		l.crashes, l.at = l.crashes[1:], l.at[1:]
+	}
+	return append([]mn.Poison(nil), l.crashes...)
+}
--- /dev/null
+++ b/node/front_test.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+	"mustardnotch/fakes"
+	"mustardnotch/setup"
+)
+
+// plainDialect carries the fields that these tests need.
+type plainDialect struct{}
+
+func (plainDialect) Envelope(h http.Header) (mn.Envelope, error) {
+	return mn.Envelope{ID: mn.RequestID(h.Get("Id")), Key: h.Get("Key")}, nil
+}
+
+func (plainDialect) Outgoing(h http.Header, d mn.Dispatch) http.Header {
+	return http.Header{"Id": h["Id"], "Customer": {string(d.Customer)}}
+}
+
+func (plainDialect) Reply(_ int, h http.Header) mn.ReplyInfo {
+	return mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Sealed: true}
+}
+
+func (plainDialect) Handle([]byte) (string, error) { return "", errors.New("no handle") }
+func (plainDialect) ReleasePath(string) string     { return "/" }
+func (plainDialect) EventID([]byte) string         { return "" }
+
+// reports takes usage reports.
+type reports struct {
+	mu   sync.Mutex
+	seen map[int64][]string
+}
+
+func (r *reports) ReportRuns(_ context.Context, s mn.DutyStamp, window int64, counts map[mn.CustomerID]int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen[window] = append(r.seen[window], fmt.Sprint(counts))
+	return nil
+}
+
+// city is some fronts before one store and one plain endpoint.
+type city struct {
+	t       *testing.T
+	store   *fakes.Store
+	reports *reports
+	fronts  map[string]*running
+	catalog mn.Catalog
+}
+
+// running is a front that runs.
+type running struct {
+	*Front
+	stop context.CancelFunc
+	done chan error
+}
+
+func newCity(t *testing.T, names ...string) *city {
+	t.Helper()
+	c := &city{t: t, store: fakes.NewStore(), reports: &reports{seen: map[int64][]string{}}, fronts: map[string]*running{}}
+	c.catalog = mn.Catalog{
+		Version:     1,
+		Routes:      []mn.Route{{Name: "r", Host: "h", Prefix: "/a/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 800, Attempts: 2}},
+		Subscribers: []mn.Subscriber{{Customer: mn.Customer{ID: "c"}, Keys: []mn.KeyHash{mn.HashKey("k")}}},
+	}
+	c.write()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, r.Header.Get("Customer")) // The test sees a broken answer.
+	})}
+	go server.Serve(l) //nolint // Ends with the test.
+	t.Cleanup(func() { server.Close() })
+	require.NoError(t, c.store.Write(mn.EndpointFeed, "e-1", mn.Endpoint{Pool: "p", Addr: l.Addr().String(), Capacity: 6, State: mn.EndpointReady}))
+	for i, n := range names {
+		c.start(n, i)
+	}
+	return c
+}
+
+func (c *city) write() {
+	require.NoError(c.t, c.store.Write(mn.CatalogFeed, "config", c.catalog))
+	c.catalog.Version++
+}
+
+func (c *city) start(name string, number int) {
+	c.t.Helper()
+	ip := fmt.Sprintf("127.77.%d.%d", time.Now().UnixNano()/1000%250+1, number+1)
+	s := setup.DefaultFront()
+	s.VM, s.DataCentre, s.IP = mn.VMID(name), "dc", ip
+	s.PeerPort, s.MetricsPort = 7500, 7501
+	s.Callers, s.Readiness, s.Duties = ip+":8360", ip+":8365", "unused"
+	s.StrictRevoke, s.RevokeWithin = true, 2*mn.Second
+	s.Grace, s.UsageWindow = 3*mn.Second, mn.Second
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := Platform{Store: c.store.For(name), Duties: c.reports, Dialect: plainDialect{}}
+	f := NewFront(s, p, log, nil, func() (*setup.Front, error) { return s, nil })
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{Front: f, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- f.Run(ctx) }()
+	c.fronts[name] = r
+	c.t.Cleanup(stop)
+	c.eventually(func() bool { return c.ready(name) })
+}
+
+func (c *city) eventually(f func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, f, 8*time.Second, 10*time.Millisecond)
+}
+
+func (c *city) ready(name string) bool {
+	resp, err := http.Get("http://" + c.fronts[name].conf().Readiness + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// get returns the status and the body of a request through a front.
+func (c *city) get(name, path, key string) (int, string) {
+	c.t.Helper()
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+c.fronts[name].conf().Callers+path, nil)
+	require.NoError(c.t, err)
+	req.Host, req.Header = "h", http.Header{"Id": {"i"}, "Key": {key}}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	return resp.StatusCode, string(body)
+}
+
+func TestConfigurationReachesAllFrontsThroughTwoReaders(t *testing.T) {
+	c := newCity(t, "a", "b", "c", "d")
+	time.Sleep(time.Second) // They find one another.
+	calls := c.store.Calls()
+	time.Sleep(2 * time.Second)
+	require.Less(t, c.store.Calls()-calls, 4*2*6, "four fronts that read for themselves make more calls")
+	c.catalog.Routes = append(c.catalog.Routes, mn.Route{Name: "new", Host: "h", Prefix: "/b/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 800, Attempts: 1})
+	c.write()
+	begin := time.Now()
+	for name := range c.fronts {
+		c.eventually(func() bool { status, _ := c.get(name, "/b/", "k"); return status == http.StatusOK })
+	}
+	require.Less(t, time.Since(begin), time.Second)
+	status, body := c.get("a", "/a/", "k")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "c", body)
+}
+
+func TestFrontTurnedAwayByTheStoreLearnsFromTheOthers(t *testing.T) {
+	c := newCity(t, "a", "b", "c")
+	time.Sleep(time.Second)
+	c.store.SetDown("a", true)
+	time.Sleep(2500 * time.Millisecond) // Longer than keys may be accepted on old evidence.
+	status, _ := c.get("a", "/a/", "k")
+	require.Equal(t, http.StatusOK, status, "the others vouch for its view")
+	c.catalog.Subscribers[0].Keys = nil
+	c.write()
+	c.eventually(func() bool { status, _ := c.get("a", "/a/", "k"); return status == http.StatusUnauthorized })
+	require.NoError(t, c.store.Write(mn.EndpointFeed, "e-1", nil))
+	c.eventually(func() bool { _, ok := c.fronts["a"].board.Endpoint("e-1"); return !ok })
+}
+
+func TestKeysAreRefusedWhenNobodyCanVouchForThem(t *testing.T) {
+	c := newCity(t, "a", "b")
+	for _, n := range []string{"a", "b"} {
+		c.store.SetDown(n, true)
+	}
+	c.eventually(func() bool {
+		status, body := c.get("a", "/a/", "k")
+		return status == 503 && strings.Contains(body, "MN204")
+	})
+	require.False(t, c.ready("a"))
+	for _, n := range []string{"a", "b"} {
+		c.store.SetDown(n, false)
+	}
+	c.eventually(func() bool { status, _ := c.get("a", "/a/", "k"); return status == http.StatusOK && c.ready("a") })
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	c := newCity(t, "a")
+	c.catalog.Routes[0].Prefix = "/z/"
+	c.write()
+	c.store.Forget(mn.CatalogFeed)
+	c.store.Forget(mn.EndpointFeed)
+	c.eventually(func() bool { status, _ := c.get("a", "/z/", "k"); return status == http.StatusOK })
+}
+
+func TestUsageOfAKilledHolderIsReportedOnce(t *testing.T) {
+	c := newCity(t, "a", "b", "c")
+	time.Sleep(700 * time.Millisecond)
+	for range 30 {
+		for name := range c.fronts {
+			c.get(name, "/a/", "k")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	var holder string
+	c.eventually(func() bool {
+		for n, f := range c.fronts {
+			if _, ok := f.holder.Held(); ok {
+				holder = n
+				return true
+			}
+		}
+		return false
+	})
+	c.fronts[holder].stop()
+	delete(c.fronts, holder)
+	total := func() (sum int) {
+		c.reports.mu.Lock()
+		defer c.reports.mu.Unlock()
+		for window, seen := range c.reports.seen {
+			for _, s := range seen {
+				require.Equal(t, seen[0], s, "window %d", window)
+			}
+			var n int
+			if _, err := fmt.Sscanf(seen[0], "map[c:%d]", &n); err == nil {
+				sum += n
+			}
+		}
+		return sum
+	}
+	for range 300 {
+		if total() >= 90 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Log(c.reports.seen)
+	require.Equal(t, 90, total())
+}
+
+func TestLeavingFrontCutsNothing(t *testing.T) {
+	c := newCity(t, "a")
+	f := c.fronts["a"]
+	f.stop()
+	c.eventually(func() bool { return !c.ready("a") })
+	status, _ := c.get("a", "/a/", "k")
+	require.Equal(t, http.StatusOK, status, "it serves until the balancer has seen it leave")
+	select {
+	case err := <-f.done:
+		require.NoError(t, err)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the front did not end within its grace")
+	}
+}
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -69,11 +69,11 @@
 
 // KeysHold says whether the view is new enough to accept keys.
 func (v *frontView) KeysHold() bool {
-	if !v.settings.StrictRevoke {
+	if !v.conf().StrictRevoke {
 		return true
 	}
 	_, age := v.Table()
-	return age < v.settings.RevokeWithin-keyMargin
+	return age < v.conf().RevokeWithin-keyMargin
 }
 
 // rank returns this front's place among those that are alive.
@@ -225,7 +225,7 @@
 
 // listOld is the age of the list from which a front reads it by itself.
 func (v *frontView) listOld() mn.Millis {
-	return mn.Millis(listOldShare * float64(v.settings.LeavingWithin))
+	return mn.Millis(listOldShare * float64(v.conf().LeavingWithin))
 }
 
 // setList takes in a list of endpoints that was the newest at instant at, unless
--- a/setup/front.go
+++ b/setup/front.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// WithBounds returns s with the bounds of other, which may change while a process
+// runs.
+func (s *Front) WithBounds(other Front) Front {
+	merged := *s
+	merged.RevokeWithin, merged.StrictRevoke = other.RevokeWithin, other.StrictRevoke
+	merged.ApplyWithin, merged.LeavingWithin = other.ApplyWithin, other.LeavingWithin
+	merged.Grace, merged.Stable = other.Grace, other.Stable
+	merged.UsageLate = other.UsageLate
+	return merged
+}
+
 // Check returns what is wrong with settings that come from the command line.
 func (s *Front) Check() error {
 	if err := checkOneOf(s.Router, "cost", "naive"); err != nil {
