--- a/core/place/board.go
+++ b/core/place/board.go
@@ -25,7 +25,7 @@
 	// speedWeight is the weight of one observation in a learned speed.
 	speedWeight = 0.15
 	// fewestSlow and mostSlow bound the learned speed factor of an endpoint.
-	fewestSlow, mostSlow = 0.9, 12.0
+	fewestSlow, mostSlow = 0.2, 12.0
 	// plainStart is the time of an answer that is assumed of a plain endpoint
 	// which has not answered yet.
 	plainStart = 30.0
--- a/dialect.go
+++ b/dialect.go
@@ -57,13 +57,6 @@
 	LastEvent string
 }
 
-// EndpointLoad is what an endpoint says of its load in an answer.
-type EndpointLoad struct {
-	Running int64
-	Waiting int64
-	Places  int64
-}
-
 // ReplyInfo is what the headers of an endpoint's answer say.
 type ReplyInfo struct {
 	ID RequestID
@@ -71,8 +64,6 @@
 	Sealed bool
 	// NotRun says that the endpoint has not run the request and never will.
 	NotRun bool
-	// Load is nil if the endpoint does not tell.
-	Load *EndpointLoad
 	// Closing says that the endpoint closes the connection after the answer.
 	Closing bool
 	// KeepAlive is how long the endpoint keeps an idle connection, 0 if unsaid.
--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -268,3 +268,24 @@
 	}
 	require.EqualValues(t, 2, e.conns.Load())
 }
+
+// Twenty fronts that each kept all the connections of a burst would use up what
+// an endpoint accepts.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(r *http.Request) string { return ok(r.Header.Get("Id"), "own") }))
+	c := New(mn.NewSystemClock(), "")
+	var open []*Answer
+	for i := range 6 {
+		k := call(e, fmt.Sprint(i))
+		k.MaxIdle = 2
+		a, err := c.Do(t.Context(), dialect{}, k)
+		require.NoError(t, err)
+		open = append(open, a)
+	}
+	for _, a := range open {
+		_, err := a.All(100)
+		require.NoError(t, err)
+		a.Close()
+	}
+	require.Len(t, c.idle[e.addr], 2)
+}
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -32,6 +32,9 @@
 	Body   []byte
 	// Fresh is the longest idle time of a connection that may be used.
 	Fresh mn.Millis
+	// MaxIdle bounds the idle connections that are kept to the endpoint, 0 for
+	// the client's own bound.
+	MaxIdle int
 }
 
 // Error is a call without an answer.
@@ -62,6 +65,7 @@
 
 	client  *Client
 	addr    string
+	maxIdle int
 	conn    *conn
 	resp    *http.Response
 	written chan error
@@ -117,7 +121,7 @@
 		info := d.Reply(resp.StatusCode, resp.Header)
 		if info.ID == "" || info.ID == call.ID {
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Passed: passed,
-				client: c, addr: call.Addr, conn: k, resp: resp, written: written}, nil
+				client: c, addr: call.Addr, maxIdle: call.MaxIdle, conn: k, resp: resp, written: written}, nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("answer to request %s: %w", info.ID, err)
@@ -192,5 +196,5 @@
 		a.conn.Close()
 		return
 	}
-	a.client.put(a.addr, a.conn, a.KeepAlive)
+	a.client.put(a.addr, a.conn, a.KeepAlive, a.maxIdle)
 }
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -155,15 +155,18 @@
 func (c *Client) Refuses(ctx context.Context, addr string) bool {
 	k, err := c.dial(ctx, addr)
 	if err == nil {
-		c.put(addr, k, 0)
+		c.put(addr, k, 0, 0)
 		return false
 	}
 	return errors.Is(err, unix.ECONNREFUSED)
 }
 
 // put keeps k for later requests; keep is what the endpoint says of idle
-// connections, 0 if nothing.
-func (c *Client) put(addr string, k *conn, keep mn.Millis) {
+// connections, 0 if nothing, and most bounds those that are kept.
+func (c *Client) put(addr string, k *conn, keep mn.Millis, most int) {
+	if most <= 0 {
+		most = idlePerAddr
+	}
 	k.keep = idleUnsaid
 	if keep > 0 {
 		k.keep = keep - idleMargin
@@ -175,7 +178,7 @@
 	k.idleAt = c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= idlePerAddr {
+	if len(c.idle[addr]) >= min(most, idlePerAddr) {
 		k.Close()
 		return
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -157,7 +157,7 @@
 		Budget:  retry.NewPools(retry.PoolsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second}, clock),
 		Poisons: poison.New(poison.Config{Crashes: 3, Hold: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRuns(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, ""),
 		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
-		Crashed: func(mn.Poison) {},
+		Crashed: func(mn.Poison) {}, MaxIdle: func(mn.PoolID) int { return 4 },
 	})
 	s := httptest.NewServer(b.server)
 	t.Cleanup(s.Close)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -79,6 +79,8 @@
 	ApplyWithin mn.Millis
 	// Leaving says that the process takes no new connections.
 	Leaving func() bool
+	// MaxIdle bounds the idle connections to each endpoint of a pool.
+	MaxIdle func(mn.PoolID) int
 	// Crashed is told of an endpoint that crashed while it ran a request.
 	Crashed func(mn.Poison)
 }
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -69,6 +69,7 @@
 	return &back.Call{
 		ID: q.env.ID, Addr: to.Addr, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: q.Dialect.Outgoing(q.r.Header, d), Body: q.body, Fresh: fresh,
+		MaxIdle: q.MaxIdle(q.job.Pool),
 	}
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -215,10 +215,28 @@
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
 		Meter: f.meter, Budget: retry.NewPools(c, f.clock), Poisons: f.poisons, Runs: f.runs, Back: f.back,
 		Stats: f.stats, Log: f.log, ApplyWithin: f.conf().ApplyWithin, Leaving: f.leaving.Load,
-		Crashed: f.crashes.add,
+		Crashed: f.crashes.add, MaxIdle: f.maxIdle,
 	})
 }
 
+// idleShare is the part of an endpoint's connections that all fronts together
+// may keep idle; the rest is for requests that run.
+const idleShare = 0.5
+
+// maxIdle returns how many idle connections this front keeps to an endpoint of
+// the pool, 0 where the pool does not say how many an endpoint accepts.
+func (f *Front) maxIdle(pool mn.PoolID) int {
+	table, _ := f.view.Table()
+	if table == nil {
+		return 1
+	}
+	most := table.Catalog.Pools[pool].MaxConns
+	if most <= 0 {
+		return 0
+	}
+	return max(1, int(idleShare*float64(most)/float64(len(f.peers.list())+1)))
+}
+
 // expectedFronts divides the slack of the retry budget before the fronts are
 // known; the users' deployments start with five or six.
 const expectedFronts = 6
