Count runs that began though nobody saw their answer

A request is now counted once it has most likely begun: at once at a plain endpoint, after the expected time at an engine.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -550,3 +550,49 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, resp.StatusCode)
 }
+
+// Usage counts what began to run, also where the caller left or the answer was
+// lost before the front saw it.
+func TestRunsWithoutAnAnswerAreCounted(t *testing.T) {
+	slow := func(*http.Request, string, net.Conn) bool { time.Sleep(2 * time.Second); return false }
+	cases := map[string]struct {
+		script script
+		path   string
+		header []string
+		leaves time.Duration
+		want   int64
+	}{
+		"booking whose answer is lost":          {broken, "/book/", nil, 0, 1},
+		"booking shed":                          {shed, "/book/", nil, 0, 0},
+		"caller leaves a stream soon":           {slow, "/tell/", []string{"Tokens", "300"}, 15 * time.Millisecond, 0},
+		"caller leaves a stream that has begun": {slow, "/tell/", []string{"Tokens", "300"}, 400 * time.Millisecond, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, map[string]script{"p1": tc.script, "d1": tc.script})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if tc.leaves > 0 {
+				time.AfterFunc(tc.leaves, cancel)
+			}
+			req, err := http.NewRequestWithContext(ctx, "POST", b.url+tc.path, strings.NewReader("p"))
+			require.NoError(t, err)
+			req.Host, req.Header = "h", http.Header{"Id": {"1"}, "Key": {"k"}}
+			for i := 0; i < len(tc.header); i += 2 {
+				req.Header.Set(tc.header[i], tc.header[i+1])
+			}
+			if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+				resp.Body.Close()
+			}
+			var got int64
+			for range 20 {
+				got = 0
+				for _, n := range b.server.Runs.Own() {
+					got += n.Count
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -106,9 +106,10 @@
 		ctx, cancel = context.WithTimeout(ctx, max(leastPatience, patience*plan.Expect).Duration())
 		defer cancel()
 	}
+	handed := q.Clock.Now()
 	a, err := q.Back.Do(ctx, q.Dialect, q.call(plan.Target, d))
 	if err != nil {
-		return q.unanswered(plan.Target, err)
+		return q.unanswered(plan, err, q.Clock.Now()-handed)
 	}
 	defer a.Close()
 	if a.NotRun {
@@ -174,14 +175,18 @@
 	}()
 }
 
-// unanswered judges a try that got no answer.
-func (q *request) unanswered(to mn.Endpoint, err error) result {
+// unanswered judges a try that got no answer in the time that it took.
+func (q *request) unanswered(plan *place.Plan, err error, took mn.Millis) result {
+	to := plan.Target
 	q.unreachable(to.ID, err)
 	var e *back.Error
 	if errors.As(err, &e) && !e.Sent {
 		return result{endpoint: to.ID, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s: %w", to.ID, err)}
 	}
 	q.ran = true
+	if took >= q.begins(plan) {
+		q.count()
+	}
 	q.suspect(to, err)
 	return result{endpoint: to.ID, err: mn.Errorf(mn.OutcomeNotKnown, "endpoint %s: %w", to.ID, err)}
 }
@@ -209,6 +214,19 @@
 		err: mn.Errorf(mn.NoEndpoint, "endpoint %s answered %d without running it", plan.Target.ID, a.Status)}
 }
 
+// begins returns how long after it was handed over a request has most likely
+// begun to run. Its caller may leave, or its answer be lost, before that is seen;
+// the endpoint worked on it all the same.
+func (q *request) begins(plan *place.Plan) mn.Millis {
+	switch {
+	case q.env.Prompt == nil:
+		return 0 // Plain endpoints get no more than they have places for.
+	case plan.Reader != nil:
+		return plan.Expect - plan.Read
+	}
+	return plan.Expect
+}
+
 // count counts the run for usage, once.
 func (q *request) count() {
 	if q.began {
