Soak: fronts as processes, faults by a seed from outside, checks of what is seen

platform/stand speaks the platform's store, endpoints and duties on the wire and misbehaves on demand; soak/ makes 22 kinds of fault that overlap. Each check was seen to fail on a history that breaks only its promise.

--- a/cmd/fakes/main.go
+++ b/cmd/fakes/main.go
@@ -66,6 +66,7 @@
 			},
 			gaugeCommand(),
 			matrixCommand(),
+			soakCommand(),
 			{
 				Name:  "demo",
 				Usage: "serve two requests through a small cluster and print what happened",
--- /dev/null
+++ b/cmd/fakes/soak.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	mn "mustardnotch"
+	"mustardnotch/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run fronts as processes before stand-ins, make faults by a seed, and check what callers and endpoints see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs", Value: "bin"},
+			&cli.Int64Flag{Name: "seed", Usage: "first `SEED`", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "`N` seeds, one after the other", Value: 1},
+			&cli.IntFlag{Name: "fronts", Usage: "`N` fronts", Value: 4},
+			&cli.IntFlag{Name: "callers", Usage: "`N` callers at once", Value: 24},
+			&cli.Int64Flag{Name: "span_ms", Usage: "`MILLISECONDS` of faults", Value: 20_000},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			bad := 0
+			for n := range c.Int("seeds") {
+				dir, err := os.MkdirTemp("", "mustardnotch-soak-")
+				if err != nil {
+					return err
+				}
+				o := soak.Options{Bin: c.String("bin"), Dir: dir, Seed: c.Int64("seed") + int64(n), Fronts: c.Int("fronts"),
+					Callers: c.Int("callers"), Span: mn.Millis(c.Int64("span_ms"))}
+				broken, err := soak.Run(ctx, o, os.Stdout)
+				if err != nil {
+					return fmt.Errorf("seed %d, logs in %s: %w", o.Seed, dir, err)
+				}
+				if len(broken) == 0 {
+					if err := os.RemoveAll(dir); err != nil {
+						return err
+					}
+					continue
+				}
+				bad++
+				fmt.Printf("seed %d: logs in %s; again: fakes soak --seed %d --span_ms %d\n", o.Seed, dir, o.Seed, o.Span)
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of %d seeds broke a promise", bad, c.Int("seeds"))
+			}
+			return nil
+		},
+	}
+}
--- a/procs/proc.go
+++ b/procs/proc.go
@@ -117,3 +117,9 @@
 	}
 	return string(b)
 }
+
+// Start runs the program bin with args as a process of its own, whose output goes
+// to dir/name.log.
+func Start(dir, name, bin string, args ...string) (*Proc, error) {
+	return start(dir, name, bin, args...)
+}
--- /dev/null
+++ b/soak/city.go
@@ -0,0 +1,334 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	mn "mustardnotch"
+	"mustardnotch/platform/stand"
+	"mustardnotch/procs"
+)
+
+const (
+	dataCentre  = "dc-1"
+	modelPool   = "model"
+	plainPool   = "plain"
+	host        = "soak.example"
+	hotCustomer = mn.CustomerID("hot")
+	// hotRate is a fifth of what the hot customer sends; the others are far within
+	// customerRate, in tokens a second.
+	hotRate, customerRate = 20_000.0, 400_000.0
+	beatEvery             = 1200 * time.Millisecond
+	// storePort, callersPort and the others are ports on the VMs' addresses.
+	storePort, callersPort, readyPort, workPort, peerPort = 8361, 8360, 8365, 8080, 7500
+)
+
+// front is one front with its link to the store.
+type front struct {
+	name     string
+	ip       string
+	settings string
+	store    *procs.Link
+	proc     *procs.Proc
+	paused   bool
+}
+
+// endpoint is one run of an endpoint behind a link.
+type endpoint struct {
+	*stand.Endpoint
+	pool   string
+	addr   string
+	state  string
+	born   mn.Millis
+	beat   int64
+	link   *procs.Link
+	server *http.Server
+}
+
+// city is the system and its stand-ins.
+type city struct {
+	o      Options
+	clock  mn.Clock
+	rand   *rand.Rand
+	subnet string
+	store  *stand.Store
+	duties *stand.Duties
+	fronts []*front
+
+	mu        sync.Mutex
+	history   History
+	endpoints map[mn.EndpointID]*endpoint
+	hosts     int
+	version   int64
+	routes    int
+	keys      map[mn.CustomerID][]string
+}
+
+func newCity(o Options) (*city, error) {
+	c := &city{
+		o: o, clock: mn.NewSystemClock(), rand: rand.New(rand.NewPCG(uint64(o.Seed), 1)),
+		store: stand.NewStore(), duties: &stand.Duties{}, endpoints: map[mn.EndpointID]*endpoint{},
+		history: History{Leaving: map[mn.EndpointID]mn.Millis{}, Revoked: map[string]mn.Millis{}, Rate: map[mn.CustomerID]float64{}},
+		keys:    map[mn.CustomerID][]string{},
+		subnet:  fmt.Sprintf("127.%d.%d", 100+o.Seed%100, 1+o.Seed/100%250),
+	}
+	for _, id := range []mn.CustomerID{"a", "b", hotCustomer} {
+		c.history.Rate[id] = customerRate
+		if id == hotCustomer {
+			c.history.Rate[id] = hotRate
+		}
+		for n := range 6 {
+			c.keys[id] = append(c.keys[id], fmt.Sprintf("key-%s-%d", id, n))
+		}
+	}
+	return c, nil
+}
+
+func (c *city) ip(n int) string { return fmt.Sprintf("%s.%d", c.subnet, n) }
+
+// start starts the stand-ins and the fronts, and waits until they are ready.
+func (c *city) start(ctx context.Context) error {
+	if err := c.serve(c.ip(1), c.store, storePort); err != nil {
+		return err
+	}
+	if err := c.serve(c.ip(2), c.duties.Handler(c.clock), storePort); err != nil {
+		return err
+	}
+	if err := c.configure(); err != nil {
+		return err
+	}
+	for range 4 {
+		if err := c.addEndpoint(plainPool, "", 6, 20); err != nil {
+			return err
+		}
+	}
+	for _, role := range []mn.EngineRole{mn.EnginePrefill, mn.EngineDecode, mn.EngineDecode, mn.EngineDecode} {
+		if err := c.addEndpoint(modelPool, role, 48, 60); err != nil {
+			return err
+		}
+	}
+	for n := range c.o.Fronts {
+		if err := c.addFront(n); err != nil {
+			return err
+		}
+	}
+	for _, f := range c.fronts {
+		if err := c.await(ctx, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *city) serve(ip string, h http.Handler, port int) error {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := http.Serve(l, h); !errors.Is(err, net.ErrClosed) {
+			fmt.Fprintln(os.Stderr, "soak: stand-in:", err)
+		}
+	}()
+	return nil
+}
+
+func (c *city) addFront(n int) error {
+	f := &front{name: fmt.Sprintf("front-%d", n+1), ip: c.ip(10 + n)}
+	storeAddr := fmt.Sprintf("%s:%d", c.ip(60+n), storePort)
+	var err error
+	if f.store, err = procs.NewLink(storeAddr, fmt.Sprintf("%s:%d", c.ip(1), storePort)); err != nil {
+		return err
+	}
+	settings := fmt.Sprintf(`node_name=%s
+zone=%s
+ip=%s
+listen.frontend=%s:%d
+listen.readiness=%s:%d
+port_range=%d,%d
+provider.address=%s
+cloud_api.address=%s:%d
+bounds.revoke_ms=%d
+bounds.strict_revoke=true
+bounds.drain_ms=%d
+bounds.grace_s=6
+bounds.lease_ms=%d
+bounds.report_window_s=2
+bounds.usage_late_s=10
+bounds.budget_ratio=0.2
+bounds.budget_slack=50
+bounds.budget_window_s=10
+bounds.quota_window_s=%d
+bounds.quota_over=%g
+bounds.quota_slack=%g
+`, f.name, dataCentre, f.ip, f.ip, callersPort, f.ip, readyPort, peerPort, peerPort+5, storeAddr,
+		c.ip(2), storePort, revokeBound, drainBound, holderApart, quotaWindow/mn.Second, quotaOver, quotaSlack)
+	f.settings = filepath.Join(c.o.Dir, f.name+".conf")
+	if err := os.WriteFile(f.settings, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	c.fronts = append(c.fronts, f)
+	return c.launch(f)
+}
+
+func (c *city) launch(f *front) error {
+	p, err := procs.Start(c.o.Dir, f.name, filepath.Join(c.o.Bin, "mustardnotch"), "front", "--settings", f.settings)
+	f.proc = p
+	return err
+}
+
+func (c *city) await(ctx context.Context, f *front) error {
+	for range 300 {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/", f.ip, readyPort))
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if err := c.clock.Sleep(ctx, 50); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%s is not ready: %s", f.name, f.proc.Tail(500))
+}
+
+// addEndpoint starts a new run of an endpoint and enters it into the list.
+func (c *city) addEndpoint(pool string, role mn.EngineRole, capacity int64, work mn.Millis) error {
+	c.mu.Lock()
+	c.hosts++
+	n := c.hosts
+	c.mu.Unlock()
+	id := mn.EndpointID(fmt.Sprintf("i-%d", n))
+	e := &endpoint{
+		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, Work: work, Clock: c.clock, Ran: c.ran},
+		pool:     pool, state: "ready", born: c.clock.Wall(), addr: fmt.Sprintf("%s:%d", c.ip(100+n%150), workPort),
+	}
+	l, err := net.Listen("tcp", c.ip(100+n%150)+":0")
+	if err != nil {
+		return err
+	}
+	e.server = &http.Server{Handler: e.Endpoint}
+	go func() { _ = e.server.Serve(l) }() // It ends when the endpoint does.
+	if e.link, err = procs.NewLink(e.addr, l.Addr().String()); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.endpoints[id] = e
+	c.mu.Unlock()
+	return c.beat(e)
+}
+
+func (c *city) ran(r stand.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.Runs = append(c.history.Runs, r)
+}
+
+// beat writes an endpoint's entry.
+func (c *city) beat(e *endpoint) error {
+	c.mu.Lock()
+	e.beat++
+	entry := map[string]any{
+		"service": e.pool, "address": e.addr, "zone": dataCentre, "capacity": e.Capacity, "state": e.state,
+		"sequence": e.beat, "born": e.born,
+	}
+	c.mu.Unlock()
+	if e.Role != "" {
+		entry["stage"] = string(e.Role)
+	}
+	return c.store.Write("keyed.servers", string(e.ID), entry)
+}
+
+// beats writes the entries of living endpoints until ctx is done.
+func (c *city) beats(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		all := make([]*endpoint, 0, len(c.endpoints))
+		for _, e := range c.endpoints {
+			all = append(all, e)
+		}
+		c.mu.Unlock()
+		for _, e := range all {
+			if err := c.beat(e); err != nil {
+				return err
+			}
+		}
+		_ = c.clock.Sleep(ctx, mn.MillisOf(beatEvery)) // The loop looks at ctx.
+	}
+	return nil
+}
+
+// remove ends an endpoint, at once or after it has left.
+func (c *city) remove(ctx context.Context, e *endpoint, leaves bool) error {
+	if leaves {
+		c.mu.Lock()
+		e.state = "draining"
+		c.mu.Unlock()
+		if err := c.beat(e); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.history.Leaving[e.ID] = c.clock.Now()
+		c.mu.Unlock()
+		_ = c.clock.Sleep(ctx, drainBound+1500) // A soak that ends takes the endpoint along.
+	}
+	c.mu.Lock()
+	delete(c.endpoints, e.ID)
+	c.mu.Unlock()
+	e.server.Close()
+	e.link.Close()
+	if !leaves {
+		_ = c.clock.Sleep(ctx, 3*mn.MillisOf(beatEvery)) // As above.
+	}
+	return c.store.Write("keyed.servers", string(e.ID), nil)
+}
+
+// configure writes the next configuration.
+func (c *city) configure() error {
+	c.mu.Lock()
+	c.version += 1 + c.rand.Int64N(3)
+	route := func(name, kind, pool string, timeout, attempts int, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": pool,
+			"timeout_ms": timeout, "goal_ms": timeout / 4, "attempts": attempts, "resumable": resumable}
+	}
+	routes := []any{
+		route("look", "idempotent", plainPool, 1000, 2, false), route("book", "non_idempotent", plainPool, 1000, 1, false),
+		route("say", "streaming", modelPool, 3000, 2, true), route("tell", "streaming", modelPool, 3000, 1, false),
+	}
+	for n := range c.routes {
+		routes = append(routes, route(fmt.Sprintf("more-%d", n), "idempotent", plainPool, 1000, 2, false))
+	}
+	var tenants []any
+	for id, keys := range c.keys {
+		tenants = append(tenants, map[string]any{"name": id, "api_keys": keys, "unit": "token_stream", "plain_tokens": 0.001,
+			"rate_per_s": c.history.Rate[id], "burst": c.history.Rate[id]})
+	}
+	config := map[string]any{"version": c.version, "routes": routes, "tenants": tenants,
+		"services": []any{
+			map[string]any{"name": plainPool, "health_path": "/healthz", "max_conns": 200},
+			map[string]any{"name": modelPool, "health_path": "/healthz", "max_conns": 400,
+				"engine": map[string]any{"capacity": 48, "kv_capacity": 700000, "token_kv_bytes": 100, "link_mbps": 10000.0}},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+	c.mu.Unlock()
+	return c.store.Write("keyed.op", "config", config)
+}
+
+func (c *city) stop() {
+	for _, f := range c.fronts {
+		if f.proc != nil && f.proc.Running() {
+			f.proc.Kill()
+		}
+		f.store.Close()
+	}
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+
+	mn "mustardnotch"
+	"mustardnotch/platform/stand"
+)
+
+// fault is a trouble that the soak can make. It returns when it is over.
+type fault struct {
+	name string
+	do   func(c *city, ctx context.Context, f *front, e *endpoint, span mn.Millis) error
+}
+
+var faults = []fault{
+	{"kill a front", func(c *city, ctx context.Context, f *front, _ *endpoint, span mn.Millis) error {
+		f.proc.Kill()
+		_ = c.clock.Sleep(ctx, span/3) // The front starts again in any case.
+		return c.launch(f)
+	}},
+	{"stop a front", func(c *city, ctx context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+		if err := f.proc.Terminate(); err != nil {
+			return err
+		}
+		if code, err := f.proc.Wait(8 * mn.Second); err != nil || code != 0 {
+			return fmt.Errorf("%s ended with %d within its grace: %w", f.name, code, err)
+		}
+		return c.launch(f)
+	}},
+	{"pause a front", func(c *city, ctx context.Context, f *front, _ *endpoint, span mn.Millis) error {
+		if err := f.proc.Pause(); err != nil {
+			return err
+		}
+		_ = c.clock.Sleep(ctx, span) // The front goes on in any case.
+		return f.proc.Resume()
+	}},
+	{"signal a reload", func(c *city, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+		return syscall.Kill(f.proc.PID(), syscall.SIGHUP)
+	}},
+	{"cut a front from the store", func(c *city, ctx context.Context, f *front, _ *endpoint, span mn.Millis) error {
+		f.store.Cut()
+		_ = c.clock.Sleep(ctx, span) // The link is restored in any case.
+		f.store.Restore()
+		return nil
+	}},
+	{"silence a front's connections to the store", func(c *city, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+		f.store.Silence()
+		return nil
+	}},
+	{"silence an endpoint's connections", func(c *city, _ context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+		e.link.Silence()
+		return nil
+	}},
+	{"cut a front from an endpoint", func(c *city, ctx context.Context, f *front, e *endpoint, span mn.Millis) error {
+		e.link.CutFrom(f.ip)
+		_ = c.clock.Sleep(ctx, span) // The link is restored in any case.
+		e.link.RestoreFrom(f.ip)
+		return nil
+	}},
+	{"crash an endpoint", func(c *city, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+		return c.replace(ctx, e, false)
+	}},
+	{"empty an endpoint", func(c *city, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+		return c.replace(ctx, e, true)
+	}},
+	{"store busy", storeFault(stand.Busy, 1)},
+	{"store resets", storeFault(stand.Reset, 0.6)},
+	{"store loses answers", storeFault(stand.Lost, 0.4)},
+	{"store slow", storeFault(stand.Slow, 1)},
+	{"store forgets", func(c *city, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+		c.store.Forget()
+		return nil
+	}},
+	{"endpoint loses answers", endpointFault(stand.LoseAnswer, 0.3)},
+	{"endpoint breaks off", endpointFault(stand.BreakOff, 0.3)},
+	{"endpoint sends more", endpointFault(stand.Extra, 0.3)},
+	{"endpoint fails", endpointFault(stand.Fail, 0.4)},
+	{"endpoint sheds", endpointFault(stand.Shed, 0.4)},
+	{"a configuration", func(c *city, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+		c.mu.Lock()
+		c.routes++
+		c.mu.Unlock()
+		return c.configure()
+	}},
+	{"a key is taken away", func(c *city, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+		c.mu.Lock()
+		customer := []mn.CustomerID{"a", "b", hotCustomer}[c.rand.IntN(3)]
+		key := ""
+		if all := c.keys[customer]; len(all) > 2 {
+			key = all[0]
+			c.keys[customer] = all[1:]
+		}
+		c.mu.Unlock()
+		if err := c.configure(); err != nil {
+			return err
+		}
+		if key != "" {
+			c.mu.Lock()
+			c.history.Revoked[key] = c.clock.Now()
+			c.mu.Unlock()
+		}
+		return nil
+	}},
+}
+
+func storeFault(f stand.Fault, share float64) func(*city, context.Context, *front, *endpoint, mn.Millis) error {
+	return func(c *city, ctx context.Context, _ *front, _ *endpoint, span mn.Millis) error {
+		c.store.SetFault(f, share)
+		_ = c.clock.Sleep(ctx, span) // The fault ends in any case.
+		c.store.SetFault("", 0)
+		return nil
+	}
+}
+
+func endpointFault(f stand.EndpointFault, share float64) func(*city, context.Context, *front, *endpoint, mn.Millis) error {
+	return func(c *city, ctx context.Context, _ *front, e *endpoint, span mn.Millis) error {
+		e.SetFault(f, share)
+		_ = c.clock.Sleep(ctx, span) // The fault ends in any case.
+		e.SetFault("", 0)
+		return nil
+	}
+}
+
+// replace starts a new endpoint like e, and ends e.
+func (c *city) replace(ctx context.Context, e *endpoint, leaves bool) error {
+	c.mu.Lock()
+	same := 0
+	for _, o := range c.endpoints {
+		if o.pool == e.pool && o.Role == e.Role && o.state == "ready" {
+			same++
+		}
+	}
+	c.mu.Unlock()
+	if err := c.addEndpoint(e.pool, e.Role, e.Capacity, e.Work); err != nil {
+		return err
+	}
+	return c.remove(ctx, e, leaves)
+}
+
+// trouble makes faults, some at the same time, until ctx is done, and returns
+// once all are over.
+func (c *city) trouble(ctx context.Context) error {
+	done := make(chan error, 64)
+	open := 0
+	busyFronts, busyEndpoints := map[*front]bool{}, map[*endpoint]bool{}
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ft := faults[c.rand.IntN(len(faults))]
+		f := c.fronts[c.rand.IntN(len(c.fronts))]
+		span := mn.Millis(300 + c.rand.IntN(4500))
+		gap := mn.Millis(100 + c.rand.IntN(1200))
+		e := c.anyEndpoint(busyEndpoints)
+		free := !busyFronts[f] && e != nil
+		if free {
+			busyFronts[f], busyEndpoints[e] = true, true
+		}
+		c.mu.Unlock()
+		if free {
+			open++
+			from := c.clock.Now()
+			go func() {
+				err := ft.do(c, ctx, f, e, span)
+				c.mu.Lock()
+				c.history.Faults = append(c.history.Faults, Span{from, c.clock.Now(), ft.name})
+				delete(busyFronts, f)
+				delete(busyEndpoints, e)
+				c.mu.Unlock()
+				done <- err
+			}()
+		}
+		_ = c.clock.Sleep(ctx, gap) // The loop looks at ctx.
+	}
+	var first error
+	for range open {
+		if err := <-done; err != nil && first == nil {
+			first = err
+		}
+	}
+	c.mu.Lock()
+	c.history.End = c.clock.Now()
+	c.mu.Unlock()
+	return first
+}
+
+// anyEndpoint returns an endpoint with nothing wrong, nil if there is none. The
+// caller holds the lock.
+func (c *city) anyEndpoint(busy map[*endpoint]bool) *endpoint {
+	var free []*endpoint
+	for n := range c.hosts + 1 {
+		e := c.endpoints[mn.EndpointID(fmt.Sprintf("i-%d", n))]
+		if e != nil && !busy[e] && e.state == "ready" {
+			free = append(free, e)
+		}
+	}
+	if len(free) == 0 {
+		return nil
+	}
+	return free[c.rand.IntN(len(free))]
+}
