Share the slack of the retry budget among the fronts there are

It was divided by six whatever their number: twenty-three fronts had 161 retries where the platform allows 84 besides a share of the requests, which a service with little traffic could have broken. Test failed first: 20 fronts, 200 of 60.

--- a/core/retry/pools.go
+++ b/core/retry/pools.go
@@ -9,8 +9,10 @@
 // PoolsConfig sets the budgets of pools.
 type PoolsConfig struct {
 	// Ratio is how many retries each first try pays for, Slack how many retries
-	// there are besides.
+	// all fronts together have besides.
 	Ratio, Slack float64
+	// Fronts returns how many fronts share the slack.
+	Fronts func() int
 	// Window is the time in which the retries of a pool are counted.
 	Window mn.Millis
 }
@@ -61,7 +63,7 @@
 		first += b.first[i]
 		retries += b.retries[i]
 	}
-	if retries+1 > p.config.Ratio*first+p.config.Slack {
+	if retries+1 > p.config.Ratio*first+p.config.Slack/float64(max(1, p.config.Fronts())) {
 		return false
 	}
 	b.retries[b.part%parts]++
--- a/core/retry/pools_test.go
+++ b/core/retry/pools_test.go
@@ -9,9 +9,26 @@
 	mn "mustardnotch"
 )
 
+func one() int { return 1 }
+
+// Twenty fronts before a service with hardly any traffic share the slack.
+func TestFrontsShareTheSlack(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	sent := 0
+	for range 20 {
+		p := NewPools(PoolsConfig{Slack: 60, Window: 10 * mn.Second, Fronts: func() int { return 20 }}, clock)
+		for range 50 {
+			if p.Withdraw("pool") {
+				sent++
+			}
+		}
+	}
+	require.Equal(t, 60, sent)
+}
+
 func TestCrashOfABusyEndpointIsPaidForByEarlierRequests(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
-	p := NewPools(PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second}, clock)
+	p := NewPools(PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second, Fronts: one}, clock)
 	// Fifty requests a second for ten seconds, then forty streams break at once.
 	for range 500 {
 		p.Deposit("model")
@@ -32,7 +49,7 @@
 func TestRetriesStayWithinAnyWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := mn.NewManualClock(1_000_000)
-		c := PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second}
+		c := PoolsConfig{Ratio: 0.1, Slack: 5, Window: 10 * mn.Second, Fronts: one}
 		p := NewPools(c, clock)
 		var first, retries []mn.Millis
 		for range rapid.IntRange(10, 300).Draw(t, "steps") {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -154,7 +154,7 @@
 	log.SetOutput(io.Discard)
 	b.server = New(Config{
 		Clock: clock, Dialect: testDialect{}, View: b.view, Lines: place.NewLines(board, clock), Board: board, Meter: meter,
-		Budget:  retry.NewPools(retry.PoolsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second}, clock),
+		Budget:  retry.NewPools(retry.PoolsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second, Fronts: func() int { return 1 }}, clock),
 		Poisons: poison.New(poison.Config{Crashes: 3, Hold: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRuns(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, ""),
 		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
 		Crashed: func(mn.Poison) {}, MaxIdle: func(mn.PoolID) int { return 4 },
--- a/node/front.go
+++ b/node/front.go
@@ -208,8 +208,9 @@
 func (f *Front) serving() http.Handler {
 	c := retry.PoolsConfig{
 		Ratio:  f.conf().RetryRatio * retryPart,
-		Slack:  max(1, f.conf().RetrySlack*retryPart/expectedFronts),
+		Slack:  f.conf().RetrySlack * retryPart,
 		Window: f.conf().RetryWindow,
+		Fronts: func() int { return max(fewestFronts, len(f.peers.list())+1) },
 	}
 	return front.New(front.Config{
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
@@ -237,9 +238,9 @@
 	return max(1, int(idleShare*float64(most)/float64(len(f.peers.list())+1)))
 }
 
-// expectedFronts divides the slack of the retry budget before the fronts are
-// known; the users' deployments start with five or six.
-const expectedFronts = 6
+// fewestFronts divides the slack of the retry budget while a front knows few
+// others: the users' deployments have five or more.
+const fewestFronts = 5
 
 func ignoreClosed(err error) error {
 	if err == http.ErrServerClosed {
