--- a/node/front_test.go
+++ b/node/front_test.go
@@ -264,3 +264,20 @@
 		t.Fatal("the front did not end within its grace")
 	}
 }
+
+func TestReloadPutsBoundsInForceAndNothingElse(t *testing.T) {
+	s := setup.DefaultFront()
+	s.VM, s.IP, s.PeerPort = "a", "127.0.0.1", 7500
+	next, fail := *s, error(nil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := NewFront(s, Platform{Store: fakes.NewStore().For("a"), Dialect: plainDialect{}}, log, nil,
+		func() (*setup.Front, error) { n := next; return &n, fail })
+	next.RevokeWithin, next.Callers = 9*mn.Second, "127.0.0.1:1"
+	f.reloadSettings(true)
+	require.Equal(t, 9*mn.Second, f.conf().RevokeWithin)
+	require.Empty(t, f.conf().Callers, "addresses stay until the next start")
+	next.RevokeWithin, fail = mn.Second, errors.New("wrong")
+	f.reloadSettings(true)
+	require.Equal(t, 9*mn.Second, f.conf().RevokeWithin, "wrong settings change nothing")
+}
