--- a/soak/callers.go
+++ b/soak/callers.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	mn "mustardnotch"
+	"mustardnotch/platform/stand"
 )
 
 // kind is a kind of request.
@@ -18,9 +19,12 @@
 	method     string
 	repeatable bool
 	stream     bool
-	tokens     int
+	tokens     int64
 }
 
+// patience is how long a caller waits, beyond all timeouts of routes.
+const patience = 3500 * mn.Millisecond
+
 var kinds = []kind{
 	{"/look/x?y=1", http.MethodGet, true, false, 0},
 	{"/book/a%2Fb", http.MethodPost, false, false, 0},
@@ -79,7 +83,7 @@
 // ask sends one request and notes what came. It returns false if the front could
 // not be reached.
 func (c *city) ask(ctx context.Context, t *http.Transport, f *front, k kind, a *Asked) bool {
-	within, cancel := context.WithTimeout(context.WithoutCancel(ctx), (3500 * mn.Millisecond).Duration())
+	within, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience.Duration())
 	defer cancel()
 	var body io.Reader
 	if a.Body != "" {
@@ -90,17 +94,12 @@
 		return false
 	}
 	req.Host = host
-	h := req.Header
-	h.Set("X-Request-Id", string(a.ID))
-	h.Set("Authorization", "Bearer "+a.Key)
-	h.Set("X-Deadline-Ms", "3400")
-	h.Set("X-Stage", "decode") // The callers' forgeries never reach an endpoint.
-	h.Set("X-Tenant", "forged")
+	var prompt *mn.PromptInfo
 	if k.tokens > 0 {
-		h.Set("X-Model", "m")
-		h.Set("X-Token-Counts", fmt.Sprintf("%d,10", k.tokens))
-		h.Set("X-Prompt-Prefix", fmt.Sprintf("ab:%d,%s:%d", k.tokens/2, a.ID, k.tokens-k.tokens/2))
+		prompt = &mn.PromptInfo{Tokens: k.tokens, MaxOutput: 10, Parts: []mn.PromptPart{
+			{ID: "ab", Tokens: k.tokens / 2}, {ID: string(a.ID), Tokens: k.tokens - k.tokens/2}}}
 	}
+	stand.SetCaller(req.Header, a.ID, a.Key, patience-100, prompt)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return false
--- a/soak/city.go
+++ b/soak/city.go
@@ -31,6 +31,13 @@
 	storePort, callersPort, readyPort, workPort, peerPort = 8361, 8360, 8365, 8080, 7500
 )
 
+// bounds are the platform's bounds, as the checks know them.
+var bounds = stand.Bounds{
+	Revoke: revokeBound, Drain: drainBound, Apart: holderApart, Grace: 6 * mn.Second, QuotaWindow: quotaWindow,
+	UsageWindow: 2 * mn.Second, UsageLate: 10 * mn.Second, QuotaOver: quotaOver, QuotaSlack: quotaSlack,
+	RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * mn.Second,
+}
+
 // front is one front with its link to the store.
 type front struct {
 	name     string
@@ -44,11 +51,7 @@
 // endpoint is one run of an endpoint behind a link.
 type endpoint struct {
 	*stand.Endpoint
-	pool   string
-	addr   string
-	state  string
-	born   mn.Millis
-	beat   int64
+	entry  mn.Endpoint
 	link   *procs.Link
 	server *http.Server
 }
@@ -148,29 +151,8 @@
 	if f.store, err = procs.NewLink(storeAddr, fmt.Sprintf("%s:%d", c.ip(1), storePort)); err != nil {
 		return err
 	}
-	settings := fmt.Sprintf(`node_name=%s
-zone=%s
-ip=%s
-listen.frontend=%s:%d
-listen.readiness=%s:%d
-port_range=%d,%d
-provider.address=%s
-cloud_api.address=%s:%d
-bounds.revoke_ms=%d
-bounds.strict_revoke=true
-bounds.drain_ms=%d
-bounds.grace_s=6
-bounds.lease_ms=%d
-bounds.report_window_s=2
-bounds.usage_late_s=10
-bounds.budget_ratio=0.2
-bounds.budget_slack=50
-bounds.budget_window_s=10
-bounds.quota_window_s=%d
-bounds.quota_over=%g
-bounds.quota_slack=%g
-`, f.name, dataCentre, f.ip, f.ip, callersPort, f.ip, readyPort, peerPort, peerPort+5, storeAddr,
-		c.ip(2), storePort, revokeBound, drainBound, holderApart, quotaWindow/mn.Second, quotaOver, quotaSlack)
+	settings := stand.Settings(mn.VMID(f.name), dataCentre, f.ip, callersPort, readyPort, peerPort, storeAddr,
+		fmt.Sprintf("%s:%d", c.ip(2), storePort), bounds)
 	f.settings = filepath.Join(c.o.Dir, f.name+".conf")
 	if err := os.WriteFile(f.settings, []byte(settings), 0o600); err != nil {
 		return err
@@ -202,7 +184,7 @@
 }
 
 // addEndpoint starts a new run of an endpoint and enters it into the list.
-func (c *city) addEndpoint(pool string, role mn.EngineRole, capacity int64, work mn.Millis) error {
+func (c *city) addEndpoint(pool mn.PoolID, role mn.EngineRole, capacity int64, work mn.Millis) error {
 	c.mu.Lock()
 	c.hosts++
 	n := c.hosts
@@ -210,7 +192,8 @@
 	id := mn.EndpointID(fmt.Sprintf("i-%d", n))
 	e := &endpoint{
 		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, Work: work, Clock: c.clock, Ran: c.ran},
-		pool:     pool, state: "ready", born: c.clock.Wall(), addr: fmt.Sprintf("%s:%d", c.ip(100+n%150), workPort),
+		entry: mn.Endpoint{ID: id, Born: c.clock.Wall(), Pool: pool, Addr: fmt.Sprintf("%s:%d", c.ip(100+n%150), workPort),
+			DataCentre: dataCentre, Capacity: capacity, State: mn.EndpointReady, Role: role},
 	}
 	l, err := net.Listen("tcp", c.ip(100+n%150)+":0")
 	if err != nil {
@@ -218,7 +201,7 @@
 	}
 	e.server = &http.Server{Handler: e.Endpoint}
 	go func() { _ = e.server.Serve(l) }() // It ends when the endpoint does.
-	if e.link, err = procs.NewLink(e.addr, l.Addr().String()); err != nil {
+	if e.link, err = procs.NewLink(e.entry.Addr, l.Addr().String()); err != nil {
 		return err
 	}
 	c.mu.Lock()
@@ -236,16 +219,10 @@
 // beat writes an endpoint's entry.
 func (c *city) beat(e *endpoint) error {
 	c.mu.Lock()
-	e.beat++
-	entry := map[string]any{
-		"service": e.pool, "address": e.addr, "zone": dataCentre, "capacity": e.Capacity, "state": e.state,
-		"sequence": e.beat, "born": e.born,
-	}
+	e.entry.Beat++
+	entry := e.entry
 	c.mu.Unlock()
-	if e.Role != "" {
-		entry["stage"] = string(e.Role)
-	}
-	return c.store.Write("keyed.servers", string(e.ID), entry)
+	return c.store.WriteEndpoint(entry)
 }
 
 // beats writes the entries of living endpoints until ctx is done.
@@ -271,7 +248,7 @@
 func (c *city) remove(ctx context.Context, e *endpoint, leaves bool) error {
 	if leaves {
 		c.mu.Lock()
-		e.state = "draining"
+		e.entry.State = mn.EndpointLeaving
 		c.mu.Unlock()
 		if err := c.beat(e); err != nil {
 			return err
@@ -289,39 +266,34 @@
 	if !leaves {
 		_ = c.clock.Sleep(ctx, 3*mn.MillisOf(beatEvery)) // As above.
 	}
-	return c.store.Write("keyed.servers", string(e.ID), nil)
+	return c.store.DropEndpoint(e.ID)
 }
 
 // configure writes the next configuration.
 func (c *city) configure() error {
 	c.mu.Lock()
 	c.version += 1 + c.rand.Int64N(3)
-	route := func(name, kind, pool string, timeout, attempts int, resumable bool) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": pool,
-			"timeout_ms": timeout, "goal_ms": timeout / 4, "attempts": attempts, "resumable": resumable}
+	version := c.version
+	route := func(name string, kind mn.RouteKind, pool mn.PoolID, timeout mn.Millis, attempts int, resumable bool) mn.Route {
+		return mn.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Shares: []mn.PoolShare{{Pool: pool}},
+			Timeout: timeout, Goal: timeout / 4, Attempts: attempts, Resumable: resumable}
 	}
-	routes := []any{
-		route("look", "idempotent", plainPool, 1000, 2, false), route("book", "non_idempotent", plainPool, 1000, 1, false),
-		route("say", "streaming", modelPool, 3000, 2, true), route("tell", "streaming", modelPool, 3000, 1, false),
+	routes := []mn.Route{
+		route("look", mn.RouteIdempotent, plainPool, 1000, 2, false), route("book", mn.RouteOnce, plainPool, 1000, 1, false),
+		route("say", mn.RouteStream, modelPool, 3000, 2, true), route("tell", mn.RouteStream, modelPool, 3000, 1, false),
 	}
 	for n := range c.routes {
-		routes = append(routes, route(fmt.Sprintf("more-%d", n), "idempotent", plainPool, 1000, 2, false))
+		routes = append(routes, route(fmt.Sprintf("more-%d", n), mn.RouteIdempotent, plainPool, 1000, 2, false))
 	}
-	var tenants []any
+	var customers []stand.Customer
 	for id, keys := range c.keys {
-		tenants = append(tenants, map[string]any{"name": id, "api_keys": keys, "unit": "token_stream", "plain_tokens": 0.001,
-			"rate_per_s": c.history.Rate[id], "burst": c.history.Rate[id]})
-	}
-	config := map[string]any{"version": c.version, "routes": routes, "tenants": tenants,
-		"services": []any{
-			map[string]any{"name": plainPool, "health_path": "/healthz", "max_conns": 200},
-			map[string]any{"name": modelPool, "health_path": "/healthz", "max_conns": 400,
-				"engine": map[string]any{"capacity": 48, "kv_capacity": 700000, "token_kv_bytes": 100, "link_mbps": 10000.0}},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		customers = append(customers, stand.Customer{ID: id, Keys: keys, Rate: c.history.Rate[id]})
 	}
 	c.mu.Unlock()
-	return c.store.Write("keyed.op", "config", config)
+	return c.store.WriteConfig(version, routes, map[mn.PoolID]mn.PoolSpec{
+		plainPool: {MaxConns: 200},
+		modelPool: {MaxConns: 400, Engine: &mn.EngineSpec{Capacity: 48, KVTokens: 700_000, TokenBytes: 100, LinkMbps: 10_000}},
+	}, customers)
 }
 
 func (c *city) stop() {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -126,15 +126,7 @@
 
 // replace starts a new endpoint like e, and ends e.
 func (c *city) replace(ctx context.Context, e *endpoint, leaves bool) error {
-	c.mu.Lock()
-	same := 0
-	for _, o := range c.endpoints {
-		if o.pool == e.pool && o.Role == e.Role && o.state == "ready" {
-			same++
-		}
-	}
-	c.mu.Unlock()
-	if err := c.addEndpoint(e.pool, e.Role, e.Capacity, e.Work); err != nil {
+	if err := c.addEndpoint(e.entry.Pool, e.Role, e.Capacity, e.Work); err != nil {
 		return err
 	}
 	return c.remove(ctx, e, leaves)
@@ -191,7 +183,7 @@
 	var free []*endpoint
 	for n := range c.hosts + 1 {
 		e := c.endpoints[mn.EndpointID(fmt.Sprintf("i-%d", n))]
-		if e != nil && !busy[e] && e.state == "ready" {
+		if e != nil && !busy[e] && e.entry.State == mn.EndpointReady {
 			free = append(free, e)
 		}
 	}
