--- a/endpoint.go
+++ b/endpoint.go
@@ -23,8 +23,8 @@
 	Prefix    string   `json:"prefix,omitempty"`
 	MaxTokens int64    `json:"max_tokens"`
 	Priority  Priority `json:"priority,omitempty"`
-	// KVHandle names a KV cache to import instead of a prefill.
-	KVHandle string `json:"kv_handle,omitempty"`
+	// CacheHandle names a KV cache to import instead of a prefill.
+	CacheHandle string `json:"cache_handle,omitempty"`
 	// PrefillOnly ends the generation after the prefill, with an exported KV
 	// cache in place of output.
 	PrefillOnly bool `json:"prefill_only,omitempty"`
@@ -37,8 +37,8 @@
 	// PromptTokens, CachedTokens are set on the last piece.
 	PromptTokens int64 `json:"prompt_tokens,omitempty"`
 	CachedTokens int64 `json:"cached_tokens,omitempty"`
-	// KVHandle names the KV cache that a prefill-only generation exported.
-	KVHandle string `json:"kv_handle,omitempty"`
+	// CacheHandle names the KV cache that a prefill-only generation exported.
+	CacheHandle string `json:"cache_handle,omitempty"`
 	// Last marks the end of the output.
 	Last bool `json:"last,omitempty"`
 }
--- a/fakes/batch/engine_test.go
+++ b/fakes/batch/engine_test.go
@@ -101,7 +101,7 @@
 	var last mn.Piece
 	err = e.Generate(ctx, mn.Generation{ID: "r", Prompt: "p", PrefillOnly: true}, func(p mn.Piece) error { last = p; return nil })
 	require.NoError(t, err)
-	require.Equal(t, "http://127.0.0.1:1/kv/r", last.KVHandle)
+	require.Equal(t, "http://127.0.0.1:1/kv/r", last.CacheHandle)
 	require.Error(t, e.Generate(ctx, mn.Generation{Prompt: "p", MaxTokens: 1}, nil), "a prefill engine does not decode")
 	cancel()
 	require.NoError(t, <-ended)
--- a/fakes/batch/serve.go
+++ b/fakes/batch/serve.go
@@ -91,10 +91,10 @@
 
 // importKV fetches the KV cache that g names, and says whether it got it.
 func (e *Engine) importKV(ctx context.Context, g mn.Generation) bool {
-	if g.KVHandle == "" {
+	if g.CacheHandle == "" {
 		return false
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.KVHandle, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.CacheHandle, nil)
 	if err != nil {
 		return false
 	}
--- a/fakes/batch/step.go
+++ b/fakes/batch/step.go
@@ -84,7 +84,7 @@
 func (e *Engine) emit(r *request) bool {
 	last := mn.Piece{PromptTokens: r.total, CachedTokens: r.cached, Last: true}
 	if r.g.PrefillOnly {
-		last.KVHandle = e.export(r)
+		last.CacheHandle = e.export(r)
 		r.pieces <- last
 		return true
 	}
--- a/io/caller/generation.go
+++ b/io/caller/generation.go
@@ -109,7 +109,7 @@
 		Weight:    r.Weight,
 		Prompt:    r.Generation.Prompt,
 		MaxTokens: r.Generation.MaxTokens,
-		Prefilled: r.Generation.KvHandle != "",
+		Prefilled: r.Generation.CacheHandle != "",
 		Avoid:     g.avoid,
 	}
 	if d, ok := ctx.Deadline(); ok {
@@ -166,7 +166,7 @@
 		PrefixTokens:   g.tokens,
 		MaxTokens:      body.MaxTokens,
 		Priority:       body.Priority,
-		KvHandle:       body.KvHandle,
+		CacheHandle:    body.CacheHandle,
 	}
 	defer func() { r.Generation = body }()
 	pass := func(f *meshpb.Frame) error { return g.pass(m.VM, f) }
--- a/io/caller/prefill.go
+++ b/io/caller/prefill.go
@@ -43,8 +43,8 @@
 		Generation:  &meshpb.GenerationBody{Prompt: r.Generation.Prompt, Priority: r.Generation.Priority, PrefillOnly: true},
 	}
 	err := s.Agents.Submit(ctx, m.Addr, p, func(f *meshpb.Frame) error {
-		if f.KvHandle != "" {
-			r.Generation.KvHandle = f.KvHandle
+		if f.CacheHandle != "" {
+			r.Generation.CacheHandle = f.CacheHandle
 		}
 		return nil
 	})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -202,7 +202,7 @@
 	if g := r.Generation; g != nil {
 		w.Prompt = g.Prompt
 		w.MaxTokens = g.MaxTokens
-		w.Prefilled = g.KvHandle != ""
+		w.Prefilled = g.CacheHandle != ""
 	}
 	return w
 }
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -168,16 +168,16 @@
 		prompt += p.PromptTokens
 		cached += p.CachedTokens
 		seq++
-		answer.Append(&meshpb.Frame{Sequence: seq, Text: p.Text, Tokens: p.Tokens, KvHandle: p.KVHandle}, int64(len(p.Text))+frameOverhead)
+		answer.Append(&meshpb.Frame{Sequence: seq, Text: p.Text, Tokens: p.Tokens, CacheHandle: p.CacheHandle}, int64(len(p.Text))+frameOverhead)
 		return nil
 	}
 	err := s.Engine.Generate(ctx, mn.Generation{
-		ID:        mn.RequestID(r.Id),
-		Prompt:    g.Prompt,
-		Prefix:    g.Prefix,
-		MaxTokens: g.MaxTokens,
-		Priority:  mn.Priority(g.Priority),
-		KVHandle:  g.KvHandle,
+		ID:          mn.RequestID(r.Id),
+		Prompt:      g.Prompt,
+		Prefix:      g.Prefix,
+		MaxTokens:   g.MaxTokens,
+		Priority:    mn.Priority(g.Priority),
+		CacheHandle: g.CacheHandle,
 
 		PrefillOnly: g.PrefillOnly,
 	}, emit)
--- a/node/queue.go
+++ b/node/queue.go
@@ -110,7 +110,7 @@
 	}
 	return q.Engine.Generate(ctx, g, func(p mn.Piece) error {
 		j.grant.First()
-		if p.Last && g.KVHandle == "" {
+		if p.Last && g.CacheHandle == "" {
 			q.mu.Lock()
 			j.prompt = sched.Tokens(max(p.PromptTokens-p.CachedTokens, 0))
 			q.mu.Unlock()
