--- a/catalog.go
+++ b/catalog.go
@@ -67,8 +67,6 @@
 	Timeout Millis
 	// Goal is the time within which an answer is worth most to the caller.
 	Goal Millis
-	// Gap is the longest pause between events that counts as on time, 0 for any.
-	Gap Millis
 	// Urgency orders routes; 0 is the most urgent.
 	Urgency int
 	// Attempts is how many endpoints one request may be sent to.
@@ -96,8 +94,7 @@
 
 // PoolSpec describes the endpoints of a pool.
 type PoolSpec struct {
-	ID         PoolID
-	HealthPath string
+	ID PoolID
 	// MaxConns bounds the connections that one endpoint accepts from all VMs.
 	MaxConns int64
 	// Engine is nil for plain services.
@@ -118,10 +115,7 @@
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout Millis
-	IdleTimeout   Millis
+	BodyBytes int64
 }
 
 // Catalog is one version of the whole declared configuration of HTTP serving.
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -19,19 +19,32 @@
 )
 
 // Ranks of requests at an engine: what another engine has read only needs a
-// place, and a short prompt little more.
+// place; the others have one by their urgency, long prompts after short ones, of
+// which many fit into the time of one.
 const (
-	urgencyRead  = 0
-	urgencyShort = 2
-	urgencyLong  = 4
+	rankRead  = 0
+	rankFirst = 2
+	rankLong  = 2
+	rankLast  = 9
 )
 
+// rank returns the rank at an engine of a request that the engine reads.
+func (j *Job) rank() int {
+	rank := rankFirst + max(0, j.Urgency)
+	if j.Prompt.Tokens > shortPrompt {
+		rank += rankLong
+	}
+	return min(rankLast, rank)
+}
+
 // Job is a request that is to be placed.
 type Job struct {
 	ID   mn.RequestID
 	Pool mn.PoolID
 	// Prompt is nil for requests to plain services.
 	Prompt *mn.PromptInfo
+	// Urgency is the rank of the request among others, 0 for the most urgent.
+	Urgency int
 	// GoalAt is until when an answer is on time, EndAt when the request must
 	// have its final answer.
 	GoalAt mn.Millis
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -190,14 +190,11 @@
 		e := keeper.Endpoint
 		p.KeptBy = &e
 	}
-	p.Urgency = urgencyLong
-	if j.Prompt.Tokens <= shortPrompt {
-		p.Urgency = urgencyShort
-	}
+	p.Urgency = j.rank()
 	if reader != target {
 		e := reader.Endpoint
 		p.Reader = &e
-		p.ReadUrgency, p.Urgency = p.Urgency, urgencyRead
+		p.ReadUrgency, p.Urgency = p.Urgency, rankRead
 	}
 	return p, expect + again + fail, backlog
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -273,6 +273,22 @@
 	require.Less(t, failed, 25)
 }
 
+func TestUrgentRequestsComeFirstAtTheEngine(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	ranks := map[int]int{}
+	for _, urgency := range []int{-1, 0, 1, 7} {
+		j := job(clock, short(urgency))
+		j.Urgency = urgency
+		p, _ := b.Choose(j, false)
+		ranks[urgency] = p.Urgency
+	}
+	require.Equal(t, map[int]int{-1: 2, 0: 2, 1: 3, 7: 9}, ranks)
+	apart, _ := b.Choose(job(clock, long(1, 1)), false)
+	require.Equal(t, 0, apart.Urgency, "what was read elsewhere only needs a place")
+	require.Equal(t, 4, apart.ReadUrgency, "long prompts come after short ones")
+}
+
 func TestPlainEndpointsFillUpAndNoMore(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
 	b := newBoard(clock, "dc-0")
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -108,7 +108,7 @@
 	}
 	q.route = route
 	q.cost = 1
-	q.job = place.Job{ID: q.env.ID, Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt}
+	q.job = place.Job{ID: q.env.ID, Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt, Urgency: route.Urgency}
 	within := defaultWithin
 	if q.env.Within > 0 {
 		within = q.env.Within - wayBack
@@ -135,6 +135,9 @@
 		return mn.Errorf(mn.Unauthenticated, "the key belongs to no customer")
 	}
 	q.customer = sub.ID
+	if sub.Urgency != nil {
+		q.job.Urgency = *sub.Urgency
+	}
 	if sub.ByToken {
 		q.cost = sub.PlainTokens
 		if q.env.Prompt != nil {
