--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -53,6 +53,27 @@
 	Avoid []mn.EndpointID
 }
 
+// startBy returns until when the request's first event must come for its last one
+// to be in time, at an engine that is busy.
+func (j *Job) startBy() mn.Millis {
+	if j.Prompt == nil {
+		return j.EndAt
+	}
+	return j.EndAt - mn.Millis(busyStep*float64(j.Prompt.MaxOutput))
+}
+
+// backlog returns the most reading, in milliseconds, that may be before the
+// request if it is late.
+func (j *Job) backlog(now mn.Millis) float64 {
+	switch {
+	case j.Prompt.Tokens <= shortPrompt:
+		return shortBacklog
+	case j.startBy()-now < tightSlack:
+		return tightBacklog
+	}
+	return lateBacklog
+}
+
 // Plan is where a request runs.
 type Plan struct {
 	Target mn.Endpoint
@@ -66,6 +87,8 @@
 	// prompt is read, both as estimated.
 	Expect mn.Millis
 	Read   mn.Millis
+	// Last is the time until the last event, if all of the output is used.
+	Last mn.Millis
 	// Before is the reading, in milliseconds, that was before it at its reader.
 	Before mn.Millis
 	// Missing is how many tokens of the prompt are to be read.
@@ -135,7 +158,7 @@
 	case now+p.Expect <= j.GoalAt:
 		b.reserve(p, spec)
 		return p, Send
-	case now+p.Expect <= j.EndAt-lateMargin && (j.Prompt.Tokens <= shortPrompt && backlog <= shortBacklog || late && backlog <= lateBacklog):
+	case now+p.Last <= j.EndAt-lateMargin && (late || j.Prompt.Tokens <= shortPrompt) && backlog <= j.backlog(now):
 		b.reserve(p, spec)
 		return p, SendLate
 	}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -57,6 +57,8 @@
 	// milliseconds: alone, for each running request, and with a piece of a prompt;
 	// from the users' sheets.
 	stepBase, stepEach, chunkTime = 3.5, 0.1, 9.0
+	// busyStep is the step of a generating engine that runs some 40 requests.
+	busyStep = 8.0
 	// lastMargin is kept between the expected last token and a request's end.
 	lastMargin = 200.0
 	// fullMargin keeps some of an engine's places for what other fronts have
@@ -183,9 +185,10 @@
 	if reader == target {
 		again += stallShare * work * float64(running)
 	}
-	again += b.overrun(j, target, expect, now)
+	last := expect + b.generate(j, target, now)
+	again += max(0, last+lastMargin-float64(j.EndAt-now))
 	fail := failCost * (reader.failing(now) + target.failing(now))
-	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), Missing: missing, work: work, prompt: j.Prompt}
+	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Last: mn.Millis(last), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), Missing: missing, work: work, prompt: j.Prompt}
 	if keeper != nil {
 		e := keeper.Endpoint
 		p.KeptBy = &e
@@ -204,16 +207,14 @@
 	return max(0, info.Tokens-own(info)-s.parts.cached(info))
 }
 
-// overrun returns by how much a request's last token is expected to come too
-// late at target, where first is the time until its first.
-func (b *Board) overrun(j *Job, target *state, first float64, now mn.Millis) float64 {
+// generate returns the time in which target generates all of a request's output.
+func (b *Board) generate(j *Job, target *state, now mn.Millis) float64 {
 	running, reading := b.load(target, now)
 	step := stepBase + stepEach*float64(running)
 	if reading > 0 {
 		step += chunkTime
 	}
-	left := float64(j.EndAt-now) - lastMargin
-	return max(0, first+target.slow*step*float64(j.Prompt.MaxOutput)-left)
+	return target.slow * step * float64(j.Prompt.MaxOutput)
 }
 
 // own returns the tokens of the prompt's last part, which it shares with none.
--- a/core/place/line.go
+++ b/core/place/line.go
@@ -9,12 +9,16 @@
 )
 
 const (
-	// lateMargin is kept between the expected first event of a late request and
-	// its end, for the rest of its events.
-	lateMargin = 500 * mn.Millisecond
+	// lateMargin is kept between the expected last event of a late request and its
+	// end.
+	lateMargin = 200 * mn.Millisecond
 	// lateBacklog is the most reading, in milliseconds, that may be before a
 	// late request: one long prompt, so that requests on time hardly wait.
 	lateBacklog = 60.0
+	// tightBacklog is the same before a late request whose output leaves it less
+	// than tightSlack to start: large requests could never be late otherwise.
+	tightBacklog = 200.0
+	tightSlack   = 2500 * mn.Millisecond
 	// shortBacklog is the same before a late short prompt, which takes hardly
 	// anything from others.
 	shortBacklog = 900.0
@@ -83,8 +87,9 @@
 //
 // Load pattern: for seconds at a time callers ask for more prompts than all
 // engines read. What can be answered on time goes first; what can't waits for
-// the lulls between bursts, the earliest end first, so that a caller that comes
-// back after a refusal goes before those that still can. A job that would wait
+// the lulls between bursts, the one first that has to start the
+// soonest to end in time, so that long outputs, and callers that come back after a
+// refusal, go before those that can still wait. A job that would wait
 // longer than it can is refused when it arrives.
 type Line struct {
 	board *Board
@@ -149,7 +154,7 @@
 	w := &waiter{job: j, since: now, until: now + hold, granted: make(chan *Plan, 1)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, _ := slices.BinarySearchFunc(l.waiting, w, func(a, b *waiter) int { return int(a.job.EndAt - b.job.EndAt) })
+	at, _ := slices.BinarySearchFunc(l.waiting, w, func(a, b *waiter) int { return int(a.job.startBy() - b.job.startBy()) })
 	l.waiting = slices.Insert(l.waiting, at, w)
 	if !l.pumping {
 		l.pumping = true
