--- a/soak/city.go
+++ b/soak/city.go
@@ -65,6 +65,8 @@
 	store  *stand.Store
 	duties *stand.Duties
 	fronts []*front
+	// servers are the listeners of the store and the duties.
+	servers []net.Listener
 
 	mu        sync.Mutex
 	history   History
@@ -81,7 +83,8 @@
 		store: stand.NewStore(), duties: &stand.Duties{}, endpoints: map[mn.EndpointID]*endpoint{},
 		history: History{Leaving: map[mn.EndpointID]mn.Millis{}, Revoked: map[string]mn.Millis{}, Rate: map[mn.CustomerID]float64{}},
 		keys:    map[mn.CustomerID][]string{},
-		subnet:  fmt.Sprintf("127.%d.%d", 100+o.Seed%100, 1+o.Seed/100%250),
+		// Soaks that run at the same time need addresses of their own.
+		subnet: fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+int(o.Seed))%100, 1+(os.Getpid()/100+int(o.Seed))%250),
 	}
 	for _, id := range []mn.CustomerID{"a", "b", hotCustomer} {
 		c.history.Rate[id] = customerRate
@@ -136,6 +139,7 @@
 	if err != nil {
 		return err
 	}
+	c.servers = append(c.servers, l)
 	go func() {
 		if err := http.Serve(l, h); !errors.Is(err, net.ErrClosed) {
 			fmt.Fprintln(os.Stderr, "soak: stand-in:", err)
@@ -303,4 +307,13 @@
 		}
 		f.store.Close()
 	}
+	for _, l := range c.servers {
+		l.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints {
+		e.server.Close()
+		e.link.Close()
+	}
 }
