--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -98,10 +98,12 @@
 	Urgency     int
 	ReadUrgency int
 
-	work float64
-	// readerLeft says that the reader's part has been given back.
+	// work is the time in which the prompt is read, in milliseconds.
+	work   float64
+	prompt *mn.PromptInfo
+	// readerLeft, targetLeft and workLeft say that the reader's place, the
+	// target's, and the reading have been given back.
 	readerLeft, targetLeft, workLeft bool
-	prompt                           *mn.PromptInfo
 }
 
 // reader returns the endpoint that reads the prompt.
@@ -128,8 +130,8 @@
 )
 
 // Choose places a job. It reserves the place if the first event is expected on
-// time, or, if late is set, if it is expected before the end and what is on
-// time elsewhere does not suffer.
+// time. If late is set, or for a short prompt, it also does if the last event is
+// expected before the end and hardly anything has to wait for the prompt.
 func (b *Board) Choose(j *Job, late bool) (*Plan, Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
