Send the largest late prompts with part of their output in time

They are hardly ever on time, and were refused since the most output that they declare would not end in time. A large request, by its size alone, now needs time for 0.4 of it, may have 400 ms of reading before it, and is ordered by reading and output.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -53,23 +53,39 @@
 	Avoid []mn.EndpointID
 }
 
-// startBy returns until when the request's first event must come for its last one
-// to be in time, at an engine that is busy.
+// startBy returns until when the request must be sent for its last event to be in
+// time, at engines that are busy and have nothing of its prompt.
 func (j *Job) startBy() mn.Millis {
 	if j.Prompt == nil {
 		return j.EndAt
 	}
-	return j.EndAt - mn.Millis(busyStep*float64(j.Prompt.MaxOutput))
+	return j.EndAt - mn.Millis(busyStep*float64(j.Prompt.MaxOutput)+float64(j.Prompt.Tokens)/readPace)
+}
+
+// large says whether the request is so large that it can hardly wait.
+func (j *Job) large() bool {
+	return j.Prompt.Tokens > shortPrompt && j.EndAt-j.startBy() >= largeSpan
+}
+
+// ends says whether a late request most likely ends in time by a plan. Callers
+// declare the most output; large requests would be refused for what they rarely
+// use.
+func (j *Job) ends(p *Plan, now mn.Millis) bool {
+	last := p.Last
+	if j.large() {
+		last = p.Expect + mn.Millis(largeOutput*float64(p.Last-p.Expect))
+	}
+	return now+last <= j.EndAt-lateMargin
 }
 
 // backlog returns the most reading, in milliseconds, that may be before the
 // request if it is late.
-func (j *Job) backlog(now mn.Millis) float64 {
+func (j *Job) backlog() float64 {
 	switch {
 	case j.Prompt.Tokens <= shortPrompt:
 		return shortBacklog
-	case j.startBy()-now < tightSlack:
-		return tightBacklog
+	case j.large():
+		return largeBacklog
 	}
 	return lateBacklog
 }
@@ -160,7 +176,7 @@
 	case now+p.Expect <= j.GoalAt:
 		b.reserve(p, spec)
 		return p, Send
-	case now+p.Last <= j.EndAt-lateMargin && (late || j.Prompt.Tokens <= shortPrompt) && backlog <= j.backlog(now):
+	case j.ends(p, now) && (late || j.Prompt.Tokens <= shortPrompt) && backlog <= j.backlog():
 		b.reserve(p, spec)
 		return p, SendLate
 	}
--- a/core/place/line.go
+++ b/core/place/line.go
@@ -15,10 +15,14 @@
 	// lateBacklog is the most reading, in milliseconds, that may be before a
 	// late request: one long prompt, so that requests on time hardly wait.
 	lateBacklog = 60.0
-	// tightBacklog is the same before a late request whose output leaves it less
-	// than tightSlack to start: large requests could never be late otherwise.
-	tightBacklog = 200.0
-	tightSlack   = 2500 * mn.Millisecond
+	// largeBacklog is the same before a late request that takes largeSpan or more,
+	// about the largest tenth of long prompts: they are hardly ever on time, and
+	// would never be served.
+	largeBacklog = 400.0
+	largeSpan    = 2000 * mn.Millisecond
+	// largeOutput is the part of such a request's declared output for which there
+	// must be time.
+	largeOutput = 0.4
 	// shortBacklog is the same before a late short prompt, which takes hardly
 	// anything from others.
 	shortBacklog = 900.0
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -273,6 +273,24 @@
 	require.Less(t, failed, 25)
 }
 
+// The largest requests are never on time: beside a steady load they must be sent
+// late where others still wait.
+func TestLargePromptIsSentLateBesideALoad(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBoard(clock, "dc-0")
+	for i := range 12 { // Some 300 ms of reading at each reader.
+		b.Choose(job(clock, long(i, i)), false)
+	}
+	large := job(clock, &mn.PromptInfo{Tokens: 60_000, MaxOutput: 450, Parts: []mn.PromptPart{
+		{ID: "other", Tokens: 20_000}, {ID: "large", Tokens: 40_000}}})
+	_, c := b.Choose(large, true)
+	require.Equal(t, SendLate, c)
+	usual := job(clock, long(99, 99))
+	usual.GoalAt = clock.Now()
+	_, c = b.Choose(usual, true)
+	require.Equal(t, Full, c, "it can wait for a lull")
+}
+
 func TestUrgentRequestsComeFirstAtTheEngine(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
 	b := newBoard(clock, "dc-0")
