Keep one rendezvous hash, one way to read a feed, and no work for lines left out

Found by reading the whole change. core/place and core/relay had hashes of their own beside core/rendez, which now takes members of any kind; which engine is a part's home, and which fronts read the store, are other ones than before by that, chosen in the same way. The catalog, the endpoints and the other feeds each followed or read anew by themselves. A log line's fields were built before it was left out; counts of runs were pruned at each request; an engine's load was summed three times for a plan. Fields that nobody read are gone (job id, time held, a front's leaving, failing endpoints in news, stable_ms), and a share of memory that was 1.

--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -85,11 +85,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w := int64(r.wall() / r.window)
-	r.own[key{w, c}]++
-	for k := range r.own {
-		if k.window < w-r.kept {
-			delete(r.own, k)
+	k := key{int64(r.wall() / r.window), c}
+	r.own[k]++
+	if r.own[k] == 1 {
+		prune(r.own, k.window-r.kept)
+	}
+}
+
+// prune drops the counts of windows before oldest.
+func prune(counts map[key]int64, oldest int64) {
+	for k := range counts {
+		if k.window < oldest {
+			delete(counts, k)
 		}
 	}
 }
@@ -127,16 +134,11 @@
 		counts = map[key]int64{}
 		byIncarnation[f.Incarnation] = counts
 	}
-	oldest := int64(r.wall()/r.window) - r.kept
 	for _, n := range f.Runs {
 		k := key{n.Window, n.Customer}
 		counts[k] = max(counts[k], n.Count)
 	}
-	for k := range counts {
-		if k.window < oldest {
-			delete(counts, k)
-		}
-	}
+	prune(counts, int64(r.wall()/r.window)-r.kept)
 }
 
 // All returns the counts of every front's incarnations that this front knows,
--- a/core/place/board.go
+++ b/core/place/board.go
@@ -176,8 +176,8 @@
 	}
 	var uses []mn.EndpointUse
 	for id, s := range b.endpoints {
-		u := mn.EndpointUse{Endpoint: id, Requests: s.requests, Prefill: mn.Millis(s.reading), Failing: now < s.pausedUntil}
-		if u != c.uses[id] && (c.uses[id] != mn.EndpointUse{} || u.Requests > 0 || u.Failing) {
+		u := mn.EndpointUse{Endpoint: id, Requests: s.requests, Prefill: mn.Millis(s.reading)}
+		if u != c.uses[id] && (c.uses[id] != mn.EndpointUse{} || u.Requests > 0) {
 			uses = append(uses, u)
 			c.uses[id] = u
 		}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -39,7 +39,6 @@
 
 // Job is a request that is to be placed.
 type Job struct {
-	ID   mn.RequestID
 	Pool mn.PoolID
 	// Prompt is nil for requests to plain services.
 	Prompt *mn.PromptInfo
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -1,11 +1,10 @@
 package place
 
 import (
-	"hash/fnv"
 	"math"
-	"slices"
 
 	mn "mustardnotch"
+	"mustardnotch/core/rendez"
 )
 
 const (
@@ -158,13 +157,12 @@
 			keeper, work, missing = keep, w+handoff(keep, reader, spec, missing-m), m
 		}
 	}
-	running, backlog := b.load(reader, now)
-	first := firstToken
-	if reader == target {
-		first += stepCost * float64(running)
-	} else {
-		n, reading := b.load(target, now)
-		first += stepCost*float64(n) + reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
+	running, reading := b.load(target, now)
+	backlog = reading
+	first := firstToken + stepCost*float64(running)
+	if reader != target {
+		_, backlog = b.load(reader, now)
+		first += reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
 	}
 	behind := 1.0
 	if j.Prompt.Tokens <= shortPrompt {
@@ -185,7 +183,7 @@
 	if reader == target {
 		again += stallShare * work * float64(running)
 	}
-	last := expect + b.generate(j, target, now)
+	last := expect + target.generate(j, running, reading)
 	again += max(0, last+lastMargin-float64(j.EndAt-now))
 	fail := failCost * (reader.failing(now) + target.failing(now))
 	p = &Plan{Target: target.Endpoint, Expect: mn.Millis(expect), Last: mn.Millis(last), Read: mn.Millis(behind*backlog + work), Before: mn.Millis(backlog), Missing: missing, work: work, prompt: j.Prompt}
@@ -207,14 +205,14 @@
 	return max(0, info.Tokens-own(info)-s.parts.cached(info))
 }
 
-// generate returns the time in which target generates all of a request's output.
-func (b *Board) generate(j *Job, target *state, now mn.Millis) float64 {
-	running, reading := b.load(target, now)
+// generate returns the time in which s generates all of a request's output beside
+// what it runs and reads.
+func (s *state) generate(j *Job, running int64, reading float64) float64 {
 	step := stepBase + stepEach*float64(running)
 	if reading > 0 {
 		step += chunkTime
 	}
-	return target.slow * step * float64(j.Prompt.MaxOutput)
+	return s.slow * step * float64(j.Prompt.MaxOutput)
 }
 
 // own returns the tokens of the prompt's last part, which it shares with none.
@@ -266,32 +264,5 @@
 	if len(info.Parts) > 0 {
 		key = info.Parts[0].ID
 	}
-	sorted := slices.Clone(usable)
-	score := make(map[mn.EndpointID]float64, len(usable))
-	for _, s := range usable {
-		h := fnv.New64a()
-		h.Write([]byte(key + "\x00" + string(s.ID))) // A hash never fails to write.
-		u := (float64(mix(h.Sum64())>>11) + 1) / (1 << 53)
-		score[s.ID] = u
-	}
-	slices.SortFunc(sorted, func(x, y *state) int {
-		switch {
-		case score[x.ID] > score[y.ID]:
-			return -1
-		case score[x.ID] < score[y.ID]:
-			return 1
-		}
-		return 0
-	})
-	return sorted[:min(homes, len(sorted))]
-}
-
-// mix spreads the bits of an FNV hash, whose high bits differ little for keys
-// that differ in their last byte.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+	return rendez.TopBy(key, usable, homes, func(s *state) mn.EndpointID { return s.ID })
 }
--- a/core/place/line.go
+++ b/core/place/line.go
@@ -49,8 +49,6 @@
 	Reason string
 	// Retry is when there may be room.
 	Retry mn.Millis
-	// Waited is how long the job was held.
-	Waited mn.Millis
 }
 
 // Lines are the lines of all pools. Short and long prompts of a pool wait apart:
@@ -91,10 +89,10 @@
 //
 // Load pattern: for seconds at a time callers ask for more prompts than all
 // engines read. What can be answered on time goes first; what can't waits for
-// the lulls between bursts, the one first that has to start the
-// soonest to end in time, so that long outputs, and callers that come back after a
-// refusal, go before those that can still wait. A job that would wait
-// longer than it can is refused when it arrives.
+// the lulls between bursts, the one first that has to start the soonest to end in
+// time, so that long outputs, and callers that come back after a refusal, go before
+// those that can still wait. A job that would wait longer than it can is refused
+// when it arrives.
 type Line struct {
 	board *Board
 	clock mn.Clock
@@ -109,7 +107,6 @@
 
 type waiter struct {
 	job     *Job
-	since   mn.Millis
 	until   mn.Millis
 	granted chan *Plan
 }
@@ -140,8 +137,7 @@
 		if p != nil {
 			return p, nil
 		}
-		now = l.clock.Now()
-		return nil, &Refusal{Reason: "no room in time", Retry: l.retry(j, now, l.expected()), Waited: now - w.since}
+		return nil, &Refusal{Reason: "no room in time", Retry: l.retry(j, l.clock.Now(), l.expected())}
 	case <-ctx.Done():
 		l.abandon(w)
 		return nil, nil
@@ -155,7 +151,7 @@
 	if expected > max(graceWait, hold) {
 		return nil, &Refusal{Reason: "the line is too long", Retry: l.retry(j, now, expected)}
 	}
-	w := &waiter{job: j, since: now, until: now + hold, granted: make(chan *Plan, 1)}
+	w := &waiter{job: j, until: now + hold, granted: make(chan *Plan, 1)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at, _ := slices.BinarySearchFunc(l.waiting, w, func(a, b *waiter) int { return int(a.job.startBy() - b.job.startBy()) })
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -3,7 +3,7 @@
 import mn "mustardnotch"
 
 // parts remembers which shared prompt parts an engine has read, the least
-// recently used going first, up to the tokens that its memory keeps.
+// recently used going first, up to the tokens of its memory.
 type parts struct {
 	used   map[string]*part
 	tokens int64
@@ -15,10 +15,6 @@
 	tick   int64
 }
 
-// partsShare is the part of an engine's memory that is taken to hold parts; the
-// rest is for requests that run.
-const partsShare = 1.0
-
 func newParts() *parts { return &parts{used: map[string]*part{}} }
 
 // cached returns how many tokens at the start of the prompt the engine has.
@@ -45,7 +41,7 @@
 		}
 		k.tick = p.tick
 	}
-	for most := int64(float64(memory) * partsShare); p.tokens > most && len(p.used) > 1; {
+	for p.tokens > memory && len(p.used) > 1 {
 		p.evict()
 	}
 }
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// learn moves the speed factor towards a value that two in five observations are below: the
-// rest waited for work that was not known when it was placed.
+// learn moves the speed factor towards a value that two in five observations are
+// below: the rest waited for work that was not known when they were placed.
 func (s *state) learn(took, expected float64) {
 	const up, down = 0.04, 0.06
 	if took > expected {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -14,28 +14,21 @@
 	"slices"
 
 	mn "mustardnotch"
+	"mustardnotch/core/rendez"
 )
 
 // Readers is how many fronts read at any time; with two, the loss of one is not
 // noticed by the others.
 const Readers = 2
 
+// readersKey is the key by which fronts are ranked.
+const readersKey = "readers"
+
 // Rank returns the place of self among the fronts that are alive, from 0. All
 // fronts that know the same ones alive agree on it.
 func Rank(self mn.VMID, alive []mn.VMID) int {
-	score := func(vm mn.VMID) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte(vm)) // A hash never fails to write.
-		return h.Sum64()
-	}
-	own := score(self)
-	rank := 0
-	for _, vm := range alive {
-		if s := score(vm); s < own || s == own && vm < self {
-			rank++
-		}
-	}
-	return rank
+	all := append(slices.Clone(alive), self)
+	return slices.Index(rendez.Top(readersKey, all, len(all)), self)
 }
 
 // MustRead says whether a front reads by itself: one of the first by rank always
--- a/core/rendez/rendez.go
+++ b/core/rendez/rendez.go
@@ -33,18 +33,32 @@
 
 // Top returns the count members that score highest for key, best first. With
 // fewer members it returns all of them.
-func Top(key string, members []mn.VMID, count int) []mn.VMID {
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b mn.VMID) int {
-		if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
+func Top[ID ~string](key string, members []ID, count int) []ID {
+	return TopBy(key, members, count, func(id ID) ID { return id })
+}
+
+// TopBy is [Top] for members that have an id.
+func TopBy[M any, ID ~string](key string, members []M, count int, id func(M) ID) []M {
+	type scored struct {
+		member M
+		id     ID
+		score  uint64
+	}
+	all := make([]scored, 0, len(members))
+	for _, m := range members {
+		all = append(all, scored{m, id(m), score(key, id(m))})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
-	return sorted[:min(count, len(sorted))]
+	top := make([]M, 0, count)
+	for _, s := range all[:min(count, len(all))] {
+		top = append(top, s.member)
+	}
+	return top
 }
 
-func score(key string, member mn.VMID) uint64 {
+func score[ID ~string](key string, member ID) uint64 {
 	h := hash(fnvOffset, string(member))
 	h = hash(h*fnvPrime, key)
 	return mix(h)
--- a/facts.go
+++ b/facts.go
@@ -6,7 +6,6 @@
 	Incarnation Incarnation `json:"incarnation"`
 	Addr        string      `json:"addr"`
 	DataCentre  DataCentre  `json:"data_centre"`
-	Leaving     bool        `json:"leaving,omitempty"`
 }
 
 // EndpointUse is the work that one front has at an endpoint.
@@ -16,8 +15,6 @@
 	Requests int64
 	// Prefill is the time that the endpoint needs for the prompts among these.
 	Prefill Millis
-	// Failing says that the front saw the endpoint fail and avoids it.
-	Failing bool
 }
 
 // PromptRead says that an endpoint read the shared parts of a prompt.
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -108,7 +108,7 @@
 	}
 	q.route = route
 	q.cost = 1
-	q.job = place.Job{ID: q.env.ID, Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt, Urgency: route.Urgency}
+	q.job = place.Job{Pool: paths.Pool(route, q.env.ID), Prompt: q.env.Prompt, Urgency: route.Urgency}
 	within := defaultWithin
 	if q.env.Within > 0 {
 		within = q.env.Within - wayBack
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -147,49 +147,23 @@
 // note counts and logs a request's end.
 func (q *request) note(err *mn.Error) {
 	took := q.Clock.Now() - q.arrived
-	f := logrus.Fields{
-		"event": "request", "request": q.env.ID, "took_ms": took,
-		"view_age_ms": q.viewAge, "config_version": q.version, "tries": q.tries,
-	}
-	if q.route != nil {
-		f["route"], f["pool"] = q.route.Name, q.job.Pool
-	}
-	if q.customer != "" {
-		f["customer"] = q.customer
-	}
-	if q.plan != nil {
-		f["endpoint"], f["expect_ms"], f["before_ms"], f["waited_ms"] = q.plan.Target.ID, q.plan.Expect, q.plan.Before, q.waited
-		if p := q.env.Prompt; p != nil {
-			f["prompt_tokens"], f["missing_tokens"] = p.Tokens, q.plan.Missing
-			if len(p.Parts) > 0 {
-				f["part"] = p.Parts[0].ID
-			}
-		}
-		if q.plan.KeptBy != nil {
-			f["kept_by"] = q.plan.KeptBy.ID
-		}
-		if q.plan.Reader != nil {
-			f["reader"], f["read_ms"], f["read_expect_ms"] = q.plan.Reader.ID, q.readTook, q.plan.Read
-		}
-	}
+	q.Stats.Span("request_ms", took)
 	if q.firstAt > 0 {
-		f["first_ms"] = q.firstAt - q.arrived
 		q.Stats.Span("first_event_ms", q.firstAt-q.arrived)
 	}
-	q.Stats.Span("request_ms", took)
 	if err == nil {
 		q.Stats.Add("answered", 1)
-		left, ok := q.answered.Allow()
-		if !ok {
-			return
-		}
-		if left > 0 {
-			f["lines_left_out"] = left
+		if left, ok := q.answered.Allow(); ok {
+			f := q.fields(took)
+			if left > 0 {
+				f["lines_left_out"] = left
+			}
+			q.Log.WithFields(f).WithField("status", q.status).Info("answered")
 		}
-		q.Log.WithFields(f).WithField("status", q.status).Info("answered")
 		return
 	}
 	q.Stats.Add("failed_"+err.Code.String(), 1)
+	f := q.fields(took)
 	f["code"], f["outcome"], f["reason"] = err.Code, err.Outcome, err.Detail
 	if err.RetryAfter > 0 {
 		f["retry_after_ms"] = err.RetryAfter
@@ -200,6 +174,41 @@
 	q.Log.WithFields(f).Warn("not answered")
 }
 
+// fields returns what a log line says of a request however it ended.
+func (q *request) fields(took mn.Millis) logrus.Fields {
+	f := logrus.Fields{
+		"event": "request", "request": q.env.ID, "took_ms": took,
+		"view_age_ms": q.viewAge, "config_version": q.version, "tries": q.tries,
+	}
+	if q.route != nil {
+		f["route"], f["pool"] = q.route.Name, q.job.Pool
+	}
+	if q.customer != "" {
+		f["customer"] = q.customer
+	}
+	if q.firstAt > 0 {
+		f["first_ms"] = q.firstAt - q.arrived
+	}
+	p := q.plan
+	if p == nil {
+		return f
+	}
+	f["endpoint"], f["expect_ms"], f["before_ms"], f["waited_ms"] = p.Target.ID, p.Expect, p.Before, q.waited
+	if prompt := q.env.Prompt; prompt != nil {
+		f["prompt_tokens"], f["missing_tokens"] = prompt.Tokens, p.Missing
+		if len(prompt.Parts) > 0 {
+			f["part"] = prompt.Parts[0].ID
+		}
+	}
+	if p.KeptBy != nil {
+		f["kept_by"] = p.KeptBy.ID
+	}
+	if p.Reader != nil {
+		f["reader"], f["read_ms"], f["read_expect_ms"] = p.Reader.ID, q.readTook, p.Read
+	}
+	return f
+}
+
 // readBody reads the caller's whole body.
 func (q *request) readBody(limit int64) ([]byte, *mn.Error) {
 	if q.r.Body == nil || q.r.ContentLength == 0 {
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -132,24 +132,24 @@
 		return "", &result{endpoint: plan.Reader.ID, notRun: true, err: mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)}
 	}
 	defer a.Close()
-	body, err := a.All(maxAnswer)
-	failed := &result{endpoint: plan.Reader.ID, notRun: true}
-	if err == nil && a.Status != http.StatusOK {
-		err = fmt.Errorf("status %d", a.Status)
-	}
+	handle, err := q.handle(a)
+	q.Board.Reached(plan.Reader.ID, err != nil)
 	if err != nil {
-		q.Board.Reached(plan.Reader.ID, true)
-		failed.err = mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)
-		return "", failed
+		return "", &result{endpoint: plan.Reader.ID, notRun: true, err: mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)}
 	}
-	handle, err := q.Dialect.Handle(body)
+	return handle, nil
+}
+
+// handle returns the handle that an endpoint answered for a prompt.
+func (q *request) handle(a *back.Answer) (string, error) {
+	body, err := a.All(maxAnswer)
 	if err != nil {
-		q.Board.Reached(plan.Reader.ID, true)
-		failed.err = mn.Errorf(mn.EndpointFailed, "reading the prompt: %w", err)
-		return "", failed
+		return "", err
 	}
-	q.Board.Reached(plan.Reader.ID, false)
-	return handle, nil
+	if a.Status != http.StatusOK {
+		return "", fmt.Errorf("status %d", a.Status)
+	}
+	return q.Dialect.Handle(body)
 }
 
 // release frees a prompt's KV cache that was not fetched.
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -132,7 +132,7 @@
 	}
 	for _, u := range f.Uses {
 		out.Uses = append(out.Uses, &meshpb.EndpointUse{
-			Endpoint: string(u.Endpoint), Requests: u.Requests, PrefillMs: int64(u.Prefill), Failing: u.Failing})
+			Endpoint: string(u.Endpoint), Requests: u.Requests, PrefillMs: int64(u.Prefill)})
 	}
 	for c, v := range f.Spent {
 		out.Spent = append(out.Spent, &meshpb.Spent{Customer: string(c), Amount: v})
@@ -163,7 +163,7 @@
 	}
 	for _, u := range in.Uses {
 		f.Uses = append(f.Uses, mn.EndpointUse{
-			Endpoint: mn.EndpointID(u.Endpoint), Requests: u.Requests, Prefill: mn.Millis(u.PrefillMs), Failing: u.Failing})
+			Endpoint: mn.EndpointID(u.Endpoint), Requests: u.Requests, Prefill: mn.Millis(u.PrefillMs)})
 	}
 	for _, s := range in.Spent {
 		f.Spent[mn.CustomerID(s.Customer)] = s.Amount
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -75,7 +75,7 @@
 		return nil
 	}
 	if !held {
-		items, after, err := f.readFeed(ctx, mn.DutyFeed, f.holder.Next())
+		items, after, _, err := f.readFeed(ctx, mn.DutyFeed, f.holder.Next(), 0)
 		if err != nil {
 			return err
 		}
@@ -96,7 +96,7 @@
 		f.holder.Won(bid, offset)
 		return nil
 	}
-	items, after, readErr := f.readFeed(ctx, mn.DutyFeed, f.holder.Next())
+	items, after, _, readErr := f.readFeed(ctx, mn.DutyFeed, f.holder.Next(), 0)
 	if readErr != nil {
 		return readErr
 	}
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -133,7 +133,7 @@
 }
 
 func (f *Front) readFronts(ctx context.Context, next mn.Offset) (mn.Offset, error) {
-	items, after, err := f.readFeed(ctx, mn.FrontFeed, next)
+	items, after, _, err := f.readFeed(ctx, mn.FrontFeed, next, 0)
 	if err != nil {
 		return next, err
 	}
@@ -143,16 +143,18 @@
 	return after, nil
 }
 
-// readFeed returns what a feed holds from offset next on, or the newest items
-// where next is negative or its records are gone.
-func (f *Front) readFeed(ctx context.Context, feed mn.FeedKind, next mn.Offset) ([]mn.Item, mn.Offset, error) {
+// readFeed returns what a feed holds from offset next on, for which it waits up to
+// wait. Where next is negative or its records are gone, it returns the newest item
+// of each key, and whole is true.
+func (f *Front) readFeed(ctx context.Context, feed mn.FeedKind, next mn.Offset, wait mn.Millis) (items []mn.Item, after mn.Offset, whole bool, err error) {
 	if next >= 0 {
-		items, after, err := f.platform.Store.Follow(ctx, feed, next, 0)
+		items, after, err = f.platform.Store.Follow(ctx, feed, next, wait)
 		if mn.CodeOf(err) != mn.RecordsExpired {
-			return items, after, err
+			return items, after, false, err
 		}
 	}
-	return f.platform.Store.Newest(ctx, feed)
+	items, after, err = f.platform.Store.Newest(ctx, feed)
+	return items, after, true, err
 }
 
 // talk exchanges facts with each other front until ctx is done.
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -158,12 +158,9 @@
 	sent := v.clock.Now()
 	next, known := v.position()
 	if !known {
-		return v.readNewest(ctx, sent)
-	}
-	items, after, err := v.platform.Store.Follow(ctx, mn.CatalogFeed, next, catalogWait)
-	if mn.CodeOf(err) == mn.RecordsExpired {
-		return v.readNewest(ctx, sent)
+		next = -1
 	}
+	items, after, whole, err := v.readFeed(ctx, mn.CatalogFeed, next, catalogWait)
 	if err != nil {
 		return err
 	}
@@ -171,23 +168,11 @@
 		v.apply(i)
 	}
 	confirmed := sent
-	if len(items) == 0 {
+	if !whole && len(items) == 0 {
 		// The store looked again when the wait was over.
 		confirmed = min(sent+catalogWait, v.clock.Now())
 	}
 	v.confirm(after, confirmed)
-	return nil
-}
-
-func (v *frontView) readNewest(ctx context.Context, sent mn.Millis) error {
-	items, after, err := v.platform.Store.Newest(ctx, mn.CatalogFeed)
-	if err != nil {
-		return err
-	}
-	for _, i := range items {
-		v.apply(i)
-	}
-	v.confirm(after, sent)
 	if _, known := v.position(); !known {
 		_ = v.clock.Sleep(ctx, storePause) // The operator has written nothing yet.
 	}
@@ -248,28 +233,20 @@
 }
 
 func (v *frontView) readEndpoints(ctx context.Context, list *lists.List, next mn.Offset) (mn.Offset, error) {
-	if next >= 0 {
-		items, after, err := v.platform.Store.Follow(ctx, mn.EndpointFeed, next, 0)
-		if err == nil {
-			now := v.clock.Now()
-			list.Read(now)
-			for _, i := range items {
-				v.noteEntry(i, list.Apply(i, now))
-			}
-			return after, nil
-		}
-		if mn.CodeOf(err) != mn.RecordsExpired {
-			return next, err
-		}
-	}
-	items, after, err := v.platform.Store.Newest(ctx, mn.EndpointFeed)
+	items, after, whole, err := v.readFeed(ctx, mn.EndpointFeed, next, 0)
 	if err != nil {
 		return next, err
 	}
 	now := v.clock.Now()
 	list.Read(now)
-	for _, fault := range list.Replace(items, now) {
-		v.noteEntry(mn.Item{}, fault)
+	if whole {
+		for _, fault := range list.Replace(items, now) {
+			v.noteEntry(mn.Item{}, fault)
+		}
+		return after, nil
+	}
+	for _, i := range items {
+		v.noteEntry(i, list.Apply(i, now))
 	}
 	return after, nil
 }
--- a/procs/cluster.go
+++ b/procs/cluster.go
@@ -103,7 +103,7 @@
 	if err := c.reserve(); err != nil {
 		return nil, err
 	}
-	p, err := start(dir, "platform", filepath.Join(bin, "fakes"), "platform", "--listen", c.platformAddr())
+	p, err := Start(dir, "platform", filepath.Join(bin, "fakes"), "platform", "--listen", c.platformAddr())
 	if err != nil {
 		return nil, err
 	}
@@ -213,7 +213,7 @@
 		args = append(append([]string{}, n.engine...), "--model", string(n.model))
 	}
 	args = append(args, "--listen", fmt.Sprintf("%s:%d", n.IP, standInPort))
-	p, err := start(c.Dir, string(n.VM.ID)+"-endpoint", filepath.Join(c.Bin, "fakes"), args...)
+	p, err := Start(c.Dir, string(n.VM.ID)+"-endpoint", filepath.Join(c.Bin, "fakes"), args...)
 	if err != nil {
 		return err
 	}
@@ -277,7 +277,7 @@
 
 // StartOnly starts the process of n without waiting for it.
 func (c *Cluster) StartOnly(n *Node) error {
-	p, err := start(c.Dir, string(n.VM.ID), filepath.Join(c.Bin, "mustardnotch"), string(n.VM.Role), "--settings", n.settings)
+	p, err := Start(c.Dir, string(n.VM.ID), filepath.Join(c.Bin, "mustardnotch"), string(n.VM.Role), "--settings", n.settings)
 	if err != nil {
 		return err
 	}
--- a/procs/proc.go
+++ b/procs/proc.go
@@ -36,8 +36,8 @@
 	err  error
 }
 
-// start runs the program bin with args and sends its output to dir/name.log.
-func start(dir, name, bin string, args ...string) (*Proc, error) {
+// Start runs the program bin with args and sends its output to dir/name.log.
+func Start(dir, name, bin string, args ...string) (*Proc, error) {
 	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -117,9 +117,3 @@
 	}
 	return string(b)
 }
-
-// Start runs the program bin with args as a process of its own, whose output goes
-// to dir/name.log.
-func Start(dir, name, bin string, args ...string) (*Proc, error) {
-	return start(dir, name, bin, args...)
-}
--- a/setup/front.go
+++ b/setup/front.go
@@ -32,8 +32,6 @@
 	LeavingWithin mn.Millis
 	// Grace is how long a process has to end after SIGTERM.
 	Grace mn.Millis
-	// Stable is how long after a disturbance the platform counts as calm.
-	Stable mn.Millis
 	// RetryRatio and RetrySlack bound the retries of all fronts together in any
 	// RetryWindow: RetryRatio for each request, and RetrySlack.
 	RetryRatio  float64
@@ -62,7 +60,6 @@
 		ApplyWithin:   2 * mn.Second,
 		LeavingWithin: 2 * mn.Second,
 		Grace:         8 * mn.Second,
-		Stable:        3 * mn.Second,
 		RetryRatio:    0.2,
 		RetryWindow:   10 * mn.Second,
 		HolderApart:   3 * mn.Second,
@@ -78,7 +75,7 @@
 	merged := *s
 	merged.RevokeWithin, merged.StrictRevoke = other.RevokeWithin, other.StrictRevoke
 	merged.ApplyWithin, merged.LeavingWithin = other.ApplyWithin, other.LeavingWithin
-	merged.Grace, merged.Stable = other.Grace, other.Stable
+	merged.Grace = other.Grace
 	merged.UsageLate = other.UsageLate
 	return merged
 }
