Announce an established offset before it is acknowledged

The cluster's first roster was entry-1 and entry-2 alone. Entry-1 established the newest offset, acknowledged the withdrawal of a key, and was killed before its next round told anybody that the offset is established. The agents are a majority of the newest roster but not of the first, so they could establish nothing, their shares were never settled, and nobody could lend.

Ruled out: agents behind the log (they relayed to one another), time-outs of loans (none was asked for; readiness waited 8 s).

Change: whoever establishes an offset tells the roster so before it counts as established. One round more per change; none where nothing changes. The table test of ages marks its offset as established, since the fake peer would take a delay for the announcement too; its bounds are as they were.

TestEstablishedOutlivesWhoEstablished fails before (0 established, 5 wanted) and passes after. core/fresh passes with 2000 rapid checks.

--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,6 +58,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			clock := mn.NewManualClock(50_000)
 			m, _ := pair(t, clock, tt.b, tt.delay)
+			m.NoteEstablished(2) // nothing is left to announce, which would take a delay more
 			m.askAll(t.Context())
 			age, ok := m.Age()
 			require.Equal(t, tt.want >= 0, ok)
@@ -146,3 +148,40 @@
 	require.NoError(t, <-done)
 	require.EqualValues(t, 3, m.Known())
 }
+
+// peers are monitors that hear one another directly.
+type peers map[mn.VMID]*Monitor
+
+func (p peers) Hear(_ context.Context, to mn.Member, told Told) (Answer, error) {
+	m, ok := p[to.VM]
+	if !ok {
+		return Answer{}, errors.New("unreachable")
+	}
+	return m.Answer(told), nil
+}
+
+// TestEstablishedOutlivesWhoEstablished kills, with the log down, both members of
+// the earliest roster as soon as one of them has established the newest. The
+// others are a majority of the newest roster, but never of the earliest: unless
+// they were told, they can never establish anything again.
+func TestEstablishedOutlivesWhoEstablished(t *testing.T) {
+	clock, all := mn.NewManualClock(50_000), peers{}
+	var log []mn.LogEntry
+	for _, vm := range []mn.VMID{"e1", "e2", "a1", "a2", "a3"} {
+		r := mn.Record{Version: 1, ID: mn.NewRecordID(), Join: &mn.Member{VM: vm, Incarnation: "1", Role: mn.RoleEntry}}
+		data, err := mn.EncodeRecord(&r)
+		require.NoError(t, err)
+		log = append(log, mn.LogEntry{Offset: mn.Offset(len(log) + 1), Data: data})
+	}
+	for _, vm := range []mn.VMID{"e1", "e2", "a1", "a2", "a3"} {
+		f := conf.New()
+		require.NoError(t, f.Apply(log))
+		all[vm] = New(vm, "1", f, clock, all, DefaultParams())
+	}
+	all["e1"].askAll(t.Context())
+	require.EqualValues(t, len(log), all["e1"].Established())
+	delete(all, "e1")
+	delete(all, "e2")
+	all["a1"].askAll(t.Context())
+	require.EqualValues(t, len(log), all["a1"].Established())
+}
--- a/core/fresh/round.go
+++ b/core/fresh/round.go
@@ -142,24 +142,30 @@
 	for _, p := range view.Roster {
 		all = append(all, p)
 	}
-	stamp, h := m.hear(ctx, view.Offset, all)
-	if m.establishes(h.told, view) {
-		m.NoteEstablished(view.Offset)
-	}
+	stamp, h := m.hear(ctx, all, view.Offset, m.Established())
+	established := view.Offset > m.Established() && m.establishes(h.told, view)
 	m.conclude(ctx, stamp, h, true)
+	if !established {
+		return
+	}
+	// Members of earlier rosters may all be lost as soon as the change is
+	// acknowledged; the others could then establish nothing by themselves.
+	m.hear(ctx, all, view.Offset, view.Offset)
+	m.NoteEstablished(view.Offset)
 }
 
 // ask tells only some peers, whose own evidence counts if they are current.
 func (m *Monitor) ask(ctx context.Context, peers []mn.Member) {
-	stamp, h := m.hear(ctx, m.folds.View().Offset, peers)
+	stamp, h := m.hear(ctx, peers, m.folds.View().Offset, m.Established())
 	m.conclude(ctx, stamp, h, false)
 }
 
-// hear tells the peers off, and returns the instant before the first was told.
-func (m *Monitor) hear(ctx context.Context, off mn.Offset, peers []mn.Member) (mn.Millis, *heard) {
+// hear tells the peers which offset is folded and which is established, and
+// returns the instant before the first was told.
+func (m *Monitor) hear(ctx context.Context, peers []mn.Member, folded, established mn.Offset) (mn.Millis, *heard) {
 	ctx, cancel := context.WithTimeout(ctx, m.params.Timeout.Duration())
 	defer cancel()
-	told := Told{VM: m.vm, Incarnation: m.incarnation, Offset: off, Established: m.Established()}
+	told := Told{VM: m.vm, Incarnation: m.incarnation, Offset: folded, Established: established}
 	h := &heard{told: map[member]bool{{m.vm, m.incarnation}: true}, highest: m.Known()}
 	hearer := m.hearer
 	stamp := m.clock.Now()
