Choose a place without asking each front's word anew

Change: the sum of other fronts' work is kept with the endpoint and moved by what changes; fronts that fall silent are taken off once. Keepers are looked up once a request, and only for prompts worth fetching. Shared parts are kept in golang-lru's list in place of a scan for the oldest.

--- a/core/place/board.go
+++ b/core/place/board.go
@@ -62,15 +62,19 @@
 	incarnation mn.Incarnation
 	at          mn.Millis
 	uses        map[mn.EndpointID]mn.EndpointUse
+	// silent says that it is not counted, since the front has not spoken lately.
+	silent bool
 }
 
 // state is what is known of one endpoint.
 type state struct {
 	mn.Endpoint
 	// requests and reading are this front's work there: requests without an
-	// answer, and the milliseconds that their prompts need.
+	// answer, and the milliseconds that their prompts need; others is the same of
+	// the other fronts.
 	requests int64
 	reading  float64
+	others   mn.EndpointUse
 	// slow is the learned ratio of observed to expected time.
 	slow float64
 	// answer is the learned time of an answer of a plain endpoint.
@@ -129,6 +133,41 @@
 		byPool[e.Pool] = append(byPool[e.Pool], s)
 	}
 	b.endpoints, b.byPool = next, byPool
+	for _, s := range next {
+		s.others = mn.EndpointUse{}
+	}
+	for _, t := range b.fronts {
+		if !t.silent {
+			b.countAll(t, 1)
+		}
+	}
+}
+
+// count adds another front's use to what is known of an endpoint, or takes it off
+// with a sign of -1.
+func (b *Board) count(u mn.EndpointUse, sign int64) {
+	if s := b.endpoints[u.Endpoint]; s != nil {
+		s.others.Requests += sign * u.Requests
+		s.others.Prefill += mn.Millis(sign) * u.Prefill
+	}
+}
+
+func (b *Board) countAll(t told, sign int64) {
+	for _, u := range t.uses {
+		b.count(u, sign)
+	}
+}
+
+// silence takes the work of fronts off that have not spoken for too long. When
+// they do again, what they said before still holds but for what changed.
+func (b *Board) silence(now mn.Millis) {
+	for vm, t := range b.fronts {
+		if !t.silent && now-t.at > factsLife {
+			b.countAll(t, -1)
+			t.silent = true
+			b.fronts[vm] = t
+		}
+	}
 }
 
 // Endpoint returns an endpoint of the list.
@@ -147,12 +186,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	b.silence(now)
 	t, ok := b.fronts[f.VM]
-	if !ok || f.Scope == mn.ScopeAll || t.incarnation != f.Incarnation {
+	switch {
+	case !ok || f.Scope == mn.ScopeAll || t.incarnation != f.Incarnation:
+		if !t.silent {
+			b.countAll(t, -1)
+		}
 		t = told{incarnation: f.Incarnation, uses: make(map[mn.EndpointID]mn.EndpointUse, len(f.Uses))}
+	case t.silent:
+		b.countAll(t, 1)
+		t.silent = false
 	}
 	t.at = now
 	for _, u := range f.Uses {
+		b.count(t.uses[u.Endpoint], -1)
+		b.count(u, 1)
 		t.uses[u.Endpoint] = u
 	}
 	b.fronts[f.VM] = t
@@ -227,17 +276,8 @@
 }
 
 // load returns the requests and the reading time of all fronts at s.
-func (b *Board) load(s *state, now mn.Millis) (requests int64, reading float64) {
-	requests, reading = s.requests, s.reading
-	for _, t := range b.fronts {
-		if now-t.at > factsLife {
-			continue
-		}
-		u := t.uses[s.ID]
-		requests += u.Requests
-		reading += float64(u.Prefill)
-	}
-	return requests, reading
+func (s *state) load() (requests int64, reading float64) {
+	return s.requests + s.others.Requests, s.reading + float64(s.others.Prefill)
 }
 
 // usable says whether new work may go to s.
@@ -255,6 +295,9 @@
 
 // failing returns the decayed share of failed requests.
 func (s *state) failing(now mn.Millis) float64 {
+	if s.failures == 0 {
+		return 0
+	}
 	return s.failures * math.Exp2(-float64(now-s.failuresAt)/float64(failHalfLife))
 }
 
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -151,6 +151,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	b.silence(now)
 	var usable []*state
 	for _, s := range b.byPool[j.Pool] {
 		if s.usable(now, j.Avoid) {
@@ -186,7 +187,7 @@
 	var best *state
 	low := math.Inf(1)
 	for _, s := range usable {
-		n, _ := b.load(s, now)
+		n, _ := s.load()
 		if n >= s.Capacity+plainQueue {
 			continue
 		}
--- /dev/null
+++ b/core/place/choose_bench_test.go
@@ -0,0 +1,49 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	mn "mustardnotch"
+)
+
+// BenchmarkChoose places short and long prompts on 41 engines beside 21 other
+// fronts, each of which has work everywhere.
+func BenchmarkChoose(b *testing.B) {
+	for _, long := range []bool{false, true} {
+		b.Run(fmt.Sprintf("long=%t", long), func(b *testing.B) {
+			clock := mn.NewManualClock(1_000_000)
+			board := New(Config{DataCentre: "a"}, clock)
+			board.Declare(map[mn.PoolID]mn.PoolSpec{"p": {Engine: &mn.EngineSpec{KVTokens: 570_985, LinkMbps: 280_000, TokenBytes: 18_432}}})
+			var list []mn.Endpoint
+			for i := range 41 {
+				e := mn.Endpoint{ID: mn.EndpointID(fmt.Sprint("i-", i)), Pool: "p", Capacity: 64, State: mn.EndpointReady, DataCentre: "b"}
+				if i < 14 {
+					e.Role = mn.EnginePrefill
+				}
+				list = append(list, e)
+			}
+			board.Update(list)
+			for i := range 21 {
+				f := mn.Facts{VM: mn.VMID(fmt.Sprint("front-", i)), Scope: mn.ScopeAll}
+				for _, e := range list {
+					f.Uses = append(f.Uses, mn.EndpointUse{Endpoint: e.ID, Requests: 1, Prefill: 5})
+				}
+				board.Hear(f)
+			}
+			tokens := int64(383)
+			if long {
+				tokens = 17_000
+			}
+			n := 0
+			for b.Loop() {
+				n++
+				info := &mn.PromptInfo{Tokens: tokens, MaxOutput: 10, Parts: []mn.PromptPart{{ID: fmt.Sprint("shared-", n%200), Tokens: tokens * 3 / 4}, {ID: fmt.Sprint("own-", n), Tokens: tokens / 4}}}
+				p, _ := board.Choose(&Job{Pool: "p", Prompt: info, GoalAt: clock.Now() + 600, EndAt: clock.Now() + 5000}, true)
+				if p != nil {
+					board.Done(p)
+				}
+			}
+		})
+	}
+}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -88,17 +88,18 @@
 	var best *Plan
 	var backlog float64
 	low := math.Inf(1)
+	keepers := b.keepers(j, now)
 	consider := func(reader, target *state) {
-		p, cost, before := b.plan(j, reader, target, spec, now)
+		p, cost, before := b.plan(j, reader, target, keepers, spec, now)
 		if cost < low {
 			best, low, backlog = p, cost, before
 		}
 	}
 	readers, targets := split(usable)
 	if j.Prompt.Tokens <= shortPrompt {
-		reader := b.idlest(readers, now)
+		reader := idlest(readers)
 		for _, t := range targets {
-			if !b.room(t, now) {
+			if !t.room() {
 				continue
 			}
 			consider(t, t)
@@ -110,7 +111,7 @@
 	}
 	readers, targets = homesOf(j.Prompt, readers), homesOf(j.Prompt, targets)
 	for _, t := range targets {
-		if !b.room(t, now) {
+		if !t.room() {
 			continue
 		}
 		for _, r := range readers {
@@ -124,11 +125,11 @@
 }
 
 // idlest returns the engine with the least reading before it, nil for none.
-func (b *Board) idlest(engines []*state, now mn.Millis) *state {
+func idlest(engines []*state) *state {
 	var best *state
 	low := math.Inf(1)
 	for _, s := range engines {
-		if _, reading := b.load(s, now); reading < low {
+		if _, reading := s.load(); reading < low {
 			best, low = s, reading
 		}
 	}
@@ -149,19 +150,19 @@
 }
 
 // plan estimates a prompt that reader reads and target goes on with.
-func (b *Board) plan(j *Job, reader, target *state, spec mn.EngineSpec, now mn.Millis) (p *Plan, cost, backlog float64) {
+func (b *Board) plan(j *Job, reader, target *state, keepers []kept, spec mn.EngineSpec, now mn.Millis) (p *Plan, cost, backlog float64) {
 	work, missing := b.read(reader, j.Prompt)
 	var keeper *state
-	if keep, fetched := b.keeper(j, reader, now); keep != nil {
+	if keep, fetched := keeperFor(j, reader, keepers); keep != nil {
 		if w, m := b.readBut(reader, j.Prompt, fetched); w+handoff(keep, reader, spec, missing-m) < work {
 			keeper, work, missing = keep, w+handoff(keep, reader, spec, missing-m), m
 		}
 	}
-	running, reading := b.load(target, now)
+	running, reading := target.load()
 	backlog = reading
 	first := firstToken + stepCost*float64(running)
 	if reader != target {
-		_, backlog = b.load(reader, now)
+		_, backlog = reader.load()
 		first += reading/4 + handoff(reader, target, spec, j.Prompt.Tokens) + b.hop(target)
 	}
 	behind := 1.0
@@ -223,17 +224,39 @@
 	return info.Parts[len(info.Parts)-1].Tokens
 }
 
-// keeper returns the engine from which reader can fetch most of the prompt's
+// kept says how many tokens at the start of a prompt an engine has.
+type kept struct {
+	*state
+	tokens int64
+}
+
+// keepers returns the engines from which parts of the prompt could be fetched.
+func (b *Board) keepers(j *Job, now mn.Millis) []kept {
+	if j.Prompt.Tokens < fetchLeast {
+		return nil
+	}
+	var out []kept
+	for _, s := range b.byPool[j.Pool] {
+		if now < s.pausedUntil || s.pause > 0 {
+			continue
+		}
+		if n := s.parts.cached(j.Prompt); n >= fetchLeast {
+			out = append(out, kept{s, n})
+		}
+	}
+	return out
+}
+
+// keeperFor returns the engine from which reader can fetch most of the prompt's
 // shared parts beyond what it has itself, and how many tokens it would have then.
-func (b *Board) keeper(j *Job, reader *state, now mn.Millis) (keep *state, has int64) {
+func keeperFor(j *Job, reader *state, keepers []kept) (keep *state, has int64) {
 	has = reader.parts.cached(j.Prompt) + fetchLeast
-	for _, s := range b.byPool[j.Pool] {
-		if s == reader || now < s.pausedUntil || s.pause > 0 {
+	for _, k := range keepers {
+		if k.state == reader {
 			continue
 		}
-		n := s.parts.cached(j.Prompt)
-		if n > has || n == has && keep != nil && s.DataCentre == reader.DataCentre {
-			keep, has = s, n
+		if k.tokens > has || k.tokens == has && keep != nil && k.DataCentre == reader.DataCentre {
+			keep, has = k.state, k.tokens
 		}
 	}
 	return keep, has
@@ -252,8 +275,8 @@
 }
 
 // room says whether s may run one more request.
-func (b *Board) room(s *state, now mn.Millis) bool {
-	n, _ := b.load(s, now)
+func (s *state) room() bool {
+	n, _ := s.load()
 	return float64(n) < fullMargin*float64(s.Capacity)
 }
 
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -1,27 +1,35 @@
 package place
 
-import mn "mustardnotch"
+import (
+	"math"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	mn "mustardnotch"
+)
 
 // parts remembers which shared prompt parts an engine has read, the least
 // recently used going first, up to the tokens of its memory.
 type parts struct {
-	used   map[string]*part
+	used   *simplelru.LRU[string, int64]
 	tokens int64
-	tick   int64
 }
 
-type part struct {
-	tokens int64
-	tick   int64
+func newParts() *parts {
+	p := &parts{}
+	used, err := simplelru.NewLRU(math.MaxInt, func(_ string, tokens int64) { p.tokens -= tokens })
+	if err != nil {
+		panic(err) // only a size below 1 is an error
+	}
+	p.used = used
+	return p
 }
 
-func newParts() *parts { return &parts{used: map[string]*part{}} }
-
 // cached returns how many tokens at the start of the prompt the engine has.
 func (p *parts) cached(info *mn.PromptInfo) int64 {
 	var n int64
 	for _, q := range info.Parts {
-		if p.used[q.ID] == nil {
+		if !p.used.Contains(q.ID) {
 			return n
 		}
 		n += q.Tokens
@@ -31,30 +39,15 @@
 
 // read notes that the engine read parts of a prompt.
 func (p *parts) read(read []mn.PromptPart, memory int64) {
-	p.tick++
 	for _, q := range read {
-		k := p.used[q.ID]
-		if k == nil {
-			k = &part{tokens: q.Tokens}
-			p.used[q.ID] = k
+		if _, ok := p.used.Get(q.ID); !ok {
+			p.used.Add(q.ID, q.Tokens)
 			p.tokens += q.Tokens
 		}
-		k.tick = p.tick
-	}
-	for p.tokens > memory && len(p.used) > 1 {
-		p.evict()
 	}
-}
-
-func (p *parts) evict() {
-	var oldest string
-	for id, k := range p.used {
-		if o := p.used[oldest]; o == nil || k.tick < o.tick {
-			oldest = id
-		}
+	for p.tokens > memory && p.used.Len() > 1 {
+		p.used.RemoveOldest()
 	}
-	p.tokens -= p.used[oldest].tokens
-	delete(p.used, oldest)
 }
 
 const (
