--- a/cmds/front.go
+++ b/cmds/front.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"mustardnotch/core/place"
 	"mustardnotch/io/logs"
 	"mustardnotch/node"
 	"mustardnotch/platform"
@@ -21,6 +23,7 @@
 		Description: example("mustardnotch front --settings settings.conf"),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.FileVariable), Required: true},
+			&cli.StringFlag{Name: "without", Usage: fmt.Sprintf("switch `DECISIONS` off, to measure what they are worth, with commas between them: %v", place.Decisions)},
 			&cli.StringFlag{Name: "router", Usage: "cost, or naive as a baseline", Value: "cost"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -30,6 +33,7 @@
 					return nil, err
 				}
 				s.Router = c.String("router")
+				s.Without = c.String("without")
 				return s, s.Check()
 			}
 			s, err := read()
--- a/core/place/board.go
+++ b/core/place/board.go
@@ -37,12 +37,15 @@
 	// Naive places prompts at random engines that also generate, without reading
 	// prompts elsewhere, without homes, admission or learned speeds.
 	Naive bool
+	// Without lists decisions that are switched off.
+	Without []Decision
 }
 
 // Board is what a front knows of endpoints. It is safe for concurrent use.
 type Board struct {
 	config Config
 	clock  mn.Clock
+	off    map[Decision]bool
 
 	mu        sync.Mutex
 	endpoints map[mn.EndpointID]*state
@@ -93,8 +96,13 @@
 
 // New returns a board that knows of no endpoint.
 func New(config Config, clock mn.Clock) *Board {
+	off := map[Decision]bool{}
+	for _, d := range config.Without {
+		off[d] = true
+	}
 	return &Board{
 		config:    config,
+		off:       off,
 		clock:     clock,
 		endpoints: map[mn.EndpointID]*state{},
 		byPool:    map[mn.PoolID][]*state{},
@@ -200,6 +208,9 @@
 	}
 	t.at = now
 	for _, u := range f.Uses {
+		if b.without(Others) {
+			break
+		}
 		b.count(t.uses[u.Endpoint], -1)
 		b.count(u, 1)
 		t.uses[u.Endpoint] = u
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -29,7 +29,10 @@
 )
 
 // rank returns the rank at an engine of a request that the engine reads.
-func (j *Job) rank() int {
+func (b *Board) rank(j *Job) int {
+	if b.without(Ranks) {
+		return rankFirst
+	}
 	rank := rankFirst + max(0, j.Urgency)
 	if j.Prompt.Tokens > shortPrompt {
 		rank += rankLong
@@ -176,7 +179,7 @@
 	case now+p.Expect <= j.GoalAt:
 		b.reserve(p, spec)
 		return p, Send
-	case j.ends(p, now) && (late || j.Prompt.Tokens <= shortPrompt) && backlog <= j.backlog():
+	case !b.without(Late) && j.ends(p, now) && (late || j.Prompt.Tokens <= shortPrompt) && backlog <= j.backlog():
 		b.reserve(p, spec)
 		return p, SendLate
 	}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -109,7 +109,12 @@
 		}
 		return best, backlog
 	}
-	readers, targets = homesOf(j.Prompt, readers), homesOf(j.Prompt, targets)
+	if b.without(Apart) {
+		readers = nil
+	}
+	if !b.without(Homes) {
+		readers, targets = homesOf(j.Prompt, readers), homesOf(j.Prompt, targets)
+	}
 	for _, t := range targets {
 		if !t.room() {
 			continue
@@ -192,11 +197,14 @@
 		e := keeper.Endpoint
 		p.KeptBy = &e
 	}
-	p.Urgency = j.rank()
+	p.Urgency = b.rank(j)
 	if reader != target {
 		e := reader.Endpoint
 		p.Reader = &e
-		p.ReadUrgency, p.Urgency = p.Urgency, rankRead
+		p.ReadUrgency = p.Urgency
+		if !b.without(Ranks) {
+			p.Urgency = rankRead
+		}
 	}
 	return p, expect + again + fail, backlog
 }
@@ -232,7 +240,7 @@
 
 // keepers returns the engines from which parts of the prompt could be fetched.
 func (b *Board) keepers(j *Job, now mn.Millis) []kept {
-	if j.Prompt.Tokens < fetchLeast {
+	if j.Prompt.Tokens < fetchLeast || b.without(Fetching) {
 		return nil
 	}
 	var out []kept
--- a/core/place/line.go
+++ b/core/place/line.go
@@ -128,6 +128,9 @@
 		return nil, &Refusal{Reason: "no endpoint can be used", Retry: l.retry(j, now, 500*mn.Millisecond)}
 	case Full:
 	}
+	if l.board.without(Waiting) {
+		return nil, &Refusal{Reason: "no room now", Retry: l.retry(j, now, 0)}
+	}
 	w, refusal := l.enter(j, now)
 	if refusal != nil {
 		return nil, refusal
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -17,7 +17,7 @@
 			s.probing = true
 		}
 	}
-	if p.work >= newsWork {
+	if p.work >= newsWork && !b.without(News) {
 		b.announce()
 	}
 	if s := b.endpoints[p.reader()]; s != nil {
@@ -58,7 +58,7 @@
 	if s == nil {
 		return
 	}
-	if took >= 0 && p.Before < learnBefore && p.Missing >= learnMissing {
+	if !b.without(Speeds) && took >= 0 && p.Before < learnBefore && p.Missing >= learnMissing {
 		fixed := firstToken
 		if p.Reader != nil {
 			fixed = readFixed
@@ -88,7 +88,7 @@
 		return
 	}
 	p.workLeft = true
-	if p.work >= newsWork {
+	if p.work >= newsWork && !b.without(News) {
 		b.announce()
 	}
 	if s := b.endpoints[p.reader()]; s != nil {
--- a/node/front.go
+++ b/node/front.go
@@ -100,11 +100,15 @@
 		VM: s.VM, Incarnation: mn.NewIncarnation(), DataCentre: s.DataCentre,
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 	}
+	off, err := place.ParseDecisions(s.Without)
+	if err != nil {
+		panic(err) // checked with the settings
+	}
 	f := &Front{
 		platform: p, clock: clock, self: self, born: clock.Now(), reload: reload, read: read,
 		log:     log.WithFields(logrus.Fields{"vm": s.VM, "role": "front"}),
 		stats:   stats.New(),
-		board:   place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive"}, clock),
+		board:   place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive", Without: off}, clock),
 		meter:   quota.New(quota.Tolerance{Window: s.QuotaWindow, Share: s.QuotaOver, Slack: s.QuotaSlack}, clock),
 		poisons: poison.New(poison.Config{Crashes: poisonCrashes, Hold: poisonHold, MaxSuspects: poisonSuspects}, clock),
 		runs:    duty.NewRuns(s.UsageWindow, s.UsageLate, clock),
--- a/setup/front.go
+++ b/setup/front.go
@@ -1,6 +1,9 @@
 package setup
 
-import mn "mustardnotch"
+import (
+	mn "mustardnotch"
+	"mustardnotch/core/place"
+)
 
 // Front holds the settings of a front, the process that serves callers' HTTP
 // requests from endpoints of the users' platform.
@@ -51,6 +54,9 @@
 	UsageLate   mn.Millis
 	// Router is "cost" or, as a baseline, "naive".
 	Router string
+	// Without lists decisions of [place.Decisions] that are switched off, to
+	// measure what they are worth, with commas between them.
+	Without string
 }
 
 // DefaultFront returns the settings that the platform's file need not have.
@@ -82,6 +88,9 @@
 
 // Check returns what is wrong with settings that come from the command line.
 func (s *Front) Check() error {
+	if _, err := place.ParseDecisions(s.Without); err != nil {
+		return mn.Errorf(mn.BadSetting, "without: %w", err)
+	}
 	if err := checkOneOf(s.Router, "cost", "naive"); err != nil {
 		return mn.Errorf(mn.BadSetting, "router %q: %w", s.Router, err)
 	}
