--- a/io/back/call.go
+++ b/io/back/call.go
@@ -119,6 +119,9 @@
 			return nil, err
 		}
 		info := d.Reply(resp.StatusCode, resp.Header)
+		if info.ID == "" && info.Sealed {
+			return nil, errors.New("answer names no request")
+		}
 		if info.ID == "" || info.ID == call.ID {
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Passed: passed,
 				client: c, addr: call.Addr, maxIdle: call.MaxIdle, conn: k, resp: resp, written: written}, nil
@@ -137,6 +140,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.ProtoMajor != 1 {
+			return nil, fmt.Errorf("answer in version %q of the protocol", resp.Proto)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -67,7 +68,7 @@
 		fresh = freshRepeatable
 	}
 	return &back.Call{
-		ID: q.env.ID, Addr: to.Addr, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		ID: q.env.ID, Addr: to.Addr, Method: q.r.Method, Target: target(q.r), Host: q.r.Host,
 		Header: q.Dialect.Outgoing(q.r.Header, d), Body: q.body, Fresh: fresh,
 		MaxIdle: q.MaxIdle(q.job.Pool),
 	}
@@ -391,3 +392,12 @@
 		q.Poisons.Clear(q.fingerprint())
 	}
 }
+
+// target returns the request's target as the caller sent it, but for one in
+// absolute form, which is for proxies: endpoints get its path and query.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
