--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -238,9 +238,10 @@
 	}
 	if scope >= mn.ScopeNews {
 		facts.Uses, facts.Reads = f.board.Told(&c.Board, scope == mn.ScopeAll)
+		facts.Spent = c.Spent(f.meter.Spent())
 	}
 	if scope >= mn.ScopeChanges {
-		facts.Spent, facts.Runs, facts.Crashes = c.Spent(f.meter.Spent()), c.Runs(f.runs.Own()), f.crashes.list()
+		facts.Runs, facts.Crashes = c.Runs(f.runs.Own()), f.crashes.list()
 	}
 	return facts
 }
@@ -250,9 +251,9 @@
 	f.peers.hear(facts, f.clock.Now())
 	if facts.Scope >= mn.ScopeNews {
 		f.board.Hear(facts)
+		f.meter.Hear(facts)
 	}
 	if facts.Scope >= mn.ScopeChanges {
-		f.meter.Hear(facts)
 		f.runs.Hear(facts)
 	}
 	for _, p := range facts.Crashes {
