Learn what engines keep after a start

Cause: after all fronts are killed they know of no shared part that engines keep: every prompt is planned as if it had to be read whole.

Change: a front that starts asks the one that has been running for the longest; if none has for 5 s, the fronts that live ask the engines, each its part, and tell one another.

--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -92,6 +93,48 @@
 	return out
 }
 
+// Kept returns what engines are taken to keep, as far as it is worth fetching or
+// placing a prompt by it; the least recently used parts come first.
+func (b *Board) Kept() []mn.PromptRead {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []mn.PromptRead
+	for id, s := range b.endpoints {
+		r := mn.PromptRead{Endpoint: id}
+		for _, part := range s.parts.used.Keys() {
+			if tokens, _ := s.parts.used.Peek(part); tokens >= fetchLeast {
+				r.Parts = append(r.Parts, mn.PromptPart{ID: part, Tokens: tokens})
+			}
+		}
+		if len(r.Parts) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Learn takes in what engines keep.
+func (b *Board) Learn(reads []mn.PromptRead) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heardReads(reads)
+}
+
+// Listed takes in the parts that an engine says it keeps, and has the other fronts
+// told.
+func (b *Board) Listed(id mn.EndpointID, listed []mn.PromptPart) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed = slices.DeleteFunc(listed, func(p mn.PromptPart) bool { return p.Tokens < fetchLeast })
+	if len(listed) == 0 {
+		return
+	}
+	b.readCount++
+	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: id, Parts: listed}, b.readCount, b.clock.Now()})
+	b.heardReads([]mn.PromptRead{{Endpoint: id, Parts: listed}})
+	b.announce()
+}
+
 // heardReads takes in the reads of another front.
 func (b *Board) heardReads(reads []mn.PromptRead) {
 	for _, r := range reads {
--- a/dialect.go
+++ b/dialect.go
@@ -84,6 +84,10 @@
 	Handle(body []byte) (string, error)
 	// ReleasePath is the path that frees a handle by DELETE.
 	ReleasePath(handle string) string
+	// KeptPath is the path that lists, by GET, the parts of prompts that an engine
+	// keeps; Kept decodes the answer.
+	KeptPath() string
+	Kept(body []byte) ([]PromptPart, error)
 	// EventID returns the id of an event of a stream, empty if it has none.
 	EventID(event []byte) string
 }
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -119,7 +119,7 @@
 			return nil, err
 		}
 		info := d.Reply(resp.StatusCode, resp.Header)
-		if info.ID == "" && info.Sealed {
+		if info.ID == "" && info.Sealed && call.ID != "" {
 			return nil, errors.New("answer names no request")
 		}
 		if info.ID == "" || info.ID == call.ID {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -82,6 +82,10 @@
 
 func (testDialect) ReleasePath(handle string) string { return "/release/" + handle }
 
+func (testDialect) KeptPath() string { return "/kept" }
+
+func (testDialect) Kept([]byte) ([]mn.PromptPart, error) { return nil, nil }
+
 func (testDialect) EventID(event []byte) string {
 	_, id, _ := strings.Cut(string(event), "id: ")
 	id, _, _ = strings.Cut(id, "\n")
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -28,6 +28,8 @@
 	// Endpoints returns the list of endpoints and the age of the evidence for
 	// it, negative for none.
 	Endpoints() ([]mn.Endpoint, mn.Millis)
+	// Kept returns what the front takes engines to keep.
+	Kept() []mn.PromptRead
 }
 
 // Server answers other fronts.
@@ -70,6 +72,11 @@
 	return reply, nil
 }
 
+// Kept implements the Fronts service.
+func (s *Server) Kept(context.Context, *meshpb.KeptRequest) (*meshpb.KeptReply, error) {
+	return &meshpb.KeptReply{Reads: encodeReads(s.host.Kept())}, nil
+}
+
 // Client talks to other fronts.
 type Client struct {
 	host  Host
@@ -132,6 +139,15 @@
 	return list, sent - mn.Millis(r.AgeMs), true, nil
 }
 
+// Kept returns what the front at addr takes engines to keep.
+func (c *Client) Kept(ctx context.Context, addr string) ([]mn.PromptRead, error) {
+	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Kept(ctx, &meshpb.KeptRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return decodeReads(r.Reads), nil
+}
+
 // Close closes all connections.
 func (c *Client) Close() error { return c.conns.Close() }
 
@@ -155,12 +171,30 @@
 	for _, p := range f.Crashes {
 		out.Crashes = append(out.Crashes, &meshpb.FrontCrash{Fingerprint: p.Fingerprint, Endpoint: string(p.VM), WallMs: int64(p.Wall)})
 	}
-	for _, r := range f.Reads {
+	out.Reads = encodeReads(f.Reads)
+	return out
+}
+
+func encodeReads(reads []mn.PromptRead) []*meshpb.PromptRead {
+	var out []*meshpb.PromptRead
+	for _, r := range reads {
 		m := &meshpb.PromptRead{Endpoint: string(r.Endpoint)}
 		for _, p := range r.Parts {
 			m.Parts = append(m.Parts, &meshpb.PromptPart{Id: p.ID, Tokens: p.Tokens})
 		}
-		out.Reads = append(out.Reads, m)
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeReads(in []*meshpb.PromptRead) []mn.PromptRead {
+	var out []mn.PromptRead
+	for _, r := range in {
+		m := mn.PromptRead{Endpoint: mn.EndpointID(r.Endpoint)}
+		for _, p := range r.Parts {
+			m.Parts = append(m.Parts, mn.PromptPart{ID: p.Id, Tokens: p.Tokens})
+		}
+		out = append(out, m)
 	}
 	return out
 }
@@ -186,12 +220,6 @@
 	for _, p := range in.Crashes {
 		f.Crashes = append(f.Crashes, mn.Poison{Fingerprint: p.Fingerprint, VM: mn.VMID(p.Endpoint), Wall: mn.Millis(p.WallMs)})
 	}
-	for _, r := range in.Reads {
-		m := mn.PromptRead{Endpoint: mn.EndpointID(r.Endpoint)}
-		for _, p := range r.Parts {
-			m.Parts = append(m.Parts, mn.PromptPart{ID: p.Id, Tokens: p.Tokens})
-		}
-		f.Reads = append(f.Reads, m)
-	}
+	f.Reads = decodeReads(in.Reads)
 	return f
 }
--- a/io/mates/mates_test.go
+++ b/io/mates/mates_test.go
@@ -39,6 +39,7 @@
 
 func (h *host) Hear(f mn.Facts, _ mn.Millis)                  { h.heard = append(h.heard, f) }
 func (h *host) CatalogItem() mn.Item                          { return mn.Item{} }
+func (h *host) Kept() []mn.PromptRead                         { return nil }
 func (h *host) Endpoints() (list []mn.Endpoint, at mn.Millis) { return nil, -1 }
 
 func newHost(incarnation mn.Incarnation) *host {
--- a/node/front.go
+++ b/node/front.go
@@ -156,6 +156,7 @@
 	g.Go(func() error { return f.view.followEndpoints(run) })
 	g.Go(func() error { return f.followFronts(run) })
 	g.Go(func() error { return f.talk(run) })
+	g.Go(func() error { return f.learnKept(run) })
 	g.Go(func() error { return f.performDuties(run) })
 	g.Go(func() error { return f.writeRuns(run) })
 	g.Go(func() error { return f.watchSettings(run) })
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -44,10 +44,12 @@
 	mu     sync.Mutex
 	fronts map[mn.VMID]mn.Front
 	heard  map[mn.VMID]mn.Millis
+	// born is since when a front has been running, by this front's clock.
+	born map[mn.VMID]mn.Millis
 }
 
 func newPeerSet(self mn.Front) *peerSet {
-	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, heard: map[mn.VMID]mn.Millis{}}
+	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, heard: map[mn.VMID]mn.Millis{}, born: map[mn.VMID]mn.Millis{}}
 }
 
 // apply takes in a front's entry and says whether this front's own is missing
@@ -68,6 +70,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard[facts.VM] = now
+	p.born[facts.VM] = now - facts.Up
 	if facts.VM != p.self.VM && facts.Addr != "" && p.fronts[facts.VM].Incarnation != facts.Incarnation {
 		p.fronts[facts.VM] = mn.Front{VM: facts.VM, Incarnation: facts.Incarnation, Addr: facts.Addr, DataCentre: facts.DataCentre}
 	}
@@ -85,6 +88,19 @@
 	return out
 }
 
+// eldest returns the front that has been running for the longest among those that
+// were heard within span before now, and since when.
+func (p *peerSet) eldest(now, span mn.Millis) (eldest mn.Front, born mn.Millis, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, f := range p.fronts {
+		if at, heard := p.heard[vm]; heard && now-at <= span && (!ok || p.born[vm] < born) {
+			eldest, born, ok = f, p.born[vm], true
+		}
+	}
+	return eldest, born, ok
+}
+
 // alive returns the fronts that were heard within span before now.
 func (p *peerSet) alive(now, span mn.Millis) []mn.VMID {
 	p.mu.Lock()
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -37,8 +39,13 @@
 
 func (plainDialect) Handle([]byte) (string, error) { return "", errors.New("no handle") }
 func (plainDialect) ReleasePath(string) string     { return "/" }
+func (plainDialect) KeptPath() string              { return "/kept" }
 func (plainDialect) EventID([]byte) string         { return "" }
 
+func (plainDialect) Kept(body []byte) (parts []mn.PromptPart, err error) {
+	return parts, json.Unmarshal(body, &parts)
+}
+
 // reports takes usage reports.
 type reports struct {
 	mu   sync.Mutex
@@ -280,3 +287,46 @@
 	f.reloadSettings(true)
 	require.Equal(t, 9*mn.Second, f.conf().RevokeWithin, "wrong settings change nothing")
 }
+
+// Fronts that all started together divide the engines among them; one that starts
+// later asks a front.
+func TestFrontsLearnWhatEnginesKeep(t *testing.T) {
+	c := newCity(t)
+	c.catalog.Pools = map[mn.PoolID]mn.PoolSpec{"m": {ID: "m", Engine: &mn.EngineSpec{Capacity: 8, KVTokens: 100_000}}}
+	c.write()
+	var mu sync.Mutex
+	asked := map[string]int{}
+	for i := range 6 {
+		name := fmt.Sprint("engine-", i)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			asked[name+r.URL.Path]++
+			mu.Unlock()
+			fmt.Fprintf(w, `[{"ID":"shared-%s","Tokens":13000},{"ID":"small","Tokens":90}]`, name)
+		}))
+		t.Cleanup(s.Close)
+		require.NoError(t, c.store.Write(mn.EndpointFeed, name, mn.Endpoint{Pool: "m", Addr: strings.TrimPrefix(s.URL, "http://"), Capacity: 8, State: mn.EndpointReady}))
+	}
+	c.start("a", 0)
+	c.start("b", 1)
+	for _, f := range []string{"a", "b"} {
+		c.eventually(func() bool { return len(c.fronts[f].Kept()) == 6 })
+	}
+	for _, r := range c.fronts["b"].Kept() {
+		require.Equal(t, []mn.PromptPart{{ID: "shared-" + string(r.Endpoint), Tokens: 13000}}, r.Parts)
+	}
+	mu.Lock()
+	require.Len(t, asked, 6)
+	calls := 0
+	for _, n := range asked {
+		calls += n
+	}
+	mu.Unlock()
+	require.LessOrEqual(t, calls, 8, "an engine is hardly ever asked by both")
+
+	a := c.fronts["a"]
+	late := NewFront(a.conf(), a.platform, a.log.Logger, nil, nil)
+	late.board.Update(a.view.list)
+	require.True(t, late.learnKeptFrom(t.Context(), a.self))
+	require.Len(t, late.Kept(), 6)
+}
