Let requests wait for a tenth of their time, and tell writers sooner

Under overload a request that waits for up to 2.2 s takes the place of one that could still be on time, and ends late or not at all.

A short wait still helps those that a lull lets in at once.

--- a/core/place/line.go
+++ b/core/place/line.go
@@ -33,7 +33,7 @@
 	pumpMost = 24
 	// holdShare is the part of its time for which a request waits at most; a
 	// caller that is refused then has time to come back.
-	holdShare = 0.45
+	holdShare = 0.1
 	// graceWait is how many milliseconds of waiting are always allowed.
 	graceWait = 60 * mn.Millisecond
 	// rateSpan is the time over which grants to waiting requests are averaged.
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"sync"
 
@@ -10,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	mn "mustardnotch"
+	"mustardnotch/core/relay"
 	"mustardnotch/io/mates"
 )
 
@@ -212,7 +214,7 @@
 	news := f.board.News()
 	var cursor mates.Cursor
 	for ctx.Err() == nil {
-		period := max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
+		period := f.talkPeriod(p.VM)
 		call, cancel := context.WithTimeout(ctx, talkTimeout.Duration())
 		err := f.mates.Exchange(call, p.Addr, &cursor)
 		cancel()
@@ -230,6 +232,16 @@
 	return nil
 }
 
+// talkPeriod is the longest time between two exchanges with a front. Those that
+// write down what all have counted hear of it soon.
+func (f *Front) talkPeriod(peer mn.VMID) mn.Millis {
+	alive := append(f.peers.alive(f.clock.Now(), aliveSpan), f.self.VM)
+	if relay.Rank(peer, slices.DeleteFunc(alive, func(vm mn.VMID) bool { return vm == peer })) < relay.Readers {
+		return talkLeast
+	}
+	return max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
+}
+
 // Facts implements [mates.Host].
 func (f *Front) Facts(c *mates.Cursor, scope mn.FactsScope) mn.Facts {
 	f.view.mu.Lock()
