Flush usage one at a time

The leaving process flushes while the recorder's own flush waits for the log: both append the same batch and both drop it, and with it what was recorded meanwhile, or more than there is. Where it did not panic, usage was lost.

--- a/core/usage/recorder.go
+++ b/core/usage/recorder.go
@@ -31,8 +31,11 @@
 	log   mn.Log
 	clock mn.Clock
 
-	mu      sync.Mutex
-	pending []Item
+	// flushing is held by one flush at a time; mu guards pending, which grows
+	// meanwhile.
+	flushing sync.Mutex
+	mu       sync.Mutex
+	pending  []Item
 }
 
 // NewRecorder returns a recorder for the process on vm.
@@ -74,6 +77,8 @@
 // Flush appends all that is pending. What the log didn't acknowledge stays
 // pending, since records of one request collapse.
 func (r *Recorder) Flush(ctx context.Context) error {
+	r.flushing.Lock()
+	defer r.flushing.Unlock()
 	for {
 		batch := r.first()
 		if len(batch) == 0 {
