--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -71,8 +71,10 @@
 
 // pace follows what a front spends a second, for each customer.
 type pace struct {
-	at        mn.Millis
-	spent     map[mn.CustomerID]float64
+	// at is when the front spoke last; spent is what it had spent in all.
+	at    mn.Millis
+	spent map[mn.CustomerID]float64
+	// perSecond is the average over some paceSpan.
 	perSecond map[mn.CustomerID]float64
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -72,19 +72,20 @@
 	clock    mn.Clock
 	log      *logrus.Entry
 	self     mn.Front
-	born     mn.Millis
-	stats    *stats.Set
-	view     *frontView
-	board    *place.Board
-	lines    *place.Lines
-	meter    *quota.Meter
-	poisons  *poison.Tracker
-	runs     *duty.Runs
-	holder   *duty.Holder
-	back     *back.Client
-	mates    *mates.Client
-	peers    *peerSet
-	leaving  atomic.Bool
+	// born is when the process started, by its own clock.
+	born    mn.Millis
+	stats   *stats.Set
+	view    *frontView
+	board   *place.Board
+	lines   *place.Lines
+	meter   *quota.Meter
+	poisons *poison.Tracker
+	runs    *duty.Runs
+	holder  *duty.Holder
+	back    *back.Client
+	mates   *mates.Client
+	peers   *peerSet
+	leaving atomic.Bool
 	// fetching says that something is being fetched from another front.
 	fetching atomic.Bool
 	crashes  *crashList
