--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -149,6 +149,7 @@
 }
 
 func TestLateAnswerOnAnIdleConnectionIsNotTaken(t *testing.T) {
+	late := make(chan struct{}, 2)
 	e := newEndpoint(t, func(n int64, c net.Conn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
 		if err != nil {
@@ -157,6 +158,7 @@
 		fmt.Fprint(c, ok(r.Header.Get("Id"), "own"))
 		time.Sleep(30 * time.Millisecond)
 		fmt.Fprint(c, ok("", "late"))
+		late <- struct{}{}
 		time.Sleep(time.Second)
 	})
 	c := New(mn.NewSystemClock(), "")
@@ -164,7 +166,8 @@
 		b, err := body(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
 		require.Equal(t, "own", b)
-		time.Sleep(80 * time.Millisecond)
+		<-late // The connection is idle, and the late answer is there.
+		time.Sleep(20 * time.Millisecond)
 	}
 	require.EqualValues(t, 2, e.conns.Load())
 }
