Serve with one piece what two did alike, and drop dead code

The answer to an append is bounded by it; it was read without a bound. - The list of fronts was built and sorted for each request that was sent (connections to keep, retry budget) only to be counted: peerSet.count. - Counts of runs were sorted for each exchange between fronts; only what is written to the store needs an order. - Fronts alive with this one, an answer that must have status 200, and a read to be told each had two or three copies. - io/back: Dials, Drop and reused had no reader.

--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -108,11 +108,11 @@
 	}
 }
 
-// Own returns this front's counts.
+// Own returns this front's counts in no order.
 func (r *Runs) Own() []mn.RunCount {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return sorted(r.own)
+	return listed(r.own)
 }
 
 // Hear takes in another front's counts. Those of an earlier incarnation stay.
@@ -151,9 +151,9 @@
 // All returns the counts of every front's incarnations that this front knows,
 // its own as those of self.
 func (r *Runs) All(self mn.VMID, incarnation mn.Incarnation) []mn.Facts {
-	out := []mn.Facts{{VM: self, Incarnation: incarnation, Runs: r.Own()}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	out := []mn.Facts{{VM: self, Incarnation: incarnation, Runs: sorted(r.own)}}
 	for vm, byIncarnation := range r.others {
 		for i, counts := range byIncarnation {
 			if len(counts) > 0 {
@@ -167,11 +167,16 @@
 	return out
 }
 
-func sorted(counts map[key]int64) []mn.RunCount {
+func listed(counts map[key]int64) []mn.RunCount {
 	out := make([]mn.RunCount, 0, len(counts))
 	for k, n := range counts {
 		out = append(out, mn.RunCount{Window: k.window, Customer: k.customer, Count: n})
 	}
+	return out
+}
+
+func sorted(counts map[key]int64) []mn.RunCount {
+	out := listed(counts)
 	slices.SortFunc(out, func(a, b mn.RunCount) int {
 		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Customer, b.Customer))
 	})
--- a/core/place/parts.go
+++ b/core/place/parts.go
@@ -73,8 +73,13 @@
 	if len(info.Parts) == 0 || info.Tokens <= shortPrompt {
 		return
 	}
+	b.addRead(mn.PromptRead{Endpoint: s.ID, Parts: info.Parts})
+}
+
+// addRead has the other fronts told of a read.
+func (b *Board) addRead(r mn.PromptRead) {
 	b.readCount++
-	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: s.ID, Parts: info.Parts}, b.readCount, b.clock.Now()})
+	b.reads = append(b.reads, toldRead{r, b.readCount, b.clock.Now()})
 }
 
 // readsSince returns the prompts that were read since c, and moves c on.
@@ -129,9 +134,9 @@
 	if len(listed) == 0 {
 		return
 	}
-	b.readCount++
-	b.reads = append(b.reads, toldRead{mn.PromptRead{Endpoint: id, Parts: listed}, b.readCount, b.clock.Now()})
-	b.heardReads([]mn.PromptRead{{Endpoint: id, Parts: listed}})
+	r := mn.PromptRead{Endpoint: id, Parts: listed}
+	b.addRead(r)
+	b.heardReads([]mn.PromptRead{r})
 	b.announce()
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -18,6 +18,7 @@
 	"sync"
 
 	mn "mustardnotch"
+	"mustardnotch/core/slide"
 )
 
 const (
@@ -105,11 +106,9 @@
 	// young is the rate until youngUntil.
 	young      float64
 	youngUntil mn.Millis
-	// most is what may be spent in a window, slots what was spent in its parts.
-	most   float64
-	slots  [slots]float64
-	slot   int64
-	length mn.Millis
+	// most is what may be spent in a window, spent what was.
+	most  float64
+	spent *slide.Sum
 }
 
 // slots is how many parts of a window are counted apart; one more is kept, so
@@ -152,8 +151,7 @@
 		rate, burst, most := m.limits(s)
 		b := m.buckets[s.ID]
 		if b == nil {
-			b = &bucket{level: burst, burst: burst, at: now, length: max(1, m.tolerance.Window/(slots-1)), youngUntil: m.youngUntil}
-			b.slot = int64(now / b.length)
+			b = &bucket{level: burst, burst: burst, at: now, youngUntil: m.youngUntil, spent: slide.New(slots, m.tolerance.Window/(slots-1), now)}
 			if now < m.youngUntil {
 				b.level = 0
 			}
@@ -200,8 +198,8 @@
 	if b.level < need {
 		return mn.Millis((need-b.level)/b.rate*1000) + 1, false
 	}
-	if sum := b.sum(); sum > 0 && sum+cost > b.most {
-		return b.length, false
+	if sum := b.spent.Total(); sum > 0 && sum+cost > b.most {
+		return b.spent.Length(), false
 	}
 	b.spend(cost)
 	m.own[c] += cost
@@ -322,21 +320,10 @@
 	young := max(0, min(now, b.youngUntil)-b.at)
 	b.level = min(b.burst, b.level+(b.young*float64(young)+b.rate*float64(now-b.at-young))/1000)
 	b.at = now
-	last := int64(now / b.length)
-	for b.slot = max(b.slot, last-slots); b.slot < last; b.slot++ {
-		b.slots[(b.slot+1)%slots] = 0
-	}
+	b.spent.Advance(now)
 }
 
 func (b *bucket) spend(cost float64) {
 	b.level = min(b.burst, b.level-cost)
-	b.slots[b.slot%slots] += cost
-}
-
-// sum returns what was spent in the last window.
-func (b *bucket) sum() (sum float64) {
-	for _, v := range b.slots {
-		sum += v
-	}
-	return sum
+	b.spent.Add(cost)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -24,11 +24,13 @@
 // readersKey is the key by which fronts are ranked.
 const readersKey = "readers"
 
-// Rank returns the place of self among the fronts that are alive, from 0. All
-// fronts that know the same ones alive agree on it.
-func Rank(self mn.VMID, alive []mn.VMID) int {
-	all := append(slices.Clone(alive), self)
-	return slices.Index(rendez.Top(readersKey, all, len(all)), self)
+// Rank returns the place of a front among the fronts that are alive, from 0; it
+// counts as one of them. All fronts that know the same ones alive agree on it.
+func Rank(vm mn.VMID, alive []mn.VMID) int {
+	if !slices.Contains(alive, vm) {
+		alive = append(slices.Clone(alive), vm)
+	}
+	return slices.Index(rendez.Top(readersKey, alive, len(alive)), vm)
 }
 
 // MustRead says whether a front reads by itself: one of the first by rank always
--- a/core/retry/pools.go
+++ b/core/retry/pools.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	mn "mustardnotch"
+	"mustardnotch/core/slide"
 )
 
 // PoolsConfig sets the budgets of pools.
@@ -33,11 +34,9 @@
 // parts is how many parts of a window are counted apart.
 const parts = 10
 
-// poolBudget counts first tries and retries by parts of a window.
+// poolBudget counts the first tries and the retries of a window.
 type poolBudget struct {
-	first   [parts]float64
-	retries [parts]float64
-	part    int64
+	first, retries *slide.Sum
 }
 
 // NewPools returns budgets without any tries.
@@ -49,8 +48,7 @@
 func (p *Pools) Deposit(pool mn.PoolID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.budget(pool)
-	b.first[b.part%parts]++
+	p.budget(pool).first.Add(1)
 }
 
 // Withdraw takes one retry from a pool's budget and says whether there was one.
@@ -58,32 +56,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.budget(pool)
-	var first, retries float64
-	for i := range parts {
-		first += b.first[i]
-		retries += b.retries[i]
-	}
-	if retries+1 > p.config.Ratio*first+p.config.Slack/float64(max(1, p.config.Fronts())) {
+	if b.retries.Total()+1 > p.config.Ratio*b.first.Total()+p.config.Slack/float64(max(1, p.config.Fronts())) {
 		return false
 	}
-	b.retries[b.part%parts]++
+	b.retries.Add(1)
 	return true
 }
 
 // budget returns a pool's budget with the parts cleared that are over.
 func (p *Pools) budget(pool mn.PoolID) *poolBudget {
-	b := p.pools[pool]
-	now := int64(p.clock.Now() / max(1, p.config.Window/parts))
+	b, now := p.pools[pool], p.clock.Now()
 	if b == nil {
-		b = &poolBudget{part: now}
+		length := p.config.Window / parts
+		b = &poolBudget{first: slide.New(parts, length, now), retries: slide.New(parts, length, now)}
 		p.pools[pool] = b
 	}
-	if now-b.part > parts {
-		b.part = now - parts
-	}
-	for ; b.part < now; b.part++ {
-		next := (b.part + 1) % parts
-		b.first[next], b.retries[next] = 0, 0
-	}
+	b.first.Advance(now)
+	b.retries.Advance(now)
 	return b
 }
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -185,6 +185,15 @@
 	return body, nil
 }
 
+// Result reads the whole body, like All, of an answer that has to have status 200.
+func (a *Answer) Result(limit int64) ([]byte, error) {
+	body, err := a.All(limit)
+	if err == nil && a.Status != http.StatusOK {
+		err = fmt.Errorf("status %d", a.Status)
+	}
+	return body, err
+}
+
 // Close ends the answer. The connection is used again only if the whole answer
 // was read, nothing follows it, and the whole request was written.
 func (a *Answer) Close() {
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -43,7 +43,6 @@
 	// idleAt is when the connection became idle, keep how long it may stay so.
 	idleAt mn.Millis
 	keep   mn.Millis
-	reused bool
 }
 
 // Client keeps connections to endpoints. It is safe for concurrent use.
@@ -53,8 +52,6 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// Dials counts new connections.
-	dials int64
 }
 
 // New returns a client whose connections come from the address local, empty for
@@ -80,24 +77,6 @@
 	return c
 }
 
-// Dials returns how many connections were opened.
-func (c *Client) Dials() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dials
-}
-
-// Drop closes the idle connections to addr.
-func (c *Client) Drop(addr string) {
-	c.mu.Lock()
-	cs := c.idle[addr]
-	delete(c.idle, addr)
-	c.mu.Unlock()
-	for _, k := range cs {
-		k.Close()
-	}
-}
-
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -120,7 +99,6 @@
 			return c.dial(ctx, addr)
 		}
 		if c.clock.Now()-k.idleAt < min(most, k.keep) && quiet(k) {
-			k.reused = true
 			return k, nil
 		}
 		k.Close()
@@ -140,9 +118,6 @@
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
-	c.mu.Lock()
-	c.dials++
-	c.mu.Unlock()
 	n, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -143,13 +142,10 @@
 
 // handle returns the handle that an endpoint answered for a prompt.
 func (q *request) handle(a *back.Answer) (string, error) {
-	body, err := a.All(maxAnswer)
+	body, err := a.Result(maxAnswer)
 	if err != nil {
 		return "", err
 	}
-	if a.Status != http.StatusOK {
-		return "", fmt.Errorf("status %d", a.Status)
-	}
 	return q.Dialect.Handle(body)
 }
 
--- a/io/mates/mates.go
+++ b/io/mates/mates.go
@@ -47,10 +47,11 @@
 // Exchange implements the Fronts service.
 func (s *Server) Exchange(_ context.Context, in *meshpb.FrontFacts) (*meshpb.FrontFacts, error) {
 	s.host.Hear(decode(in), 0)
+	scope := mn.ScopeNone
 	if mn.FactsScope(in.Scope) == mn.ScopeAll {
-		return encode(s.host.Facts(&Cursor{}, mn.ScopeAll)), nil
+		scope = mn.ScopeAll
 	}
-	return encode(s.host.Facts(&Cursor{}, mn.ScopeNone)), nil
+	return encode(s.host.Facts(&Cursor{}, scope)), nil
 }
 
 // Catalog implements the Fronts service.
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -15,8 +14,12 @@
 	"mustardnotch/io/wire"
 )
 
-// callTimeout bounds every call but a waiting read of the log.
-const callTimeout = 2 * mn.Second
+const (
+	// callTimeout bounds every call but a waiting read of the log.
+	callTimeout = 2 * mn.Second
+	// appendLimit bounds the answer to an append, which holds an offset.
+	appendLimit = 64 << 10
+)
 
 // Client talks to the platform over HTTP. It implements [mn.Log],
 // [mn.VMLister], [mn.Fleet], [mn.UsageSink] and [mn.WeightStore].
@@ -43,15 +46,7 @@
 	if err != nil {
 		return 0, err
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, wire.PlatformError(err)
-	}
-	defer resp.Body.Close()
-	if err := wire.CheckStatus(resp); err != nil {
-		return 0, wire.PlatformError(err)
-	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := wire.Fetch(c.http, req, appendLimit)
 	if err != nil {
 		return 0, wire.PlatformError(err)
 	}
--- a/io/wire/http.go
+++ b/io/wire/http.go
@@ -72,6 +72,20 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out)
 }
 
+// Fetch sends req and returns the body of an answer with status 200, up to limit
+// bytes. Any other status is a [StatusError].
+func Fetch(c *http.Client, req *http.Request, limit int64) ([]byte, error) {
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if err := CheckStatus(resp); err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, limit))
+}
+
 // StatusError is an HTTP answer with a status other than 200.
 type StatusError struct {
 	Status int
--- a/node/front.go
+++ b/node/front.go
@@ -217,7 +217,7 @@
 		Ratio:  f.conf().RetryRatio * retryPart,
 		Slack:  f.conf().RetrySlack * retryPart,
 		Window: f.conf().RetryWindow,
-		Fronts: func() int { return max(fewestFronts, len(f.peers.list())+1) },
+		Fronts: func() int { return max(fewestFronts, f.peers.count()) },
 	}
 	return front.New(front.Config{
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Lines: f.lines, Board: f.board,
@@ -242,7 +242,7 @@
 	if most <= 0 {
 		return 0
 	}
-	return max(1, int(idleShare*float64(most)/float64(len(f.peers.list())+1)))
+	return max(1, int(idleShare*float64(most)/float64(f.peers.count())))
 }
 
 // fewestFronts divides the slack of the retry budget while a front knows few
--- a/node/front_kept.go
+++ b/node/front_kept.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 
@@ -49,7 +48,7 @@
 		f.log.WithField("event", "kept").Info("no engines are known to ask")
 		return nil
 	}
-	alive := append(f.peers.alive(f.clock.Now(), aliveSpan), f.self.VM)
+	alive := f.alive()
 	var wait sync.WaitGroup
 	for _, e := range list {
 		if e.State != mn.EndpointReady || table.Catalog.Pools[e.Pool].Engine == nil || rendez.Top(string(e.ID), alive, 1)[0] != f.self.VM {
@@ -97,13 +96,10 @@
 		return nil, err
 	}
 	defer a.Close()
-	body, err := a.All(keptMost)
+	body, err := a.Result(keptMost)
 	if err != nil {
 		return nil, err
 	}
-	if a.Status != http.StatusOK {
-		return nil, fmt.Errorf("status %d", a.Status)
-	}
 	return d.Kept(body)
 }
 
--- a/node/front_mates.go
+++ b/node/front_mates.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sort"
 	"sync"
 
@@ -54,8 +53,7 @@
 	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, heard: map[mn.VMID]mn.Millis{}, born: map[mn.VMID]mn.Millis{}}
 }
 
-// apply takes in a front's entry and says whether this front's own is missing
-// or another's.
+// apply takes in an item of the feed of fronts.
 func (p *peerSet) apply(i mn.Item) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,6 +88,13 @@
 	return out
 }
 
+// count returns how many fronts there are, with this one.
+func (p *peerSet) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.fronts) + 1
+}
+
 // eldest returns the front that has been running for the longest among those that
 // were heard within span before now, and since when.
 func (p *peerSet) eldest(now, span mn.Millis) (eldest mn.Front, born mn.Millis, ok bool) {
@@ -133,7 +138,7 @@
 		}
 		link.result(err)
 		pause := frontsEvery
-		if err != nil || len(f.peers.list()) == 0 || f.clock.Now()-begun < youngSpan {
+		if err != nil || f.peers.count() == 1 || f.clock.Now()-begun < youngSpan {
 			pause = frontsSoon
 		}
 		_ = f.clock.Sleep(ctx, pause)
@@ -226,7 +231,7 @@
 			_ = f.clock.Sleep(ctx, max(period, talkLost))
 			continue
 		}
-		_ = f.clock.Sleep(ctx, newsApart*mn.Millis(len(f.peers.list())+1))
+		_ = f.clock.Sleep(ctx, newsApart*mn.Millis(f.peers.count()))
 		news = f.board.AwaitNews(ctx, news, period)
 	}
 	return nil
@@ -235,11 +240,10 @@
 // talkPeriod is the longest time between two exchanges with a front. Those that
 // write down what all have counted hear of it soon.
 func (f *Front) talkPeriod(peer mn.VMID) mn.Millis {
-	alive := append(f.peers.alive(f.clock.Now(), aliveSpan), f.self.VM)
-	if relay.Rank(peer, slices.DeleteFunc(alive, func(vm mn.VMID) bool { return vm == peer })) < relay.Readers {
+	if relay.Rank(peer, f.alive()) < relay.Readers {
 		return talkLeast
 	}
-	return max(talkLeast, talkPerFront*mn.Millis(len(f.peers.list())+1))
+	return max(talkLeast, talkPerFront*mn.Millis(f.peers.count()))
 }
 
 // Facts implements [mates.Host].
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -77,11 +77,14 @@
 	return age < v.conf().RevokeWithin-keyMargin
 }
 
-// rank returns this front's place among those that are alive.
-func (f *Front) rank() int {
-	return relay.Rank(f.self.VM, f.peers.alive(f.clock.Now(), aliveSpan))
+// alive returns the fronts that are alive, with this one.
+func (f *Front) alive() []mn.VMID {
+	return append(f.peers.alive(f.clock.Now(), aliveSpan), f.self.VM)
 }
 
+// rank returns this front's place among those that are alive.
+func (f *Front) rank() int { return relay.Rank(f.self.VM, f.alive()) }
+
 // listed returns the list of endpoints, and when it was surely the newest; 0 if
 // there was never one.
 func (v *frontView) listed() ([]mn.Endpoint, mn.Millis) {
