Learn how fast engines are while they run

Prefills at a generating engine are bounded so that its streams keep the declared pause. Fronts whose evidence of the list is old ask three peers.

--- a/core/perf/model.go
+++ b/core/perf/model.go
@@ -27,6 +27,9 @@
 	// maxKnownWaitShare is the known wait of a prefill, as a share of its own work, up
 	// to which the prefill is evidence.
 	maxKnownWaitShare = 0.5
+	// fullWork is the prefill work at an event, as a multiple of the stall, from which
+	// on the engine surely prefills until the next event.
+	fullWork = 1.5
 )
 
 // quantity is a duration that is fitted.
@@ -162,7 +165,7 @@
 	switch {
 	case workBefore <= 0 && workAfter <= 0:
 		m.fits[eventInterval].observe(vector{1, float64(running)}, took, 1, now)
-	case workBefore >= m.Stall():
+	case workBefore >= fullWork*m.Stall() && m.trained(eventInterval):
 		// The engine prefilled all the while. What is beyond the work has other causes.
 		m.fits[stall].observe(vector{1}, min(workBefore, max(0, took-m.EventInterval(running))), 1, now)
 	}
@@ -191,8 +194,12 @@
 // Trained reports whether there is enough evidence of prefills at engines of one kind
 // to tell slow engines from a model that is off.
 func (m *Model) Trained(local bool) bool {
+	return m.trained(Prefill{Local: local}.quantity())
+}
+
+func (m *Model) trained(q quantity) bool {
 	const enough = 12
-	count, _ := m.fits[Prefill{Local: local}.quantity()].observations()
+	count, _ := m.fits[q].observations()
 	return count >= enough
 }
 
--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -86,6 +86,9 @@
 	requests    int64
 	prefillWork float64
 	peerLoad    mn.EndpointLoad
+	// prefillingSince is when the engine began to prefill without a break, 0 if it
+	// never did. idleSince is when it last ended its prefill work, 0 if it has some.
+	prefillingSince, idleSince mn.Millis
 	// slowdown is the learned ratio of observed to expected time.
 	slowdown float64
 	// responseTime is the learned response time of a plain endpoint, in
@@ -202,6 +205,7 @@
 	if s := b.endpoints[l.Endpoint]; s != nil {
 		s.peerLoad.Requests += sign * l.Requests
 		s.peerLoad.PrefillTime += mn.Millis(sign) * l.PrefillTime
+		b.markPrefilling(s)
 	}
 }
 
@@ -414,6 +418,34 @@
 	return s.requests + s.peerLoad.Requests, s.prefillWork + float64(s.peerLoad.PrefillTime)
 }
 
+// markPrefilling records whether s has prefill work. A break that is too short for two
+// events doesn't count, since the pause between them spans it.
+func (b *Balancer) markPrefilling(s *endpointState) {
+	now := b.clock.Now()
+	running, work := s.totalLoad()
+	switch {
+	case work <= 0 && s.prefillingSince > 0 && s.idleSince == 0:
+		s.idleSince = now
+	case work > 0 && s.prefillingSince == 0:
+		s.prefillingSince, s.idleSince = now, 0
+	case work > 0 && s.idleSince > 0:
+		if e := b.engines[s.Pool]; e == nil || float64(now-s.idleSince) >= s.slowdown*e.model.EventInterval(running) {
+			s.prefillingSince = now
+		}
+		s.idleSince = 0
+	}
+}
+
+// prefillingFor returns how long s has prefilled without a break that is long enough
+// for two events, in milliseconds.
+func (e *enginePool) prefillingFor(s *endpointState, now mn.Millis) float64 {
+	running, _ := s.totalLoad()
+	if s.prefillingSince == 0 || s.idleSince > 0 && float64(now-s.idleSince) >= s.slowdown*e.model.EventInterval(running) {
+		return 0
+	}
+	return float64(now - s.prefillingSince)
+}
+
 // usable reports whether s may get new requests.
 func (s *endpointState) usable(now mn.Millis, avoid []mn.EndpointID) bool {
 	if s.State != mn.EndpointReady || s.Changing || now < s.pausedUntil || s.pause > 0 && s.probing {
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -104,7 +104,7 @@
 			if !e.hasRoom(t) {
 				continue
 			}
-			if e.mayPrefill(t, j, prefiller != nil) {
+			if e.mayPrefill(t, j, prefiller != nil, now) {
 				consider(t, t)
 			}
 			if prefiller != nil {
@@ -131,7 +131,7 @@
 			for _, p := range homes {
 				consider(p, t)
 			}
-			if e.mayPrefill(t, j, len(homes) > 0) {
+			if e.mayPrefill(t, j, len(homes) > 0, now) {
 				consider(t, t)
 			}
 		}
@@ -144,8 +144,9 @@
 
 // mayPrefill reports whether t, which generates, may prefill the job's prompt while
 // others could. The requests that t runs must not pause too long, and short prompts
-// must not wait too long behind a long one.
-func (e *enginePool) mayPrefill(t *endpointState, j *Job, others bool) bool {
+// must not wait too long behind a long one. Load pattern: short prompts arrive so fast
+// that an engine has some to prefill in each step of the requests that it runs.
+func (e *enginePool) mayPrefill(t *endpointState, j *Job, others bool, now mn.Millis) bool {
 	if !others {
 		return true
 	}
@@ -157,7 +158,8 @@
 	if e.pauseGoal <= 0 || running == 0 {
 		return true
 	}
-	pause := t.slowdown*e.model.EventInterval(running+1) + min(t.slowdown*e.model.Stall(), pending+work)
+	prefilling := e.prefillingFor(t, now) + pending + work
+	pause := t.slowdown*e.model.EventInterval(running+1) + min(t.slowdown*e.model.Stall(), prefilling)
 	return pause <= pauseMargin*e.pauseGoal
 }
 
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -19,7 +19,7 @@
 	lateBacklogShare = 0.12
 	// largeBacklogShare is the same for a late request that takes largeShare of its
 	// time or more. These are hardly ever on time and would never be served otherwise.
-	largeBacklogShare = 0.8
+	largeBacklogShare = 0.85
 	largeShare        = 0.4
 	// shortLateBacklogShare is the same for a late short prompt, which hardly delays
 	// other requests.
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -21,6 +21,7 @@
 	}
 	if s := b.endpoints[p.prefillerID()]; s != nil {
 		s.prefillWork += p.prefillWork
+		b.markPrefilling(s)
 		b.recordPrefill(s, p, e.spec.KVTokens)
 	}
 	if p.Prefiller != nil {
@@ -149,6 +150,7 @@
 	}
 	if s := b.endpoints[p.prefillerID()]; s != nil {
 		s.prefillWork = max(0, s.prefillWork-p.prefillWork)
+		b.markPrefilling(s)
 	}
 }
 
--- a/core/place/segments.go
+++ b/core/place/segments.go
@@ -152,7 +152,7 @@
 // worthFetching reports whether s saves work by keeping a segment.
 func (b *Balancer) worthFetching(s *endpointState, tokens int64) bool {
 	e := b.engines[s.Pool]
-	return e != nil && e.savedWork(tokens) >= minSavedWork
+	return e == nil || e.savedWork(tokens) >= minSavedWork
 }
 
 func (b *Balancer) addCachedPrompts(prompts []mn.PrefilledPrompt) {
@@ -161,8 +161,10 @@
 		if s == nil {
 			continue
 		}
+		capacity := int64(math.MaxInt64) // until the pool is known
 		if e := b.engines[s.Pool]; e != nil {
-			s.cache.add(p.Segments, e.spec.KVTokens)
+			capacity = e.spec.KVTokens
 		}
+		s.cache.add(p.Segments, capacity)
 	}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -116,6 +116,18 @@
 	return nil
 }
 
+// Ask applies the state of the peer at addr, without its work. It sends nothing of this
+// front's work.
+func (c *Client) Ask(ctx context.Context, addr string) error {
+	sent := c.clock.Now()
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.State(&Cursor{}, mn.ScopeNone)))
+	if err != nil {
+		return err
+	}
+	c.host.ReceiveState(decode(reply), sent)
+	return nil
+}
+
 // Catalog returns the newest catalog item of the peer at addr.
 func (c *Client) Catalog(ctx context.Context, addr string) (mn.Item, error) {
 	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Catalog(ctx, &meshpb.CatalogRequest{})
--- a/node/front.go
+++ b/node/front.go
@@ -162,6 +162,7 @@
 	g.Go(func() error { return f.view.followEndpoints(run) })
 	g.Go(func() error { return f.followFronts(run) })
 	g.Go(func() error { return f.exchangeWithPeers(run) })
+	g.Go(func() error { return f.askPeers(run) })
 	g.Go(func() error { return f.learnCached(run) })
 	g.Go(func() error { return f.performDuties(run) })
 	g.Go(func() error { return f.storeRuns(run) })
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sort"
 	"sync"
 
@@ -29,6 +30,11 @@
 	// time between two exchanges with the same peer. Urgent updates that occur within
 	// it are sent together.
 	urgentIntervalPerFront = 1 * mn.Millisecond
+	// askTimeout bounds a question to peers by a front whose evidence is old, and
+	// askedPeers is how many it asks at once. They are small since they are asked again
+	// soon.
+	askTimeout = 150 * mn.Millisecond
+	askedPeers = 3
 	// failedExchangePause is the minimum time from a failed exchange with a peer to
 	// the next attempt.
 	failedExchangePause = 700 * mn.Millisecond
@@ -54,10 +60,13 @@
 	lastReceived map[mn.VMID]mn.Millis
 	// startedAt is when a front started, by this front's clock.
 	startedAt map[mn.VMID]mn.Millis
+	// listedAt is when a front's list of endpoints was known to be current, as far as
+	// it has told.
+	listedAt map[mn.VMID]mn.Millis
 }
 
 func newPeerSet(self mn.Front) *peerSet {
-	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, lastReceived: map[mn.VMID]mn.Millis{}, startedAt: map[mn.VMID]mn.Millis{}}
+	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, lastReceived: map[mn.VMID]mn.Millis{}, startedAt: map[mn.VMID]mn.Millis{}, listedAt: map[mn.VMID]mn.Millis{}}
 }
 
 // apply applies an item of the feed of fronts.
@@ -79,6 +88,9 @@
 	defer p.mu.Unlock()
 	p.lastReceived[state.VM] = now
 	p.startedAt[state.VM] = now - state.Uptime
+	if state.ListAge >= 0 {
+		p.listedAt[state.VM] = max(p.listedAt[state.VM], now-state.ListAge)
+	}
 	if state.VM != p.self.VM && state.Addr != "" && p.fronts[state.VM].Incarnation != state.Incarnation {
 		p.fronts[state.VM] = mn.Front{VM: state.VM, Incarnation: state.Incarnation, Addr: state.Addr, DataCentre: state.DataCentre}
 	}
@@ -103,6 +115,26 @@
 	return len(p.fronts) + 1
 }
 
+// bestInformed returns up to count peers that are alive: first the one whose list of
+// endpoints was known to be current latest, then others at random.
+func (p *peerSet) bestInformed(now, maxSilence mn.Millis, count int) []mn.Front {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []mn.Front
+	for vm, f := range p.fronts {
+		if at, known := p.lastReceived[vm]; known && now-at <= maxSilence {
+			out = append(out, f)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	for i := range out {
+		if p.listedAt[out[i].VM] > p.listedAt[out[0].VM] {
+			out[0], out[i] = out[i], out[0]
+		}
+	}
+	return out[:min(count, len(out))]
+}
+
 // oldest returns the front that has been running for the longest time among those
 // whose state arrived within maxSilence before now, and when it started.
 func (p *peerSet) oldest(now, maxSilence mn.Millis) (oldest mn.Front, startedAt mn.Millis, ok bool) {
@@ -300,6 +332,35 @@
 	f.receiveListEvidence(state, sent)
 }
 
+// askPeers asks peers how current their catalog and list of endpoints are while this
+// front's own evidence is old, until ctx is done.
+//
+// Load pattern: the store rejects most fronts, the readers among them, while endpoints
+// leave. The fronts that it serves read it once their evidence is old, but exchange
+// state with each peer only rarely in a large fleet.
+func (f *Front) askPeers(ctx context.Context) error {
+	for f.clock.Sleep(ctx, ageCheckInterval) == nil {
+		now := f.clock.Now()
+		_, listedAt := f.view.listed()
+		if _, age := f.view.Table(); age <= maxCatalogAge && now-listedAt <= f.view.maxListAge() {
+			continue
+		}
+		g, call := errgroup.WithContext(ctx)
+		call, cancel := context.WithTimeout(call, askTimeout.Duration())
+		for _, p := range f.peers.bestInformed(now, aliveWindow, askedPeers) {
+			g.Go(func() error {
+				if err := f.gossip.Ask(call, p.Addr); err != nil {
+					f.log.WithFields(logrus.Fields{"event": "ask_failed", "front": p.VM}).Debug(err)
+				}
+				return nil // The other peers may answer.
+			})
+		}
+		_ = g.Wait() // No call returns an error.
+		cancel()
+	}
+	return nil
+}
+
 // receiveCatalogEvidence uses a peer's evidence that its catalog is the newest. The
 // peer answered after sent, so if both have the same catalog, it was the newest at
 // sent less the age of the peer's evidence. A state that the peer sent by itself,
