Keep two homes for a shared segment, and leave no residue of prefill work

Sums of prefill work that left 1e-14 ms behind made an idle engine count as one that prefills without a break, so that it got no short prompts for good.

Change: a segment gets two homes, or as many as its share of the work needs. What rounding leaves of prefill work is dropped. Prompts are prefilled at generating engines only up to 0.7 of the declared pause.

Tests: TestNoPrefillWorkRemains and TestLatePromptsAreServedAfterBurst failed before; the test of many fronts also bounds the age of their lists.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -35,7 +35,7 @@
 	decodeStallShare = 0.02
 	// pauseMargin is the share of the longest pause between two events which requests
 	// may be expected to have; the rest is for what the model doesn't explain.
-	pauseMargin = 0.85
+	pauseMargin = 0.7
 	// lastEventMargin is the time, in milliseconds, by which the last token should
 	// precede a request's deadline.
 	lastEventMargin = 200.0
@@ -116,30 +116,22 @@
 	if b.disabled(SeparatePrefill) {
 		prefillers = nil
 	}
-	all := len(prefillers) + len(targets)
-	for growth := 1; ; growth *= 2 {
-		homes, decoders := prefillers, targets
-		if !b.disabled(CacheAffinity) {
-			homes, decoders = e.homes(j.Prompt, prefillers, growth, now), e.homes(j.Prompt, targets, growth, now)
+	if !b.disabled(CacheAffinity) {
+		prefillers, targets = e.homes(j.Prompt, prefillers, now), e.homes(j.Prompt, targets, now)
+	}
+	prefillers = e.cheapest(prefillers, func(s *endpointState) float64 { return e.prefillCost(s, j) })
+	for _, t := range e.cheapest(targets, func(s *endpointState) float64 { return e.decodeCost(s, j) }) {
+		if !e.hasRoom(t) {
+			continue
 		}
-		homes = e.cheapest(homes, func(s *endpointState) float64 { return e.prefillCost(s, j) })
-		decoders = e.cheapest(decoders, func(s *endpointState) float64 { return e.decodeCost(s, j) })
-		for _, t := range decoders {
-			if !e.hasRoom(t) {
-				continue
-			}
-			for _, p := range homes {
-				consider(p, t)
-			}
-			if e.mayPrefill(t, j, len(homes) > 0, now) {
-				consider(t, t)
-			}
+		for _, p := range prefillers {
+			consider(p, t)
 		}
-		onTime := best != nil && now+best.ExpectedFirst <= j.FirstEventDeadline
-		if onTime || growth >= maxGrowth || growth*minHomes >= all || b.disabled(CacheAffinity) {
-			return best, backlog
+		if e.mayPrefill(t, j, len(prefillers) > 0, now) {
+			consider(t, t)
 		}
 	}
+	return best, backlog
 }
 
 // mayPrefill reports whether t, which generates, may prefill the job's prompt while
--- a/core/place/feature_test.go
+++ b/core/place/feature_test.go
@@ -24,7 +24,7 @@
 	tests := map[Feature]func(b *Balancer, clock *mn.ManualClock) bool{
 		CacheAffinity: func(b *Balancer, clock *mn.ManualClock) bool {
 			prefillers, _ := splitByRole(b.byPool[pool])
-			homes := b.engines[pool].homes(long(1, 1), prefillers, 1, clock.Now())
+			homes := b.engines[pool].homes(long(1, 1), prefillers, clock.Now())
 			require.Len(t, homes, minHomes)
 			f := mn.FrontState{VM: "other", Scope: mn.ScopeAll}
 			for _, s := range homes { // a little more to do than the third prefill engine
@@ -41,7 +41,7 @@
 		CacheFetch: func(b *Balancer, clock *mn.ManualClock) bool {
 			prefillers, targets := splitByRole(b.byPool[pool])
 			for _, s := range targets {
-				if !slices.Contains(b.engines[pool].homes(long(1, 1), targets, 1, clock.Now()), s) {
+				if !slices.Contains(b.engines[pool].homes(long(1, 1), targets, clock.Now()), s) {
 					b.addCachedPrompts([]mn.PrefilledPrompt{{Endpoint: s.ID, Segments: long(1, 2).Segments}})
 				}
 			}
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -17,9 +17,6 @@
 	// homeSpread is how many times as many engines a segment gets as its share of the
 	// prefill work needs, so that chance differences between engines even out.
 	homeSpread = 2.0
-	// maxGrowth bounds by how much the number of homes grows for a prompt that would
-	// be late at fewer.
-	maxGrowth = 4
 	// maxCandidates bounds the engines of a role for which plans are estimated.
 	maxCandidates = 4
 	// useMemory is the time constant, in milliseconds, with which the use of segments
@@ -90,16 +87,15 @@
 //
 // Each shared segment that is worth it selects among the homes of those in front of
 // it, by rendezvous hashing, so that all fronts choose alike. It selects as many as its
-// share of the work needs: all for a segment of all prompts. The number is multiplied
-// by growth.
-func (e *enginePool) homes(info *mn.PromptInfo, engines []*endpointState, growth int, now mn.Millis) []*endpointState {
+// share of the work needs: all for a segment of all prompts.
+func (e *enginePool) homes(info *mn.PromptInfo, engines []*endpointState, now mn.Millis) []*endpointState {
 	homes := engines
 	for _, s := range sharedSegments(info) {
 		if e.savedWork(s.Tokens) < minSavedWork {
 			continue
 		}
 		needed := int(math.Ceil(homeSpread * e.use.share(s.ID, now) * float64(len(engines))))
-		if n := growth * max(minHomes, needed); n < len(homes) {
+		if n := max(minHomes, needed); n < len(homes) {
 			homes = rendez.TopBy(s.ID, homes, n, func(s *endpointState) mn.EndpointID { return s.ID })
 		}
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -196,6 +196,35 @@
 	require.Greater(t, onTime+late, 220, "prompts served, of 300")
 }
 
+// Whatever the order in which work is reserved and released, none of it may remain: the
+// engine would count as one that prefills without a break.
+func TestNoPrefillWorkRemains(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	b := newBalancer(clock, "dc-0")
+	var plans []*Plan
+	for i := range 40 {
+		j := job(clock, long(i, i))
+		j.Prompt.Tokens += int64(i * 37)
+		if p, _ := b.Choose(j, true); p != nil {
+			plans = append(plans, p)
+		}
+		if p, _ := b.Choose(job(clock, short(i)), true); p != nil {
+			plans = append(plans, p)
+		}
+	}
+	for i := range plans {
+		b.Release(plans[(i*7+3)%len(plans)])
+	}
+	for _, p := range plans {
+		b.Release(p)
+	}
+	clock.Advance(mn.Second)
+	for id, s := range b.endpoints {
+		require.Zero(t, s.prefillWork, "prefill work at %s", id)
+		require.Zero(t, b.engines[pool].prefillingFor(s, clock.Now()), "%s prefills", id)
+	}
+}
+
 func TestUnusableEndpointsAreSkipped(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
 	plain := func(states ...mn.EndpointState) (list []mn.Endpoint) {
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -5,6 +5,11 @@
 	"mustardnotch/core/perf"
 )
 
+// roundingError is the prefill work, in milliseconds, that may remain of sums and
+// differences. It is no work: an engine that has some can't be told from one that
+// prefills without a break.
+const roundingError = 1e-3
+
 // reserve adds the plan's requests and prefill work to its endpoints.
 func (b *Balancer) reserve(p *Plan, e *enginePool) {
 	for _, s := range b.reservedEndpoints(p) {
@@ -149,7 +154,10 @@
 		b.requestUrgentUpdate()
 	}
 	if s := b.endpoints[p.prefillerID()]; s != nil {
-		s.prefillWork = max(0, s.prefillWork-p.prefillWork)
+		s.prefillWork -= p.prefillWork
+		if s.prefillWork < roundingError {
+			s.prefillWork = 0
+		}
 		b.markPrefilling(s)
 	}
 }
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -221,6 +221,13 @@
 	}
 	require.Equal(t, fronts-served, down)
 	time.Sleep(time.Second)
+	for range 150 { // 3 s
+		for n, f := range c.fronts {
+			_, at := f.view.listed()
+			require.Less(t, f.clock.Now()-at, f.view.maxListAge()+outageMargin, "age of the list of %s", n)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 	knows := func(f *runningFront, id mn.EndpointID) bool {
 		e, ok := f.balancer.Endpoint(id)
 		return ok && e.State == mn.EndpointReady
