Bound heads and events that have no end

Cause: an endpoint in trouble may send bytes that are no answer until the caller closes. http.ReadResponse bounds neither lines nor headers, interim answers and bodies of answers to other requests were read without a bound, and a stream's buffer doubled until an event ended.

Change: heads, interim answers and answers to other requests take 1 MB at most, an event 1 MB; then the connection is closed, and the answer counts as broken off.

A complete answer that is no stream was bounded already (16 MB).

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -118,6 +119,7 @@
 	} else {
 		go write()
 	}
+	conn.limiter.left = maxHeads
 	for skipped := 0; skipped <= maxForeignAnswers; skipped++ {
 		resp, err := readFinal(conn, req)
 		if err != nil {
@@ -128,9 +130,11 @@
 			return nil, errors.New("signed answer has no request id")
 		}
 		if info.ID == "" || info.ID == call.ID {
+			conn.limiter.left = math.MaxInt64 // the body has limits of its own
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Skipped: skipped,
 				client: c, addr: call.Addr, maxIdle: call.MaxIdleConns, conn: conn, resp: resp, writeErr: writeErr}, nil
 		}
+		// A body of an answer to another request counts like heads.
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, fmt.Errorf("answer to request %s: %w", info.ID, err)
 		}
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -43,6 +45,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limiter bounds what reader reads while it reads heads.
+	limiter *headLimiter
 	// idleAt is when the connection became idle, and maxIdleTime how long it may stay
 	// idle.
 	idleAt      mn.Millis
@@ -110,6 +114,30 @@
 	}
 }
 
+// maxHeads bounds the bytes of the heads of an answer, of interim answers and of
+// answers to other requests in front of it. An endpoint in trouble may send bytes
+// without end that are no answer.
+const maxHeads = 1 << 20
+
+// errHeadTooLong is the error for heads that exceed maxHeads.
+var errHeadTooLong = fmt.Errorf("heads of answers exceed %d bytes", maxHeads)
+
+// headLimiter reads from a connection, and fails beyond a limit that can be changed.
+type headLimiter struct {
+	conn net.Conn
+	left int64
+}
+
+// Read implements [io.Reader].
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.conn.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // take removes the newest idle connection to addr and returns it, nil if there is
 // none.
 func (c *Client) take(addr string) *conn {
@@ -129,7 +157,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBuffer)}, nil
+	in := &headLimiter{conn: netConn, left: math.MaxInt64}
+	return &conn{Conn: netConn, limiter: in, reader: bufio.NewReaderSize(in, readBuffer)}, nil
 }
 
 // ConnRefused reports whether the endpoint at addr refuses connections, which means
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -31,6 +31,9 @@
 	// eventBuffer is the initial size of the buffer for a stream. It grows when an
 	// event is longer.
 	eventBuffer = 16 << 10
+	// maxEvent bounds the size of an event. An endpoint in trouble may send bytes
+	// without end that are no event.
+	maxEvent = 1 << 20
 	// attemptTimeoutFactor is the attempt timeout of an idempotent request as a
 	// multiple of the expected time to the first event. After it, another endpoint is
 	// asked. The last attempt has no timeout other than the deadline.
@@ -304,6 +307,10 @@
 	}
 	buf := make([]byte, 0, eventBuffer)
 	for {
+		if len(buf) == cap(buf) && cap(buf) >= maxEvent {
+			q.Balancer.ReportResult(id, true)
+			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: an event is longer than %d bytes", id, maxEvent)}
+		}
 		if len(buf) == cap(buf) {
 			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
 		}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -440,6 +441,31 @@
 	})
 }
 
+// An endpoint sends bytes that are no event until the front closes. The front must not
+// collect them, and the answer must not look complete.
+func TestEventWithoutEndIsCutOff(t *testing.T) {
+	var taken atomic.Int64
+	closed := make(chan struct{})
+	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		defer close(closed)
+		streamHead(c, r)
+		chunk(c, "id: 1\ndata: x\n\n")
+		for text := strings.Repeat("x", 64<<10); taken.Load() < 64<<20; taken.Add(int64(len(text))) {
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+				return false
+			}
+		}
+		return false
+	}})
+	begin := time.Now()
+	_, body, err := b.do("POST", "/stream/", "p", "Tokens", "100")
+	require.Error(t, err, "a truncated answer must not look complete")
+	require.Equal(t, "id: 1\ndata: x\n\n", body)
+	require.Less(t, time.Since(begin), 1500*time.Millisecond, "it ends before the route's timeout")
+	<-closed
+	require.Less(t, taken.Load(), int64(maxEvent+8<<20), "bytes taken, with the buffers of both sockets")
+}
+
 func TestEventsAreForwardedImmediately(t *testing.T) {
 	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
 		streamHead(c, r)
