Store the fronts' run counts in parts that fit into a record

Cause: two fronts write what they know of all fronts' counts as one record, which grows with fronts, customers and windows: at 68 fronts, 19 customers and 6 windows some 350 KB of JSON, computed, for the 256 KB that the store declares.

Change: the counts are written in parts of 1,000, each under its own key. The store client checks a record against the declared size before it is sent; one that is too large has a code (MN506) and a counter (records_too_large).

--- a/cmds/front.go
+++ b/cmds/front.go
@@ -46,7 +46,7 @@
 			stop := notifyReload(reload)
 			defer stop()
 			p := node.Platform{
-				Store:   platform.NewStore(s.StoreAddr),
+				Store:   platform.NewStore(s.StoreAddr, s.MaxRecordBytes),
 				Duties:  platform.NewDuties(s.DutiesAddr),
 				Dialect: platform.Dialect{},
 			}
--- a/codedocs.go
+++ b/codedocs.go
@@ -76,6 +76,8 @@
 		Text: "The endpoint is still carrying out another order, or a call of an earlier holder may still be in progress."},
 	{Code: PlatformUnavailable, Title: "platform unavailable", Severity: SeverityRetry, Outcome: OutcomeUnknown,
 		Text: "The platform's service can't be reached, or its answer was lost."},
+	{Code: RecordTooLarge, Title: "record too large", Severity: SeverityOperator, Outcome: OutcomeNotRun,
+		Text: "A record exceeds what the platform's store accepts, and was not sent. The detail gives its size and the limit."},
 	{Code: Internal, Title: "internal error", Severity: SeverityOperator, Outcome: OutcomeUnknown,
 		Text: "An error without a more specific code. The detail says what happened."},
 }
--- a/codes.go
+++ b/codes.go
@@ -71,6 +71,7 @@
 	OrderStale          Code = 503
 	OrderBusy           Code = 504
 	PlatformUnavailable Code = 505
+	RecordTooLarge      Code = 506
 	Internal            Code = 901
 )
 
--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -204,6 +205,43 @@
 	require.Equal(t, counts, restored)
 }
 
+// What is stored of all fronts' counts must fit into records of the store, however many
+// fronts, customers and windows there are, and no count may be lost.
+func TestStoredCountsFitIntoRecords(t *testing.T) {
+	const maxRecord = 256 << 10
+	for _, fronts := range []int{1, 30, 68, 300, 1000} {
+		for _, customers := range []int{1, 19, 400} {
+			if fronts*customers > 100_000 {
+				continue
+			}
+			clock := mn.NewManualClock(1_000_000_000)
+			r := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
+			window := int64(r.Wall() / (5 * mn.Second))
+			for f := range fronts {
+				state := mn.FrontState{VM: mn.VMID(fmt.Sprintf("front-geldermalsen-%d", f)), Incarnation: "01a23f60-c93b-7c5e"}
+				for c := range customers {
+					for w := range int64(6) {
+						state.Runs = append(state.Runs, mn.RunCount{Window: window - w, Customer: mn.CustomerID(fmt.Sprintf("customer-%d", c)), Count: int64(1 + f + c)})
+					}
+				}
+				r.Restore(state)
+			}
+			want, _ := r.Total(window, nil)
+			other := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
+			for _, part := range r.Parts("me", "1") {
+				value, err := json.Marshal(part)
+				require.NoError(t, err)
+				require.Less(t, len(value), maxRecord, "%d fronts, %d customers", fronts, customers)
+				for _, f := range part {
+					other.Restore(f)
+				}
+			}
+			got, _ := other.Total(window, nil)
+			require.Equal(t, want, got)
+		}
+	}
+}
+
 // stepClock is a clock whose wall-clock time can be set forward or back.
 type stepClock struct {
 	*mn.ManualClock
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -150,6 +150,31 @@
 	prune(counts, int64(r.wall()/r.window)-r.retainedWindows)
 }
 
+// maxStoredCounts bounds the run counts in one part of a snapshot.
+const maxStoredCounts = 1000
+
+// Parts returns the snapshot in parts, each small enough for one record of the store
+// whatever the number of fronts, customers and windows.
+func (r *RunCounter) Parts(self mn.VMID, incarnation mn.Incarnation) [][]mn.FrontState {
+	var parts [][]mn.FrontState
+	var part []mn.FrontState
+	room := maxStoredCounts
+	for _, f := range r.Snapshot(self, incarnation) {
+		for runs := f.Runs; len(runs) > 0; {
+			n := min(len(runs), maxStoredCounts)
+			if n > room {
+				parts, part, room = append(parts, part), nil, maxStoredCounts
+			}
+			part, room = append(part, mn.FrontState{VM: f.VM, Incarnation: f.Incarnation, Runs: runs[:n]}), room-n
+			runs = runs[n:]
+		}
+	}
+	if len(part) > 0 {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // Snapshot returns the counts of all incarnations of all fronts that this front knows.
 // Its own counts are listed under self and incarnation.
 func (r *RunCounter) Snapshot(self mn.VMID, incarnation mn.Incarnation) []mn.FrontState {
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 
@@ -190,7 +191,7 @@
 		return nil
 	}
 	store := newDependency(f, "store", "runs")
-	var last []byte
+	last := map[string][]byte{}
 	restored := false
 	for ctx.Err() == nil {
 		_ = f.clock.Sleep(ctx, duty.UntilTurn(f.runs.Wall(), f.rank(), relay.ReaderCount, storeRunsInterval))
@@ -207,22 +208,36 @@
 		if f.rank() >= relay.ReaderCount {
 			continue
 		}
-		value, err := json.Marshal(f.runs.Snapshot(f.self.VM, f.self.Incarnation))
-		if err != nil {
-			return err
-		}
-		if bytes.Equal(value, last) {
-			continue
-		}
-		_, err = f.platform.Store.Put(ctx, mn.RunFeed, string(f.self.VM), value, -1)
-		store.record(err)
-		if err == nil {
-			last = value
+		for i, part := range f.runs.Parts(f.self.VM, f.self.Incarnation) {
+			err := f.storeRunsPart(ctx, i, part, last)
+			store.record(err)
 		}
 	}
 	return nil
 }
 
+// storeRunsPart writes a part of the run counts under a key of its own, unless it was
+// written already. It keeps what was written in last. A part that isn't written any more
+// stays in the store; its windows are too old to matter soon.
+func (f *Front) storeRunsPart(ctx context.Context, number int, part []mn.FrontState, last map[string][]byte) error {
+	value, err := json.Marshal(part)
+	if err != nil {
+		return err
+	}
+	key := string(f.self.VM)
+	if number > 0 {
+		key += "/" + strconv.Itoa(number)
+	}
+	if bytes.Equal(value, last[key]) {
+		return nil
+	}
+	if _, err := f.platform.Store.Put(ctx, mn.RunFeed, key, value, -1); err != nil {
+		return err
+	}
+	last[key] = value
+	return nil
+}
+
 // restoreRuns merges the counts that fronts wrote to the store.
 func (f *Front) restoreRuns(ctx context.Context) error {
 	items, _, err := f.platform.Store.Newest(ctx, mn.RunFeed)
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -299,6 +299,9 @@
 // record records the result of a call.
 func (d *dependency) record(err error) {
 	now := d.f.clock.Now()
+	if mn.CodeOf(err) == mn.RecordTooLarge {
+		d.f.stats.Add("records_too_large", 1)
+	}
 	switch {
 	case err != nil && d.lostAt == 0:
 		d.lostAt = now
--- a/setup/front.go
+++ b/setup/front.go
@@ -22,8 +22,11 @@
 	ReadinessAddr string
 	// StoreAddr and DutiesAddr are addresses of the platform. Without a
 	// DutiesAddr the front performs no duties.
-	StoreAddr  string
-	DutiesAddr string
+	StoreAddr string
+	// MaxRecordBytes is the size of the largest record that the store accepts, 0 if it
+	// declares none.
+	MaxRecordBytes int64
+	DutiesAddr     string
 
 	// MemoryMB is the memory that the process may use, in MiB, or 0 for no limit.
 	MemoryMB int64
