Keep slow engines and known bounds out of the way of the engine model

Cause, found with an emulator of six engine types: an engine's slowdown was learned also from prefills that are mostly fixed time, and the pool's model from durations divided by it, so that both ran away together (slowdowns of 0.36). A model that was far off gave long durations next to no weight and never recovered.

Change: slowdowns are learned from prefills whose work outweighs the fixed time, by the median; engines that differ from the median of their role are no evidence for the pool. Noise is relative to the longer of expected and observed. Local prefills are bound to the declared share of speed, and have a term for running requests. The stall follows the longest gaps. Non-readers retry the store less often in large fleets, fronts read the feed of fronts twice at their start, and ask peers less often while nobody knows more.

The retry test also bounds 70 fronts.

--- a/core/perf/fit.go
+++ b/core/perf/fit.go
@@ -17,7 +17,7 @@
 	clip = 1.0
 	// lowerWeight is the weight of a duration below the estimate of a fit that follows
 	// the longer ones.
-	lowerWeight = 0.1
+	lowerWeight = 0.01
 	// memory is the time constant, in milliseconds, with which evidence is forgotten
 	// while new evidence arrives.
 	memory = 8000.0
@@ -25,12 +25,12 @@
 	// counts for forgetting. Evidence is kept while there is no traffic.
 	maxGap = 500.0
 	// solveRounds is the number of rounds of the projected Gauss-Seidel method. The
-	// systems have three unknowns and are well conditioned by the prior.
+	// systems have four unknowns and are well conditioned by the prior.
 	solveRounds = 24
 )
 
 // terms is the number of terms of a fit.
-const terms = 3
+const terms = 4
 
 // vector holds one value for each term.
 type vector [terms]float64
@@ -91,8 +91,7 @@
 type fit struct {
 	// prior is the most likely coefficients without evidence, and spread the standard
 	// deviation of each as a multiple of it.
-	prior  vector
-	spread float64
+	prior, spread vector
 	// upper makes the fit follow the longer of the durations.
 	upper bool
 	// own is the evidence of this front, peers that of all others.
@@ -106,27 +105,33 @@
 // estimate returns the expected duration for terms x.
 func (f *fit) estimate(x vector) float64 {
 	c := f.coefficients()
-	return c[0]*x[0] + c[1]*x[1] + c[2]*x[2]
+	var sum float64
+	for i := range terms {
+		sum += c[i] * x[i]
+	}
+	return sum
 }
 
 // observe adds an observation: terms x took the given number of milliseconds. The
 // weight is 1 unless the observation is known to be less exact.
 func (f *fit) observe(x vector, took, weight float64, now mn.Millis) {
 	if f.own.count > 0 {
-		f.own.scale(math.Exp(-min(maxGap, float64(now-f.updatedAt)) / memory))
+		f.own.scale(math.Exp(-min(maxGap, max(0, float64(now-f.updatedAt))) / memory))
 	}
 	f.updatedAt = now
 	expected := f.estimate(x)
 	noise := max(minNoise, relativeNoise*expected)
+	if !f.upper {
+		// Relative to the longer of the two, so that a model which is far off recovers.
+		noise = max(noise, relativeNoise*took)
+	}
 	deviation := (took - expected) / noise
 	switch {
 	case f.upper && deviation < 0:
 		weight *= lowerWeight
 	case !f.upper && deviation > clip:
-		// A much longer duration contains a wait, but if the model is far off, all do.
-		weight *= clip / deviation
+		weight *= clip / deviation // a much longer duration most likely contains a wait
 	}
-	noise = max(noise, relativeNoise*took)
 	weight /= noise * noise
 	i := 0
 	for r := range terms {
@@ -170,7 +175,8 @@
 			a[r][c], a[c][r] = total.xx[i], total.xx[i]
 			i++
 		}
-		precision := 1 / (f.spread * f.spread * f.prior[r] * f.prior[r])
+		deviation := f.spread[r] * f.prior[r]
+		precision := 1 / (deviation * deviation)
 		a[r][r] += precision
 		b[r] += precision * f.prior[r]
 	}
--- a/core/perf/model.go
+++ b/core/perf/model.go
@@ -8,6 +8,9 @@
 // several times faster or slower; some ten observations outweigh it.
 const (
 	priorSpread = 1.0
+	// localSpread is the spread of the speed of prefills at engines that also generate:
+	// the declared share of the other engines' speed, and their steps, bound it.
+	localSpread = 0.3
 	// priorPrefillOverhead is the fixed time of a prefill, in milliseconds.
 	priorPrefillOverhead = 30.0
 	// priorPrefillPer1000 is the time to prefill 1,000 tokens, in milliseconds.
@@ -21,15 +24,21 @@
 	// priorStep and priorStepPerRequest are the time of a decode step, in
 	// milliseconds: the fixed part, and the part for each running request.
 	priorStep, priorStepPerRequest = 3.5, 0.1
+	// priorPerRunning is how much longer the prefill of 1,000 tokens takes for each
+	// running request, in milliseconds.
+	priorPerRunning = 0.2
+	// noPrior stands for a coefficient whose term is always 0.
+	noPrior = 1.0
 	// priorStall is how much longer a decode step takes that also prefills a chunk of
-	// a prompt, in milliseconds.
-	priorStall = 10.0
+	// a prompt, in milliseconds. It is on the high side: an engine that prefills little
+	// doesn't show how long it would stall.
+	priorStall = 40.0
 	// maxKnownWaitShare is the known wait of a prefill, as a share of its own work, up
 	// to which the prefill is evidence.
 	maxKnownWaitShare = 0.5
-	// fullWork is the prefill work at an event, as a multiple of the stall, from which
-	// on the engine surely prefills until the next event.
-	fullWork = 1.5
+	// maxUnknownWork is how many times the known prefill work of an engine may be what
+	// it did between two events, since peer fronts send it more.
+	maxUnknownWork = 2.0
 )
 
 // quantity is a duration that is fitted.
@@ -37,14 +46,15 @@
 
 const (
 	// separatePrefill and localPrefill are prefills at an engine that only prefills,
-	// and at one that also generates: a fixed time, 1,000 uncached tokens, and a
-	// million pairs of tokens.
+	// and at one that also generates: a fixed time, 1,000 uncached tokens, a million
+	// pairs of tokens, and 1,000 uncached tokens for each running request, whose steps
+	// alternate with the chunks.
 	separatePrefill quantity = iota
 	localPrefill
 	// eventInterval is the time between two events at an engine that doesn't prefill:
 	// a fixed time and running requests.
 	eventInterval
-	// stall is how much longer that time is at an engine that prefills all the while: a
+	// stall is how much longer that time is at most at an engine that also prefills: a
 	// fixed time.
 	stall
 	// outputStart is the time until the first event of a request whose KV cache is
@@ -70,11 +80,12 @@
 func New(spec mn.EngineSpec) *Model {
 	m := &Model{}
 	for q := range m.fits {
-		m.fits[q].spread = priorSpread
+		m.fits[q].spread = vector{priorSpread, priorSpread, priorSpread, priorSpread}
 	}
+	m.fits[localPrefill].spread = vector{priorSpread, localSpread, localSpread, priorSpread}
 	m.fits[stall].upper = true
-	m.fits[separatePrefill].prior = vector{priorPrefillOverhead, priorPrefillPer1000, priorAttention}
-	m.fits[outputStart].prior = vector{priorStartDelay, 1, 1}
+	m.fits[separatePrefill].prior = vector{priorPrefillOverhead, priorPrefillPer1000, priorAttention, noPrior}
+	m.fits[outputStart].prior = vector{priorStartDelay, noPrior, noPrior, noPrior}
 	m.SetSpec(spec)
 	return m
 }
@@ -86,8 +97,8 @@
 	if m.localSpeed <= 0 || m.localSpeed > 1 {
 		m.localSpeed = 1
 	}
-	m.fits[eventInterval].setPrior(vector{priorStep * m.tokens, priorStepPerRequest * m.tokens, 1})
-	m.fits[stall].setPrior(vector{priorStall * m.tokens, 1, 1})
+	m.fits[eventInterval].setPrior(vector{priorStep * m.tokens, priorStepPerRequest * m.tokens, noPrior, noPrior})
+	m.fits[stall].setPrior(vector{priorStall * m.tokens, noPrior, noPrior, noPrior})
 	m.updateLocalPrior()
 }
 
@@ -96,10 +107,10 @@
 func (m *Model) updateLocalPrior() {
 	c := m.fits[separatePrefill].coefficients()
 	if c[1] > 0 && c[2] > 0 {
-		m.fits[localPrefill].setPrior(vector{priorPrefillOverhead, c[1] / m.localSpeed, c[2] / m.localSpeed})
+		m.fits[localPrefill].setPrior(vector{priorPrefillOverhead, c[1] / m.localSpeed, c[2] / m.localSpeed, priorPerRunning})
 		return
 	}
-	m.fits[localPrefill].setPrior(vector{priorPrefillOverhead, priorPrefillPer1000 / m.localSpeed, priorAttention / m.localSpeed})
+	m.fits[localPrefill].setPrior(vector{priorPrefillOverhead, priorPrefillPer1000 / m.localSpeed, priorAttention / m.localSpeed, priorPerRunning})
 }
 
 // Prefill describes a prefill.
@@ -109,6 +120,8 @@
 	// Tokens is the length of the prompt, and Uncached how many of its tokens are not
 	// in the engine's cache.
 	Tokens, Uncached int64
+	// Running is the number of requests that the engine runs meanwhile.
+	Running int64
 }
 
 func (p Prefill) quantity() quantity {
@@ -120,13 +133,13 @@
 
 func (p Prefill) terms() vector {
 	uncached := float64(p.Uncached)
-	return vector{1, uncached / 1e3, uncached * (float64(p.Tokens) - uncached/2) / 1e6}
+	return vector{1, uncached / 1e3, uncached * (float64(p.Tokens) - uncached/2) / 1e6, uncached / 1e3 * float64(p.Running)}
 }
 
 // PrefillWork returns how long an engine is busy with a prefill, in milliseconds.
 func (m *Model) PrefillWork(p Prefill) float64 {
 	c, x := m.fits[p.quantity()].coefficients(), p.terms()
-	return c[1]*x[1] + c[2]*x[2]
+	return c[1]*x[1] + c[2]*x[2] + c[3]*x[3]
 }
 
 // PrefillOverhead returns the fixed time that an answer takes in addition to its
@@ -165,9 +178,9 @@
 	switch {
 	case workBefore <= 0 && workAfter <= 0:
 		m.fits[eventInterval].observe(vector{1, float64(running)}, took, 1, now)
-	case workBefore >= fullWork*m.Stall() && m.trained(eventInterval):
-		// The engine prefilled all the while. What is beyond the work has other causes.
-		m.fits[stall].observe(vector{1}, min(workBefore, max(0, took-m.EventInterval(running))), 1, now)
+	case workBefore > 0 && m.trained(eventInterval):
+		// What is far beyond the known work has other causes.
+		m.fits[stall].observe(vector{1}, min(maxUnknownWork*max(workBefore, workAfter), max(0, took-m.EventInterval(running))), 1, now)
 	}
 }
 
@@ -250,6 +263,8 @@
 		c := m.fits[q].coefficients()
 		v := Value{Name: names[q], Coefficients: c[:]}
 		switch quantity(q) {
+		case separatePrefill:
+			v.Coefficients = c[:3]
 		case eventInterval:
 			v.Coefficients = c[:2]
 		case stall, outputStart:
--- a/core/perf/perf_test.go
+++ b/core/perf/perf_test.go
@@ -161,7 +161,7 @@
 		m := New(mn.EngineSpec{TokensPerEvent: rapid.Int64Range(-1, 20).Draw(t, "tokens per event")})
 		now := mn.Millis(0)
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
-			now += mn.Millis(rapid.Int64Range(0, 100_000).Draw(t, "gap"))
+			now += mn.Millis(rapid.Int64Range(-1000, 100_000).Draw(t, "gap"))
 			took := rapid.Float64Range(-1e3, 1e7).Draw(t, "took")
 			tokens := rapid.Int64Range(1, 1e6).Draw(t, "tokens")
 			m.ObservePrefill(Prefill{Local: rapid.Bool().Draw(t, "local"), Tokens: tokens, Uncached: rapid.Int64Range(1, tokens).Draw(t, "uncached")}, took, rapid.Float64Range(0, 1e4).Draw(t, "wait"), now)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -132,7 +132,9 @@
 	// expected to wait, and transfer the time to fetch the KV cache from Prefiller, in
 	// milliseconds.
 	prefillWork, knownWait, transfer float64
-	prompt                           *mn.PromptInfo
+	// running is the number of requests that Target ran when the plan was made.
+	running int64
+	prompt  *mn.PromptInfo
 	// workAtEvent is Target's prefill work at the stream's last event, in milliseconds.
 	workAtEvent float64
 	// prefillerReleased, targetReleased and workReleased mean that the reservations
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -64,7 +64,11 @@
 // cached tokens at the start of the prompt. At least one token is prefilled.
 func (e *enginePool) estimatePrefillWith(s *endpointState, info *mn.PromptInfo, cached int64) (work float64, uncached int64) {
 	uncached = max(1, info.Tokens-min(cached, info.Tokens-1))
-	return s.slowdown * e.model.PrefillWork(perf.Prefill{Local: s.Role != mn.EnginePrefill, Tokens: info.Tokens, Uncached: uncached}), uncached
+	p := perf.Prefill{Local: s.Role != mn.EnginePrefill, Tokens: info.Tokens, Uncached: uncached}
+	if p.Local {
+		p.Running, _ = s.totalLoad()
+	}
+	return s.slowdown * e.model.PrefillWork(p), uncached
 }
 
 // savedWork returns how long an engine that only prefills takes for cached tokens at
@@ -234,7 +238,7 @@
 	penalty += max(0, last+lastEventMargin-float64(j.Deadline-now))
 	risk := failureCost * (prefiller.currentFailureRate(now) + target.currentFailureRate(now))
 	p = &Plan{Target: target.Endpoint, ExpectedFirst: mn.Millis(first), ExpectedLast: mn.Millis(last), ExpectedPrefill: mn.Millis(backlogShare*backlog + work), Backlog: mn.Millis(backlog), Uncached: uncached, Long: j.long, Rank: b.rank(j),
-		prefillWork: work, knownWait: backlogShare * backlog, transfer: transfer, prompt: j.Prompt}
+		prefillWork: work, knownWait: backlogShare * backlog, transfer: transfer, running: running, prompt: j.Prompt}
 	if source != nil {
 		cachedBy := source.Endpoint
 		p.CachedBy = &cachedBy
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"slices"
+
 	mn "mustardnotch"
 	"mustardnotch/core/perf"
 )
@@ -79,11 +81,16 @@
 	}
 	local := p.Prefiller == nil
 	prefill := perf.Prefill{Local: local, Tokens: p.prompt.Tokens, Uncached: p.Uncached}
-	if e.model.Trained(local) && p.knownWait < p.prefillWork {
-		expected := e.model.PrefillOverhead(local) + s.slowdown*e.model.PrefillWork(prefill) + p.knownWait
-		s.learn(took, expected, 1)
+	if local {
+		prefill.Running = p.running
+	}
+	overhead, work := e.model.PrefillOverhead(local), s.slowdown*e.model.PrefillWork(prefill)
+	if e.model.Trained(local) && work >= max(overhead, p.knownWait) {
+		s.learn(took, overhead+work+p.knownWait, 1)
+	}
+	if b.isTypical(s) {
+		e.model.ObservePrefill(prefill, took, p.knownWait, b.clock.Now())
 	}
-	e.model.ObservePrefill(prefill, took/s.slowdown, p.knownWait/s.slowdown, b.clock.Now())
 }
 
 // OutputStarted learns from how long Target took, after it was sent a prompt that
@@ -95,11 +102,32 @@
 	if s == nil || p.Prefiller == nil || b.disabled(LearnedSpeeds) {
 		return
 	}
-	if e := b.engines[s.Pool]; e != nil {
-		e.model.ObserveStart((float64(took)-p.transfer)/s.slowdown, b.clock.Now())
+	if e := b.engines[s.Pool]; e != nil && b.isTypical(s) {
+		e.model.ObserveStart(float64(took)-p.transfer, b.clock.Now())
 	}
 }
 
+// maxDeviation is the factor by which an engine's slowdown may differ from the median of
+// its role for the engine to be evidence for the model of the pool.
+const maxDeviation = 1.5
+
+// isTypical reports whether s is about as fast as most engines of its pool and role. A
+// slow engine has a slowdown of its own, and doesn't change what is expected of others.
+func (b *Balancer) isTypical(s *endpointState) bool {
+	if s.slowdown < maxDeviation && s.slowdown > 1/maxDeviation {
+		return true
+	}
+	var all []float64
+	for _, o := range b.byPool[s.Pool] {
+		if o.Role == s.Role {
+			all = append(all, o.slowdown)
+		}
+	}
+	slices.Sort(all)
+	median := all[len(all)/2]
+	return s.slowdown < maxDeviation*median && s.slowdown > median/maxDeviation
+}
+
 // EventReceived learns from the time since the stream's last event, which is negative
 // for its first.
 func (b *Balancer) EventReceived(p *Plan, since mn.Millis) {
@@ -122,23 +150,23 @@
 	if before == 0 && work == 0 {
 		s.learn(float64(since), s.slowdown*e.model.EventInterval(running), intervalWeight)
 	}
-	e.model.ObserveInterval(float64(since)/s.slowdown, running, before/s.slowdown, work/s.slowdown, b.clock.Now())
+	if b.isTypical(s) {
+		e.model.ObserveInterval(float64(since), running, before, work, b.clock.Now())
+	}
 }
 
 // intervalWeight is the weight of the time between two events for an engine's
 // slowdown, compared with that of a prefill. There are many events for each prefill.
 const intervalWeight = 0.1
 
-// learn moves the slowdown towards the value that two in five observations are
-// below: the others waited for work that was unknown when they were placed. It also
-// moves towards 1, so that the model of the pool explains what all engines have in
-// common.
+// learn moves the slowdown towards the median of the observed ratios, and towards 1,
+// so that the model of the pool explains what all engines have in common.
 func (s *endpointState) learn(took, expected, weight float64) {
-	const up, down, back = 0.04, 0.06, 0.004
+	const step, back = 0.05, 0.004
 	if took > expected {
-		s.slowdown *= 1 + weight*up
+		s.slowdown *= 1 + weight*step
 	} else {
-		s.slowdown *= 1 - weight*down
+		s.slowdown /= 1 + weight*step
 	}
 	s.slowdown += weight * back * (1 - s.slowdown)
 	s.slowdown = min(maxSlowdown, max(minSlowdown, s.slowdown))
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -44,24 +44,30 @@
 	// minRetryDelay is the delay after a failed read. It is short compared with
 	// the seconds within which a change must take effect once the store is back.
 	minRetryDelay = 150 * mn.Millisecond
-	// maxRetryDelay bounds the delay of a front that is not a reader. It may be
-	// longer because the readers retry sooner, and the front gets newer data from
-	// them once the store is back.
-	maxRetryDelay = 900 * mn.Millisecond
+	// maxRetryDelay bounds the delay of a front that is not a reader, if there are up to
+	// frontsPerRetry fronts, and in proportion if there are more. It may be longer
+	// because the readers retry sooner, and the front gets newer data from whichever
+	// front the store serves first.
+	maxRetryDelay  = 900 * mn.Millisecond
+	frontsPerRetry = 8
+	// maxLongRetryDelay bounds the delay whatever the number of fronts.
+	maxLongRetryDelay = 3600 * mn.Millisecond
 )
 
 // RetryDelay returns how long a front waits after the given number of
-// consecutive failed reads. Readers retry at a constant interval, other fronts
-// back off exponentially.
+// consecutive failed reads, one of the given number of fronts. Readers retry at a
+// constant interval, other fronts back off exponentially, so that the calls of all
+// fronts don't grow with their number.
 //
 // Load pattern: the store is down for seconds, the data of all fronts becomes
 // old, and each of them reads two feeds.
-func RetryDelay(rank, failures int) mn.Millis {
+func RetryDelay(rank, failures, fronts int) mn.Millis {
+	longest := min(maxLongRetryDelay, maxRetryDelay*mn.Millis(max(fronts, frontsPerRetry))/frontsPerRetry)
 	delay := minRetryDelay
-	for ; rank >= ReaderCount && failures > 1 && delay < maxRetryDelay; failures-- {
+	for ; rank >= ReaderCount && failures > 1 && delay < longest; failures-- {
 		delay *= 2
 	}
-	return min(maxRetryDelay, delay)
+	return min(longest, delay)
 }
 
 // Fingerprint returns a hash that distinguishes lists of endpoints. The order
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -35,17 +35,22 @@
 // a constant delay, the 20 fronts that are not readers would send 1,360 calls
 // meanwhile.
 func TestFrontsReadLessOftenWhileTheStoreIsDown(t *testing.T) {
-	calls := 0
-	for rank := ReaderCount; rank < 22; rank++ {
-		failures := 0
-		for at := mn.Millis(0); at < 5*mn.Second; at += RetryDelay(rank, failures) {
-			calls += 2
-			failures++
+	calls := func(fronts int) (n int) {
+		for rank := ReaderCount; rank < fronts; rank++ {
+			failures := 0
+			for at := mn.Millis(0); at < 5*mn.Second; at += RetryDelay(rank, failures, fronts) {
+				n += 2
+				failures++
+			}
 		}
+		return n
+	}
+	require.LessOrEqual(t, calls(22), 20*2*5*2, "two calls a second for each feed and front; a constant delay gave 1,360")
+	require.LessOrEqual(t, calls(70), 70*2*8, "eight calls of each feed and front in 5 s")
+	for _, fronts := range []int{1, 22, 1000} {
+		require.Equal(t, minRetryDelay, RetryDelay(0, 50, fronts), "a reader always uses the shortest delay, so it notices soon that the store is back")
+		require.Equal(t, minRetryDelay, RetryDelay(5, 1, fronts))
 	}
-	require.LessOrEqual(t, calls, 20*2*5*2, "two calls a second for each feed and front; a constant delay gave 1,360")
-	require.Equal(t, minRetryDelay, RetryDelay(0, 50), "a reader always uses the shortest delay, so it notices soon that the store is back")
-	require.Equal(t, minRetryDelay, RetryDelay(5, 1))
 }
 
 func TestFingerprintDistinguishesLists(t *testing.T) {
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -35,16 +35,21 @@
 	// soon.
 	askTimeout = 150 * mn.Millisecond
 	askedPeers = 3
+	// maxAskInterval is the longest time between two questions. The interval doubles
+	// while the evidence stays old, since the store may be down for all fronts.
+	maxAskInterval = 4 * ageCheckInterval
 	// failedExchangePause is the minimum time from a failed exchange with a peer to
 	// the next attempt.
 	failedExchangePause = 700 * mn.Millisecond
-	// frontsInterval is the time between two reads of the feed of fronts. It may be
-	// long because a front that starts sends its state to its peers. During
-	// startPeriod, or while no peer is known, the feed is read every
+	// frontsInterval is the time between two reads of the feed of fronts by one of up to
+	// frontsPerRead fronts; it grows in proportion if there are more. It may be long
+	// because a front that starts sends its state to the peers that registered before
+	// it. Until startReads reads, or while no peer is known, the feed is read every
 	// frontsStartInterval.
 	frontsInterval      = 15 * mn.Second
+	frontsPerRead       = 16
 	frontsStartInterval = 700 * mn.Millisecond
-	startPeriod         = 5 * mn.Second
+	startReads          = 2
 	// silentFrontTTL is how long after its last state a silent front still counts
 	// among those whose run counts a run report waits for.
 	silentFrontTTL = 10 * mn.Second
@@ -165,8 +170,7 @@
 // peers up to date until ctx is done.
 func (f *Front) followFronts(ctx context.Context) error {
 	store := newDependency(f, "store", "fronts")
-	next, registered := mn.Offset(-1), false
-	start := f.clock.Now()
+	next, registered, reads := mn.Offset(-1), false, 0
 	for ctx.Err() == nil {
 		var err error
 		if !registered {
@@ -178,8 +182,11 @@
 			next, err = f.readFronts(ctx, next)
 		}
 		store.record(err)
-		pause := frontsInterval
-		if err != nil || f.peers.count() == 1 || f.clock.Now()-start < startPeriod {
+		if err == nil {
+			reads++
+		}
+		pause := frontsInterval * mn.Millis(max(f.peers.count(), frontsPerRead)) / frontsPerRead
+		if err != nil || f.peers.count() == 1 || reads < startReads {
 			pause = frontsStartInterval
 		}
 		_ = f.clock.Sleep(ctx, pause)
@@ -339,12 +346,15 @@
 // leave. The fronts that it serves read it once their evidence is old, but exchange
 // state with each peer only rarely in a large fleet.
 func (f *Front) askPeers(ctx context.Context) error {
-	for f.clock.Sleep(ctx, ageCheckInterval) == nil {
+	pause := ageCheckInterval
+	for f.clock.Sleep(ctx, pause) == nil {
 		now := f.clock.Now()
 		_, listedAt := f.view.listed()
 		if _, age := f.view.Table(); age <= maxCatalogAge && now-listedAt <= f.view.maxListAge() {
+			pause = ageCheckInterval
 			continue
 		}
+		pause = min(maxAskInterval, 2*pause)
 		g, call := errgroup.WithContext(ctx)
 		call, cancel := context.WithTimeout(call, askTimeout.Duration())
 		for _, p := range f.peers.bestInformed(now, aliveWindow, askedPeers) {
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		failures++
-		_ = v.clock.Sleep(ctx, relay.RetryDelay(v.rank(), failures))
+		_ = v.clock.Sleep(ctx, relay.RetryDelay(v.rank(), failures, v.peers.count()))
 	}
 	return nil
 }
@@ -224,7 +224,7 @@
 		} else {
 			failures++
 			list.MarkFailed()
-			pause = relay.RetryDelay(v.rank(), failures)
+			pause = relay.RetryDelay(v.rank(), failures, v.peers.count())
 		}
 		_ = v.clock.Sleep(ctx, pause)
 	}
