Name the engine timings and cache affinity by their own words

evidence stands for the freshness of a view, and home for the agent of a key: front states carry EngineTimings, and shared segments have affinity engines. No behaviour changed.

--- a/core/perf/fit.go
+++ b/core/perf/fit.go
@@ -18,11 +18,11 @@
 	// lowerWeight is the weight of a duration below the estimate of a fit that follows
 	// the longer ones.
 	lowerWeight = 0.01
-	// memory is the time constant, in milliseconds, with which evidence is forgotten
-	// while new evidence arrives.
+	// memory is the time constant, in milliseconds, with which observations are forgotten
+	// while new ones arrive.
 	memory = 8000.0
 	// maxGap is the longest time between two observations, in milliseconds, that
-	// counts for forgetting. Evidence is kept while there is no traffic.
+	// counts for forgetting. Nothing is forgotten while there is no traffic.
 	maxGap = 500.0
 	// solveRounds is the number of rounds of the projected Gauss-Seidel method. The
 	// systems have four unknowns and are well conditioned by the prior.
@@ -35,7 +35,7 @@
 // vector holds one value for each term.
 type vector [terms]float64
 
-// sums is the evidence for a fit: the normal equations of weighted least squares.
+// sums holds the observations of a fit: the normal equations of weighted least squares.
 // Sums of different fronts can be added.
 type sums struct {
 	// xx is the upper triangle of the weighted products of the terms, by rows, and
@@ -89,12 +89,12 @@
 // fit is a linear model of a duration in milliseconds with coefficients that are not
 // negative, fitted by weighted least squares with a prior.
 type fit struct {
-	// prior is the most likely coefficients without evidence, and spread the standard
+	// prior is the most likely coefficients without observations, and spread the standard
 	// deviation of each as a multiple of it.
 	prior, spread vector
 	// upper makes the fit follow the longer of the durations.
 	upper bool
-	// own is the evidence of this front, peers that of all others.
+	// own holds the observations of this front, peers those of all others.
 	own, peers sums
 	updatedAt  mn.Millis
 	// solution is valid if solved is set.
@@ -153,7 +153,7 @@
 	}
 }
 
-// addPeer adds a peer's evidence, or subtracts it if factor is -1.
+// addPeer adds a peer's observations, or subtracts them if factor is -1.
 func (f *fit) addPeer(s *sums, factor float64) {
 	f.peers.add(s, factor)
 	f.solved = false
--- a/core/perf/model.go
+++ b/core/perf/model.go
@@ -34,7 +34,7 @@
 	// doesn't show how long it would stall.
 	priorStall = 40.0
 	// maxKnownWaitShare is the known wait of a prefill, as a share of its own work, up
-	// to which the prefill is evidence.
+	// to which the prefill is observed.
 	maxKnownWaitShare = 0.5
 	// maxUnknownWork is how many times the known prefill work of an engine may be what
 	// it did between two events, since peer fronts send it more.
@@ -63,9 +63,9 @@
 	quantities
 )
 
-// Evidence is what a front has observed of a pool's engines, to be added to that of
+// Timings is what a front has observed of a pool's engines, to be added to that of
 // other fronts.
-type Evidence []float64
+type Timings []float64
 
 // Model is the model of the engines of one pool. It is not safe for concurrent use.
 type Model struct {
@@ -204,7 +204,7 @@
 	return interval * float64(tokens) / m.tokens
 }
 
-// Trained reports whether there is enough evidence of prefills at engines of one kind
+// Trained reports whether there is enough observations of prefills at engines of one kind
 // to tell slow engines from a model that is off.
 func (m *Model) Trained(local bool) bool {
 	return m.trained(Prefill{Local: local}.quantity())
@@ -216,25 +216,25 @@
 	return count >= enough
 }
 
-// Evidence returns what this front has observed.
-func (m *Model) Evidence() Evidence {
-	out := make(Evidence, 0, int(quantities)*sumValues)
+// Timings returns what this front has observed.
+func (m *Model) Timings() Timings {
+	out := make(Timings, 0, int(quantities)*sumValues)
 	for q := range m.fits {
 		out = append(out, m.fits[q].own.values()...)
 	}
 	return out
 }
 
-// AddPeer adds the evidence of a peer front, or subtracts it if factor is -1. It
-// reports whether e is evidence; it ignores anything else.
-func (m *Model) AddPeer(e Evidence, factor float64) bool {
-	if len(e) != int(quantities)*sumValues {
+// AddPeer adds the timings of a peer front, or subtracts it if factor is -1. It
+// reports whether t is a list of timings; it ignores anything else.
+func (m *Model) AddPeer(t Timings, factor float64) bool {
+	if len(t) != int(quantities)*sumValues {
 		return false
 	}
 	var all [quantities]sums
 	for q := range all {
 		var ok bool
-		if all[q], ok = sumsOf(e[q*sumValues : (q+1)*sumValues]); !ok {
+		if all[q], ok = sumsOf(t[q*sumValues : (q+1)*sumValues]); !ok {
 			return false
 		}
 	}
--- a/core/perf/perf_test.go
+++ b/core/perf/perf_test.go
@@ -106,7 +106,7 @@
 	slower.requireClose(t, m, 0.25)
 }
 
-func TestEvidenceIsKeptWithoutTraffic(t *testing.T) {
+func TestTimingsAreKeptWithoutTraffic(t *testing.T) {
 	m, r := New(engineTypes[1].spec()), rand.New(rand.NewPCG(1, 1))
 	engineTypes[1].observe(m, r, 100, 0, 5000)
 	day := 24 * mn.Hour
@@ -116,7 +116,7 @@
 
 // Four fronts with a quarter of the observations each must agree with each other, and
 // a front that starts must know what they know.
-func TestEvidenceOfPeersAddsUp(t *testing.T) {
+func TestTimingsOfPeersAddUp(t *testing.T) {
 	e := engineTypes[1]
 	var fronts []*Model
 	for i := range 4 {
@@ -126,22 +126,22 @@
 	}
 	restarted := New(e.spec())
 	for _, m := range fronts {
-		require.True(t, restarted.AddPeer(m.Evidence(), 1))
+		require.True(t, restarted.AddPeer(m.Timings(), 1))
 	}
 	e.requireClose(t, restarted, 0.2)
 	for _, m := range fronts {
-		require.True(t, restarted.AddPeer(m.Evidence(), -1))
+		require.True(t, restarted.AddPeer(m.Timings(), -1))
 	}
 	require.InEpsilon(t, New(e.spec()).PrefillWork(Prefill{Tokens: 9000, Uncached: 9000}), restarted.PrefillWork(Prefill{Tokens: 9000, Uncached: 9000}), 0.01, "all peers are gone")
 }
 
 // A peer's message may hold anything.
-func TestMalformedEvidenceIsIgnored(t *testing.T) {
+func TestMalformedTimingsAreIgnored(t *testing.T) {
 	m := New(engineTypes[0].spec())
 	want := m.Values()
-	good := New(engineTypes[0].spec()).Evidence()
-	for name, e := range map[string]Evidence{
-		"none": nil, "short": good[:3], "long": append(append(Evidence{}, good...), 1),
+	good := New(engineTypes[0].spec()).Timings()
+	for name, e := range map[string]Timings{
+		"none": nil, "short": good[:3], "long": append(append(Timings{}, good...), 1),
 		"not a number": with(good, math.NaN()), "negative": with(good, -1), "infinite": with(good, math.Inf(1)),
 	} {
 		require.False(t, m.AddPeer(e, 1), name)
@@ -149,8 +149,8 @@
 	require.Equal(t, want, m.Values())
 }
 
-func with(e Evidence, v float64) Evidence {
-	out := append(Evidence{}, e...)
+func with(e Timings, v float64) Timings {
+	out := append(Timings{}, e...)
 	out[2] = v
 	return out
 }
--- a/core/place/homes.go
+++ b/core/place/affinity.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// minHomes is the minimum number of engines of a role that are the homes of a
-	// shared segment: one can be passed by when the other is busy or gone.
-	minHomes = 2
-	// homeSpread is how many times as many engines a segment gets as its share of the
-	// prefill work needs, so that chance differences between engines even out.
-	homeSpread = 2.0
+	// minAffinityEngines is the minimum number of engines of a role that are assigned to
+	// a shared segment: one can be passed by when the other is busy or gone.
+	minAffinityEngines = 2
+	// affinitySpread is how many times as many engines a segment gets as its share of
+	// the prefill work needs, so that chance differences between engines even out.
+	affinitySpread = 2.0
 	// maxCandidates bounds the engines of a role for which plans are estimated.
 	maxCandidates = 4
 	// useMemory is the time constant, in milliseconds, with which the use of segments
@@ -80,26 +80,26 @@
 	return info.Segments[:max(0, len(info.Segments)-1)]
 }
 
-// homes returns the engines that should prefill or fetch the prompt, so that few
-// engines prefill each shared segment. Load pattern: prompts begin with a segment that
-// all share, go on with one of some hundred that few share, and some of those are much
-// in demand for a while.
+// affinityEngines returns the engines that should prefill or fetch the prompt, so that
+// few engines prefill each shared segment. Load pattern: prompts begin with a segment
+// that all share, go on with one of some hundred that few share, and some of those are
+// much in demand for a while.
 //
-// Each shared segment that is worth it selects among the homes of those in front of
+// Each shared segment that is worth it selects among the engines of those in front of
 // it, by rendezvous hashing, so that all fronts choose alike. It selects as many as its
 // share of the work needs: all for a segment of all prompts.
-func (e *enginePool) homes(info *mn.PromptInfo, engines []*endpointState, now mn.Millis) []*endpointState {
-	homes := engines
+func (e *enginePool) affinityEngines(info *mn.PromptInfo, engines []*endpointState, now mn.Millis) []*endpointState {
+	chosen := engines
 	for _, s := range sharedSegments(info) {
 		if e.savedWork(s.Tokens) < minSavedWork {
 			continue
 		}
-		needed := int(math.Ceil(homeSpread * e.use.share(s.ID, now) * float64(len(engines))))
-		if n := max(minHomes, needed); n < len(homes) {
-			homes = rendez.TopBy(s.ID, homes, n, func(s *endpointState) mn.EndpointID { return s.ID })
+		needed := int(math.Ceil(affinitySpread * e.use.share(s.ID, now) * float64(len(engines))))
+		if n := max(minAffinityEngines, needed); n < len(chosen) {
+			chosen = rendez.TopBy(s.ID, chosen, n, func(s *endpointState) mn.EndpointID { return s.ID })
 		}
 	}
-	return homes
+	return chosen
 }
 
 // cheapest returns up to maxCandidates engines, those with the lowest cost.
--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -70,10 +70,10 @@
 	incarnation mn.Incarnation
 	receivedAt  mn.Millis
 	loads       map[mn.EndpointID]mn.EndpointLoad
-	// evidence is what the front has observed of each pool's engines.
-	evidence map[mn.PoolID]perf.Evidence
-	// stale means that loads and evidence are not counted, since the last update is older than
-	// peerStateTTL.
+	// timings is what the front has observed of each pool's engines.
+	timings map[mn.PoolID]perf.Timings
+	// stale means that loads and timings are not counted, since the last update is
+	// older than peerStateTTL.
 	stale bool
 }
 
@@ -140,7 +140,7 @@
 			e = &enginePool{model: perf.New(*p.Engine), use: newSegmentUse()}
 			for _, peer := range b.peers {
 				if !peer.stale {
-					e.model.AddPeer(peer.evidence[id], 1)
+					e.model.AddPeer(peer.timings[id], 1)
 				}
 			}
 		}
@@ -216,13 +216,13 @@
 	}
 }
 
-// addPeer adds the loads and the evidence of a peer front, or subtracts them if sign
+// addPeer adds the loads and the timings of a peer front, or subtracts them if sign
 // is -1.
 func (b *Balancer) addPeer(p peerState, sign int64) {
 	b.addPeerLoads(p, sign)
-	for pool, evidence := range p.evidence {
+	for pool, timings := range p.timings {
 		if e := b.engines[pool]; e != nil {
-			e.model.AddPeer(evidence, float64(sign))
+			e.model.AddPeer(timings, float64(sign))
 		}
 	}
 }
@@ -264,11 +264,11 @@
 		if !p.stale {
 			b.addPeer(p, -1)
 		}
-		evidence := p.evidence
-		if evidence == nil || p.incarnation != f.Incarnation {
-			evidence = map[mn.PoolID]perf.Evidence{}
+		timings := p.timings
+		if timings == nil || p.incarnation != f.Incarnation {
+			timings = map[mn.PoolID]perf.Timings{}
 		}
-		p = peerState{incarnation: f.Incarnation, loads: make(map[mn.EndpointID]mn.EndpointLoad, len(f.Loads)), evidence: evidence}
+		p = peerState{incarnation: f.Incarnation, loads: make(map[mn.EndpointID]mn.EndpointLoad, len(f.Loads)), timings: timings}
 		b.addPeer(p, 1)
 	case p.stale:
 		b.addPeer(p, 1)
@@ -283,48 +283,48 @@
 		b.addPeerLoad(l, 1)
 		p.loads[l.Endpoint] = l
 	}
-	b.receiveEvidence(p, f)
+	b.receiveTimings(p, f)
 	b.peers[f.VM] = p
 	b.addCachedPrompts(f.PrefilledPrompts)
 }
 
-// receiveEvidence replaces a peer front's evidence of pools' engines.
-func (b *Balancer) receiveEvidence(p peerState, f mn.FrontState) {
-	for _, n := range f.Evidence {
+// receiveTimings replaces a peer front's timings of pools' engines.
+func (b *Balancer) receiveTimings(p peerState, f mn.FrontState) {
+	for _, n := range f.Timings {
 		e := b.engines[n.Pool]
 		if e == nil || b.disabled(LearnedSpeeds) {
 			continue
 		}
-		e.model.AddPeer(p.evidence[n.Pool], -1)
-		delete(p.evidence, n.Pool)
+		e.model.AddPeer(p.timings[n.Pool], -1)
+		delete(p.timings, n.Pool)
 		if e.model.AddPeer(n.Sums, 1) {
-			p.evidence[n.Pool] = n.Sums
+			p.timings[n.Pool] = n.Sums
 		}
 	}
 }
 
 const (
-	// evidenceInterval is the time between two reports of the evidence of engines to a
+	// timingsInterval is the time between two reports of the timings of engines to a
 	// peer front. It is shorter while the front is young.
-	evidenceInterval      = 5 * mn.Second
-	youngEvidenceInterval = 1 * mn.Second
-	youngPeriod           = 15 * mn.Second
+	timingsInterval      = 5 * mn.Second
+	youngTimingsInterval = 1 * mn.Second
+	youngPeriod          = 15 * mn.Second
 )
 
-// evidenceSince returns this front's evidence of pools' engines if it is time to
+// timingsSince returns this front's timings of pools' engines if it is time to
 // report it again, and advances c.
-func (b *Balancer) evidenceSince(c *Cursor, now mn.Millis) []mn.EngineEvidence {
-	interval := evidenceInterval
+func (b *Balancer) timingsSince(c *Cursor, now mn.Millis) []mn.EngineTimings {
+	interval := timingsInterval
 	if now-b.startedAt < youngPeriod {
-		interval = youngEvidenceInterval
+		interval = youngTimingsInterval
 	}
-	if c.evidenceAt > 0 && now-c.evidenceAt < interval {
+	if c.timingsAt > 0 && now-c.timingsAt < interval {
 		return nil
 	}
-	c.evidenceAt = now
-	var out []mn.EngineEvidence
+	c.timingsAt = now
+	var out []mn.EngineTimings
 	for id, e := range b.engines {
-		out = append(out, mn.EngineEvidence{Pool: id, Sums: e.model.Evidence()})
+		out = append(out, mn.EngineTimings{Pool: id, Sums: e.model.Timings()})
 	}
 	return out
 }
@@ -346,14 +346,14 @@
 type Cursor struct {
 	loads         map[mn.EndpointID]mn.EndpointLoad
 	prefillReport int64
-	evidenceAt    mn.Millis
+	timingsAt     mn.Millis
 }
 
 // StateSince returns this front's loads that have changed since c and the prompts
 // that were prefilled since, and advances c. If all is set, it returns the loads of all
 // endpoints that have requests, changed or not. From time to time it also returns what
 // the front has observed of engines.
-func (b *Balancer) StateSince(c *Cursor, all bool) ([]mn.EndpointLoad, []mn.PrefilledPrompt, []mn.EngineEvidence) {
+func (b *Balancer) StateSince(c *Cursor, all bool) ([]mn.EndpointLoad, []mn.PrefilledPrompt, []mn.EngineTimings) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -368,7 +368,7 @@
 			c.loads[id] = l
 		}
 	}
-	return loads, b.prefillsSince(c, now), b.evidenceSince(c, now)
+	return loads, b.prefillsSince(c, now), b.timingsSince(c, now)
 }
 
 // UrgentUpdates returns how many changes there were that peer fronts should
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -57,8 +57,8 @@
 	Avoid []mn.EndpointID
 
 	// goal is the time within which the first event was due when the job was first
-	// placed, long whether its prompt counts as
-	// long, and large whether it is so large that it can hardly wait.
+	// placed. long reports whether its prompt counts as long, and large whether it is
+	// so large that it can hardly wait.
 	goal        mn.Millis
 	long, large bool
 }
@@ -207,7 +207,7 @@
 	return nil, Full
 }
 
-// accept reserves a plan, and counts its prompt for the homes of segments.
+// accept reserves a plan, and counts its prompt for cache affinity.
 func (b *Balancer) accept(j *Job, p *Plan, e *enginePool, now mn.Millis) {
 	b.reserve(p, e)
 	e.use.add(j.Prompt, e.savedWork(j.Prompt.Tokens), now)
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -121,7 +121,7 @@
 		prefillers = nil
 	}
 	if !b.disabled(CacheAffinity) {
-		prefillers, targets = e.homes(j.Prompt, prefillers, now), e.homes(j.Prompt, targets, now)
+		prefillers, targets = e.affinityEngines(j.Prompt, prefillers, now), e.affinityEngines(j.Prompt, targets, now)
 	}
 	prefillers = e.cheapest(prefillers, func(s *endpointState) float64 { return e.prefillCost(s, j) })
 	for _, t := range e.cheapest(targets, func(s *endpointState) float64 { return e.decodeCost(s, j) }) {
--- a/core/place/feature_test.go
+++ b/core/place/feature_test.go
@@ -24,15 +24,15 @@
 	tests := map[Feature]func(b *Balancer, clock *mn.ManualClock) bool{
 		CacheAffinity: func(b *Balancer, clock *mn.ManualClock) bool {
 			prefillers, _ := splitByRole(b.byPool[pool])
-			homes := b.engines[pool].homes(long(1, 1), prefillers, clock.Now())
-			require.Len(t, homes, minHomes)
+			chosen := b.engines[pool].affinityEngines(long(1, 1), prefillers, clock.Now())
+			require.Len(t, chosen, minAffinityEngines)
 			f := mn.FrontState{VM: "other", Scope: mn.ScopeAll}
-			for _, s := range homes { // a little more to do than the third prefill engine
+			for _, s := range chosen { // a little more to do than the third prefill engine
 				f.Loads = append(f.Loads, mn.EndpointLoad{Endpoint: s.ID, PrefillTime: 20})
 			}
 			b.ReceiveState(f)
 			p, _ := b.Choose(job(clock, long(1, 1)), true)
-			return !slices.ContainsFunc(homes, func(s *endpointState) bool { return s.ID == p.Prefiller.ID })
+			return !slices.ContainsFunc(chosen, func(s *endpointState) bool { return s.ID == p.Prefiller.ID })
 		},
 		SeparatePrefill: func(b *Balancer, clock *mn.ManualClock) bool {
 			p, _ := b.Choose(job(clock, long(1, 1)), true)
@@ -41,7 +41,7 @@
 		CacheFetch: func(b *Balancer, clock *mn.ManualClock) bool {
 			prefillers, targets := splitByRole(b.byPool[pool])
 			for _, s := range targets {
-				if !slices.Contains(b.engines[pool].homes(long(1, 1), targets, clock.Now()), s) {
+				if !slices.Contains(b.engines[pool].affinityEngines(long(1, 1), targets, clock.Now()), s) {
 					b.addCachedPrompts([]mn.PrefilledPrompt{{Endpoint: s.ID, Segments: long(1, 2).Segments}})
 				}
 			}
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -108,7 +108,7 @@
 }
 
 // maxDeviation is the factor by which an engine's slowdown may differ from the median of
-// its role for the engine to be evidence for the model of the pool.
+// its role for the engine to be an observation of the pool.
 const maxDeviation = 1.5
 
 // isTypical reports whether s is about as fast as most engines of its pool and role. A
--- a/front_state.go
+++ b/front_state.go
@@ -25,9 +25,9 @@
 	Segments []PromptSegment
 }
 
-// EngineEvidence is what a front has observed of the speed of a pool's engines: sums
+// EngineTimings is what a front has observed of the speed of a pool's engines: sums
 // that can be added to those of other fronts.
-type EngineEvidence struct {
+type EngineTimings struct {
 	Pool PoolID
 	Sums []float64
 }
@@ -89,7 +89,7 @@
 	// PrefilledPrompts lists the prompt segments that endpoints recently prefilled,
 	// fetched or listed as cached, including those that no other prompt shares.
 	PrefilledPrompts []PrefilledPrompt `json:"-"`
-	// Evidence is what this incarnation has observed of engines. It replaces what the
+	// Timings is what this incarnation has observed of engines. It replaces what the
 	// incarnation sent before, and is left out of most states.
-	Evidence []EngineEvidence `json:"-"`
+	Timings []EngineTimings `json:"-"`
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -190,12 +190,12 @@
 		out.Crashes = append(out.Crashes, &meshpb.FrontCrash{Fingerprint: p.Fingerprint, Endpoint: string(p.VM), WallMs: int64(p.SeenAt)})
 	}
 	out.Reads = encodePrompts(f.PrefilledPrompts)
-	for _, e := range f.Evidence {
-		m := &meshpb.EngineEvidence{Pool: string(e.Pool)}
+	for _, e := range f.Timings {
+		m := &meshpb.EngineTimings{Pool: string(e.Pool)}
 		for _, v := range e.Sums {
 			m.Sums = append(m.Sums, float32(v))
 		}
-		out.Evidence = append(out.Evidence, m)
+		out.Timings = append(out.Timings, m)
 	}
 	return out
 }
@@ -246,12 +246,12 @@
 		f.Crashes = append(f.Crashes, mn.CrashRecord{Fingerprint: p.Fingerprint, VM: mn.VMID(p.Endpoint), SeenAt: mn.Millis(p.WallMs)})
 	}
 	f.PrefilledPrompts = decodePrompts(in.Reads)
-	for _, m := range in.Evidence {
-		e := mn.EngineEvidence{Pool: mn.PoolID(m.Pool)}
+	for _, m := range in.Timings {
+		e := mn.EngineTimings{Pool: mn.PoolID(m.Pool)}
 		for _, v := range m.Sums {
 			e.Sums = append(e.Sums, float64(v))
 		}
-		f.Evidence = append(f.Evidence, e)
+		f.Timings = append(f.Timings, e)
 	}
 	return f
 }
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -317,7 +317,7 @@
 		Scope: scope, Addr: f.self.Addr, DataCentre: f.self.DataCentre, ListFingerprint: list, ListAge: listAge, DutyNext: f.holder.Next(),
 	}
 	if scope >= mn.ScopeChanges {
-		state.Loads, state.PrefilledPrompts, state.Evidence = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
+		state.Loads, state.PrefilledPrompts, state.Timings = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
 		state.Spent, state.Runs, state.Crashes = c.SpentChanges(f.limiter.Spent()), c.RunChanges(f.runs.Own()), f.crashNotices.list()
 	}
 	return state
