Keep the timings of a peer that arrive before the configuration

Cause: a front that starts gets its peers' timings once in the first exchange, and then every 5 s. If the configuration came later than that exchange, the pool was not known, and the timings were dropped.

Change: they are kept and added once the pool is known.

--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -291,15 +291,14 @@
 // receiveTimings replaces a peer front's timings of pools' engines.
 func (b *Balancer) receiveTimings(p peerState, f mn.FrontState) {
 	for _, n := range f.Timings {
-		e := b.engines[n.Pool]
-		if e == nil || b.disabled(LearnedSpeeds) {
+		if b.disabled(LearnedSpeeds) {
 			continue
 		}
-		e.model.AddPeer(p.timings[n.Pool], -1)
-		delete(p.timings, n.Pool)
-		if e.model.AddPeer(n.Sums, 1) {
-			p.timings[n.Pool] = n.Sums
+		if e := b.engines[n.Pool]; e != nil {
+			e.model.AddPeer(p.timings[n.Pool], -1)
+			e.model.AddPeer(n.Sums, 1)
 		}
+		p.timings[n.Pool] = n.Sums // SetPools adds them if the pool isn't known yet.
 	}
 }
 
--- a/core/place/teach_test.go
+++ b/core/place/teach_test.go
@@ -1,6 +1,10 @@
 package place
 
 import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
 	mn "mustardnotch"
 	"mustardnotch/core/perf"
 )
@@ -58,3 +62,32 @@
 		m.ObserveInterval(full+float64(t.tokensPerEvent)*t.step, 0, 10_000, 10_000, now)
 	}
 }
+
+// A front that starts gets from one exchange with a peer what the peer has learned of
+// engines, and loses it when the peer is gone.
+func TestStartingFrontGetsTimingsOfPeers(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000)
+	taught, started := newBalancer(clock, "dc-0"), New(Config{DataCentre: "dc-0"}, clock)
+	started.SetEndpoints(engines())
+	prompt := perf.Prefill{Tokens: 17_000, Uncached: 17_000}
+	want := taught.engines[pool].model.PrefillWork(prompt)
+
+	var cursor Cursor
+	_, _, timings := taught.StateSince(&cursor, true)
+	require.Len(t, timings, 1)
+	started.ReceiveState(mn.FrontState{VM: "taught", Incarnation: "1", Scope: mn.ScopeAll, Timings: timings})
+	started.SetPools(map[mn.PoolID]mn.PoolSpec{pool: spec}) // the configuration arrives later
+	learned := started.engines[pool].model
+	require.InEpsilon(t, want, learned.PrefillWork(prompt), 0.01)
+	started.ReceiveState(mn.FrontState{VM: "taught", Incarnation: "1", Scope: mn.ScopeChanges, Timings: timings})
+	require.InEpsilon(t, want, learned.PrefillWork(prompt), 0.01, "timings replace those sent before")
+
+	_, _, timings = taught.StateSince(&cursor, false)
+	require.Empty(t, timings, "they are sent rarely")
+	clock.Advance(youngTimingsInterval)
+	_, _, timings = taught.StateSince(&cursor, false)
+	require.Len(t, timings, 1)
+	clock.Advance(peerStateTTL + 1)
+	started.Choose(job(clock, short(1)), false)
+	require.InEpsilon(t, perf.New(*spec.Engine).PrefillWork(prompt), learned.PrefillWork(prompt), 0.01, "the peer is gone")
+}
