Show that slow streams complete and stalled ones end

No fault found: a stream has no time limit but the route's and the caller's, which also end one that sends a byte now and then.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -466,6 +466,40 @@
 	require.Less(t, taken.Load(), int64(maxEvent+8<<20), "bytes taken, with the buffers of both sockets")
 }
 
+// A slow but sound stream is complete; a stalled one that sends a byte now and then ends
+// with the route's time, and does not look complete.
+func TestSlowStreamIsCompleteAndStalledStreamEnds(t *testing.T) {
+	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		for i := range 4 {
+			time.Sleep(400 * time.Millisecond)
+			chunk(c, fmt.Sprintf("id: %d\ndata: x\n\n", i+1))
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}})
+	_, body, err := b.do("POST", "/stream/", "p", "Tokens", "100")
+	require.NoError(t, err)
+	require.Equal(t, completeStream, body)
+
+	b = newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		chunk(c, "id: 1\ndata: x\n\n")
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(c, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+		}
+		return false
+	}})
+	begin := time.Now()
+	_, body, err = b.do("POST", "/stream/", "p", "Tokens", "100")
+	require.Error(t, err, "a truncated answer must not look complete")
+	require.Equal(t, "id: 1\ndata: x\n\n", body)
+	require.Less(t, time.Since(begin), 2500*time.Millisecond, "the route allows 2 s")
+}
+
 func TestEventsAreForwardedImmediately(t *testing.T) {
 	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
 		streamHead(c, r)
