Exchange state with each peer at least once a second

Cause: the time between two regular exchanges with a peer grew by 25 ms with each front, 1.7 s at 68. A front counts as alive for 1.5 s after its last state and its load for 2 s. Without urgent updates fronts of a large fleet held each other for gone, ranked the readers of the store differently, and read it more often.

Change: the interval ends at 1 s.

Test: TestPeersStayAliveBetweenExchanges, up to 1,000 fronts, failed from 68 on.

--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -20,9 +20,11 @@
 	// between two exchanges with the same peer, so that the number of states that a
 	// front receives in a second does not grow with the number of fronts.
 	exchangeIntervalPerFront = 25 * mn.Millisecond
-	// minExchangeInterval is the minimum time between two regular exchanges with the
-	// same peer.
+	// minExchangeInterval and maxExchangeInterval bound the time between two regular
+	// exchanges with the same peer. The maximum is shorter than aliveWindow and than the
+	// time for which a peer's load counts.
 	minExchangeInterval = 120 * mn.Millisecond
+	maxExchangeInterval = 1000 * mn.Millisecond
 	// exchangeTimeout bounds one exchange. It allows for many round trips between
 	// data centres.
 	exchangeTimeout = 500 * mn.Millisecond
@@ -296,7 +298,7 @@
 	if relay.Rank(peer, f.alive()) < relay.ReaderCount {
 		return minExchangeInterval
 	}
-	return max(minExchangeInterval, exchangeIntervalPerFront*mn.Millis(f.peers.count()))
+	return min(maxExchangeInterval, max(minExchangeInterval, exchangeIntervalPerFront*mn.Millis(f.peers.count())))
 }
 
 // State implements [gossip.Host].
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -249,6 +249,23 @@
 	}
 }
 
+// Whatever the number of fronts, each must count as alive between two exchanges without
+// traffic, or fronts disagree on which of them read the store.
+func TestPeersStayAliveBetweenExchanges(t *testing.T) {
+	for _, n := range []int{2, 30, 68, 300, 1000} {
+		s := setup.DefaultFront()
+		s.VM, s.IP, s.PeerPort = "front-0", "127.0.0.1", 7500
+		f := NewFront(s, Platform{Store: fakes.NewStore().Client("a"), Dialect: plainDialect{}}, logrus.New(), nil, nil)
+		for i := range n {
+			vm := mn.VMID(fmt.Sprint("front-", i))
+			f.peers.receive(mn.FrontState{VM: vm, Incarnation: "1", Addr: "127.0.0.1:1"}, f.clock.Now())
+		}
+		for _, p := range f.peers.list() {
+			require.Less(t, f.exchangeInterval(p.VM)+exchangeTimeout/2, aliveWindow, "%d fronts", n)
+		}
+	}
+}
+
 func TestKeysAreRejectedWithoutFreshCatalog(t *testing.T) {
 	c := newTestCluster(t, "a", "b")
 	for _, n := range []string{"a", "b"} {
