Give each front of a test an address of its own

Addresses were drawn from the time, and could be those of a front of an earlier test that was still leaving, or of another process: 'address already in use' in the trace of the old form.

--- a/node/front_test.go
+++ b/node/front_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,8 +96,8 @@
 	go server.Serve(l) //nolint // Ends with the test.
 	t.Cleanup(func() { server.Close() })
 	require.NoError(t, c.store.Write(mn.EndpointFeed, "e-1", mn.Endpoint{Pool: "p", Addr: l.Addr().String(), Capacity: 6, State: mn.EndpointReady}))
-	for i, n := range names {
-		c.start(n, i)
+	for _, n := range names {
+		c.start(n)
 	}
 	return c
 }
@@ -105,9 +107,16 @@
 	c.catalog.Version++
 }
 
-func (c *testCluster) start(name string, number int) {
+// lastAddr numbers the loopback addresses of fronts. No two fronts of this process may
+// have the same one, since the front of an earlier test may still be leaving, and fronts
+// of other processes should not.
+var lastAddr atomic.Int64
+
+func (c *testCluster) start(name string) {
 	c.t.Helper()
-	ip := fmt.Sprintf("127.77.%d.%d", time.Now().UnixNano()/1000%250+1, number+1)
+	pid, number := os.Getpid(), lastAddr.Add(1)
+	require.Less(c.t, number, int64(250), "addresses left")
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid/250%64, pid%250, number)
 	s := setup.DefaultFront()
 	s.VM, s.DataCentre, s.IP = mn.VMID(name), "dc", ip
 	s.PeerPort, s.MetricsPort = 7500, 7501
@@ -123,7 +132,15 @@
 	go func() { r.done <- f.Run(ctx) }()
 	c.fronts[name] = r
 	c.t.Cleanup(stop)
-	c.eventually(func() bool { return c.ready(name) })
+	c.eventually(func() bool {
+		select {
+		case err := <-r.done:
+			c.t.Errorf("%s at %s ended: %v", name, ip, err)
+			return true
+		default:
+			return c.ready(name)
+		}
+	})
 }
 
 func (c *testCluster) eventually(f func() bool) {
@@ -386,8 +403,8 @@
 		t.Cleanup(s.Close)
 		require.NoError(t, c.store.Write(mn.EndpointFeed, name, mn.Endpoint{Pool: "m", Addr: strings.TrimPrefix(s.URL, "http://"), Capacity: 8, State: mn.EndpointReady}))
 	}
-	c.start("a", 0)
-	c.start("b", 1)
+	c.start("a")
+	c.start("b")
 	for _, f := range []string{"a", "b"} {
 		c.eventually(func() bool { return len(c.fronts[f].CachedPrompts()) == 6 })
 	}
