--- a/core/perf/fit.go
+++ b/core/perf/fit.go
@@ -112,9 +112,8 @@
 	return sum
 }
 
-// observe adds an observation: terms x took the given number of milliseconds. The
-// weight is 1 unless the observation is known to be less exact.
-func (f *fit) observe(x vector, took, weight float64, now mn.Millis) {
+// observe adds an observation: terms x took the given number of milliseconds.
+func (f *fit) observe(x vector, took float64, now mn.Millis) {
 	if f.own.count > 0 {
 		f.own.scale(math.Exp(-min(maxGap, max(0, float64(now-f.updatedAt))) / memory))
 	}
@@ -125,6 +124,7 @@
 		// Relative to the longer of the two, so that a model which is far off recovers.
 		noise = max(noise, relativeNoise*took)
 	}
+	weight := 1 / (noise * noise)
 	deviation := (took - expected) / noise
 	switch {
 	case f.upper && deviation < 0:
@@ -132,7 +132,6 @@
 	case !f.upper && deviation > clip:
 		weight *= clip / deviation // a much longer duration most likely contains a wait
 	}
-	weight /= noise * noise
 	i := 0
 	for r := range terms {
 		for c := r; c < terms; c++ {
--- a/core/perf/model.go
+++ b/core/perf/model.go
@@ -156,7 +156,7 @@
 	if knownWait > maxKnownWaitShare*m.PrefillWork(p) {
 		return
 	}
-	m.fits[p.quantity()].observe(p.terms(), max(0, took-knownWait), 1, now)
+	m.fits[p.quantity()].observe(p.terms(), max(0, took-knownWait), now)
 	if !p.Local {
 		m.updateLocalPrior()
 	}
@@ -177,10 +177,10 @@
 func (m *Model) ObserveInterval(took float64, running int64, workBefore, workAfter float64, now mn.Millis) {
 	switch {
 	case workBefore <= 0 && workAfter <= 0:
-		m.fits[eventInterval].observe(vector{1, float64(running)}, took, 1, now)
+		m.fits[eventInterval].observe(vector{1, float64(running)}, took, now)
 	case workBefore > 0 && m.trained(eventInterval):
 		// What is far beyond the known work has other causes.
-		m.fits[stall].observe(vector{1}, min(maxUnknownWork*max(workBefore, workAfter), max(0, took-m.EventInterval(running))), 1, now)
+		m.fits[stall].observe(vector{1}, min(maxUnknownWork*max(workBefore, workAfter), max(0, took-m.EventInterval(running))), now)
 	}
 }
 
@@ -191,7 +191,7 @@
 // ObserveStart adds the time from when a request whose KV cache was fetched was sent
 // until its first event, without the transfer, in milliseconds.
 func (m *Model) ObserveStart(took float64, now mn.Millis) {
-	m.fits[outputStart].observe(vector{1}, max(0, took), 1, now)
+	m.fits[outputStart].observe(vector{1}, max(0, took), now)
 }
 
 // OutputTime returns the time from the first event until the last of an output with
