--- a/node/front_test.go
+++ b/node/front_test.go
@@ -107,6 +107,10 @@
 	c.catalog.Version++
 }
 
+// drainWithin is the time within which the fronts of a testCluster stop using an
+// endpoint that leaves.
+const drainWithin = 3 * mn.Second
+
 // lastAddr numbers the loopback addresses of fronts. No two fronts of this process may
 // have the same one, since the front of an earlier test may still be leaving, and fronts
 // of other processes should not.
@@ -122,7 +126,7 @@
 	s.PeerPort, s.MetricsPort = 7500, 7501
 	s.CallerAddr, s.ReadinessAddr, s.DutiesAddr = ip+":8360", ip+":8365", "unused"
 	s.StrictRevoke, s.RevokeWithin = true, 2*mn.Second
-	s.GracePeriod, s.UsageWindow = 3*mn.Second, mn.Second
+	s.GracePeriod, s.UsageWindow, s.DrainWithin = 3*mn.Second, mn.Second, drainWithin
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := Platform{Store: c.store.Client(name), Duties: c.reports, Dialect: plainDialect{}}
@@ -210,7 +214,7 @@
 // one after the other. Every front must stop using each of them in time, also those
 // that get their list from the few fronts that the store serves.
 func TestManyFrontsWithoutStoreLearnOfLeavingEndpoints(t *testing.T) {
-	const fronts, served, drainWithin = 24, 2, 3 * mn.Second
+	const fronts, served = 24, 2
 	var names []string
 	for i := range fronts {
 		names = append(names, fmt.Sprint("front-", i))
@@ -219,11 +223,6 @@
 	for i := range 6 {
 		require.NoError(t, c.store.Write(mn.EndpointFeed, fmt.Sprint("leaving-", i), mn.Endpoint{Pool: "p", Addr: "127.0.0.1:1", Capacity: 6, State: mn.EndpointReady}))
 	}
-	for _, f := range c.fronts {
-		conf := *f.conf()
-		conf.DrainWithin = drainWithin
-		f.settings.Store(&conf)
-	}
 	time.Sleep(2 * time.Second) // The fronts discover their peers.
 	alive := make([]mn.VMID, 0, fronts)
 	for _, n := range names {
