--- a/core/place/feature.go
+++ b/core/place/feature.go
@@ -12,8 +12,8 @@
 
 // Features that can be switched off.
 const (
-	// CacheAffinity sends long prompts that share their first segment to few
-	// engines; without it, any engine may get them.
+	// CacheAffinity sends long prompts that share a segment to few engines; without
+	// it, any engine may get them.
 	CacheAffinity Feature = "homes"
 	// SeparatePrefill prefills long prompts at prefill engines.
 	SeparatePrefill Feature = "apart"
@@ -32,7 +32,7 @@
 	UrgentUpdates Feature = "news"
 	// PeerLoad counts the load of peer fronts.
 	PeerLoad Feature = "others"
-	// LearnedSpeeds learns how fast engines prefill.
+	// LearnedSpeeds learns how long engines take.
 	LearnedSpeeds Feature = "speeds"
 )
 
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -36,8 +36,8 @@
 	// maxPumpBatch bounds the waiting requests that are tried in one pass.
 	maxPumpBatch = 24
 	// maxWaitShare is the share of its remaining time for which a request waits at
-	// most, so that a rejected caller has time to come back. At 0.45, requests that
-	// had waited for seconds took the place of others that could have been on time.
+	// most, so that a rejected caller has time to come back. Those
+	// that wait for long take the place of others that could be on time.
 	maxWaitShare = 0.1
 	// minWaitLimit is the expected wait up to which a request is always queued.
 	minWaitLimit = 60 * mn.Millisecond
