--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -115,6 +115,8 @@
 		ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, attemptTimeoutFactor*plan.ExpectedFirst).Duration())
 		defer cancel()
 	}
+	q.listAge = q.View.ListAge()
+	q.Stats.Observe("list_age_ms", q.listAge)
 	sentToTarget := q.Clock.Now()
 	q.lastEventAt = math.MaxInt64 // no event yet
 	a, err := q.Back.Do(ctx, q.Dialect, q.call(plan.Target, d))
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -98,10 +98,12 @@
 	table     *paths.Table
 	age       mn.Millis
 	keysFresh bool
+	listAge   mn.Millis
 }
 
 func (v *view) Table() (*paths.Table, mn.Millis) { return v.table, v.age }
 func (v *view) KeysFresh() bool                  { return v.keysFresh }
+func (v *view) ListAge() mn.Millis               { return v.listAge }
 
 // received is a request as an endpoint received it.
 type received struct {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -51,6 +51,8 @@
 	// viewAge and version are the age and the version of the catalog that was used.
 	viewAge mn.Millis
 	version int64
+	// listAge is the age of the list of endpoints at the last send.
+	listAge mn.Millis
 
 	// mayHaveRun reports whether an endpoint may have started to run the request.
 	mayHaveRun bool
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -58,6 +58,8 @@
 	Table() (*paths.Table, mn.Millis)
 	// KeysFresh reports whether the catalog is recent enough to accept its keys.
 	KeysFresh() bool
+	// ListAge returns the age of the evidence that the list of endpoints is the newest.
+	ListAge() mn.Millis
 }
 
 // Config holds a server's dependencies and parameters.
@@ -198,6 +200,7 @@
 	if p == nil {
 		return f
 	}
+	f["list_age_ms"] = q.listAge
 	f["endpoint"], f["expect_ms"], f["before_ms"], f["waited_ms"] = p.Target.ID, p.ExpectedFirst, p.Backlog, q.queueTime
 	if prompt := q.info.Prompt; prompt != nil {
 		f["prompt_tokens"], f["missing_tokens"] = prompt.Tokens, p.Uncached
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -100,6 +100,12 @@
 	return v.list, v.listedAt
 }
 
+// ListAge implements [front.View].
+func (v *frontView) ListAge() mn.Millis {
+	_, at := v.listed()
+	return v.clock.Now() - at
+}
+
 // adoptPeerList adopts a peer's list of endpoints. It leaves out the endpoints that
 // are gone from the feed and that only the peer still lists, since they may have
 // been gone for long.
