--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -120,6 +120,8 @@
 	clock    mn.SystemClock
 	mu       sync.Mutex
 	received []received
+	// endpoints is the list of endpoints at the start.
+	endpoints map[string]mn.Endpoint
 }
 
 // script answers a request at an endpoint by writing to the connection. It returns
@@ -132,7 +134,7 @@
 func newFixture(t *testing.T, scripts map[string]script) *fixture {
 	t.Helper()
 	clock := mn.NewSystemClock()
-	b := &fixture{t: t, clock: clock, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
+	b := &fixture{t: t, clock: clock, endpoints: map[string]mn.Endpoint{}, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
 		Routes: []mn.Route{
 			{Name: "get", Host: "h", Prefix: "/get/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: mn.RouteAtMostOnce, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
@@ -156,6 +158,7 @@
 			e.Pool, e.Role = "model", mn.EnginePrefill
 		}
 		endpoints = append(endpoints, e)
+		b.endpoints[name] = e
 	}
 	balancer.SetEndpoints(endpoints)
 	limiter := quota.New(quota.Tolerance{}, clock)
@@ -542,6 +545,36 @@
 	require.Empty(t, got[1].header.Get("Prefill"))
 }
 
+// An endpoint leaves, or its entry goes, while another one prefills the prompt for it.
+func TestEndpointThatLeftDuringPrefillGetsNoRequest(t *testing.T) {
+	for _, entryStays := range []bool{true, false} {
+		t.Run(fmt.Sprint("entry stays: ", entryStays), func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, map[string]script{
+				"r1": func(r *http.Request, _ string, c net.Conn) bool {
+					if r.Method == http.MethodDelete {
+						return answer(c, r, 200, "")
+					}
+					list := []mn.Endpoint{b.endpoints["r1"]}
+					if left := b.endpoints["d1"]; entryStays {
+						left.State = mn.EndpointLeaving
+						list = append(list, left)
+					}
+					b.server.Balancer.SetEndpoints(list)
+					return answer(c, r, 200, "handle-1")
+				},
+				"d1": succeed,
+			})
+			resp, _, err := b.do("POST", "/stream/", "", "Tokens", "17000")
+			require.NoError(t, err)
+			require.Equal(t, 503, resp.StatusCode)
+			for _, r := range b.requests() {
+				require.Equal(t, "r1", r.endpoint)
+			}
+		})
+	}
+}
+
 func TestUnfetchedHandleIsReleased(t *testing.T) {
 	b := newFixture(t, map[string]script{
 		"r1": func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "handle-7") },
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -69,6 +69,10 @@
 	reports *reports
 	fronts  map[string]*runningFront
 	catalog mn.Catalog
+	// wrapStore, if set, changes the store as the fronts see it.
+	wrapStore func(mn.Store) mn.Store
+	// arrivals is the number of requests that reached the endpoint.
+	arrivals atomic.Int64
 }
 
 // runningFront is a front whose Run has been called.
@@ -90,6 +94,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.arrivals.Add(1)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		_, _ = io.WriteString(w, r.Header.Get("Customer")) // A failed write shows in the answer that the test gets.
 	})}
@@ -130,6 +135,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := Platform{Store: c.store.Client(name), Duties: c.reports, Dialect: plainDialect{}}
+	if c.wrapStore != nil {
+		p.Store = c.wrapStore(p.Store)
+	}
 	f := NewFront(s, p, log, nil, func() (*setup.Front, error) { return s, nil })
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningFront{Front: f, stop: stop, done: make(chan error, 1)}
