Send nothing to an endpoint whose entry is gone

Callers saw: a request that waits for its prefill elsewhere is sent on to an endpoint whose entry went meanwhile, seconds after it left (DRAIN). Cause: the check before the send looked for the state 'leaving' only. An endpoint that is not on the list has no state, and passed. The endpoint that prefills was not checked at all. Change: one check before each send, prefill included; gone and leaving are the same.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -106,9 +106,9 @@
 		d.CachedBy = ""
 		d.KVSource = &mn.KVSource{Addr: plan.Prefiller.Addr, Handle: handle}
 	}
-	if e, ok := q.Balancer.Endpoint(plan.Target.ID); ok && e.State != mn.EndpointReady {
+	if failed := q.checkEndpoint(plan.Target.ID); failed != nil {
 		q.release(d.KVSource)
-		return result{endpoint: plan.Target.ID, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is leaving", plan.Target.ID)}
+		return *failed
 	}
 	if q.route.Kind == mn.RouteIdempotent && q.attempts < q.route.Attempts {
 		var cancel context.CancelFunc
@@ -135,9 +135,25 @@
 	return q.forwardComplete(plan, a, sent)
 }
 
+// checkEndpoint returns a result if the endpoint must get no requests any more, because
+// it is leaving or gone from the list.
+func (q *request) checkEndpoint(id mn.EndpointID) *result {
+	e, ok := q.Balancer.Endpoint(id)
+	switch {
+	case !ok:
+		return &result{endpoint: id, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is gone", id)}
+	case e.State != mn.EndpointReady:
+		return &result{endpoint: id, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is leaving", id)}
+	}
+	return nil
+}
+
 // prefill has the plan's prefill endpoint prefill the prompt, and returns the
 // handle of the KV cache.
 func (q *request) prefill(ctx context.Context, plan *place.Plan, d mn.Dispatch) (string, *result) {
+	if failed := q.checkEndpoint(plan.Prefiller.ID); failed != nil {
+		return "", failed
+	}
 	d.PrefillOnly, d.LastEvent, d.Rank = true, "", plan.PrefillRank
 	a, err := q.Back.Do(ctx, q.Dialect, q.call(*plan.Prefiller, d))
 	if err != nil {
