Fetch the list of endpoints while a configuration is being fetched

Callers saw: requests reach endpoints that said they leave up to 3.1 s before (DRAIN), at one front that was fetching a configuration. Cause: a front fetched one thing at a time from its peers, the configuration first. While that took, evidence of a newer list was dropped; on a slow link for as long as configurations came. Change: one fetch at a time of each.

--- a/node/front.go
+++ b/node/front.go
@@ -91,8 +91,10 @@
 	gossip       *gossip.Client
 	peers        *peerSet
 	leaving      atomic.Bool
-	// fetching reports whether data is being fetched from a peer front.
-	fetching     atomic.Bool
+	// fetchingCatalog and fetchingList report whether a catalog or a list of endpoints is
+	// being fetched from a peer front.
+	fetchingCatalog, fetchingList atomic.Bool
+
 	crashNotices *crashList
 	// reload receives a value when the settings may have changed.
 	reload <-chan struct{}
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -387,7 +388,7 @@
 	f.view.mu.Unlock()
 	switch {
 	case !known || state.CatalogOffset > own:
-		f.fetchFromPeer(state, func(ctx context.Context) error {
+		f.fetchFromPeer(state, &f.fetchingCatalog, func(ctx context.Context) error {
 			i, err := f.gossip.Catalog(ctx, state.Addr)
 			if err == nil {
 				f.view.apply(i)
@@ -415,7 +416,7 @@
 	if same || !newer {
 		return
 	}
-	f.fetchFromPeer(state, func(ctx context.Context) error {
+	f.fetchFromPeer(state, &f.fetchingList, func(ctx context.Context) error {
 		list, at, ok, err := f.gossip.Endpoints(ctx, state.Addr)
 		if ok {
 			f.view.adoptPeerList(list, at-peerAgeSlack)
@@ -424,13 +425,14 @@
 	})
 }
 
-// fetchFromPeer runs call in the background, unless another fetch is still running.
-func (f *Front) fetchFromPeer(state mn.FrontState, call func(context.Context) error) {
-	if !f.fetching.CompareAndSwap(false, true) {
+// fetchFromPeer runs call in the background, unless another fetch of the same data is
+// still running.
+func (f *Front) fetchFromPeer(state mn.FrontState, fetching *atomic.Bool, call func(context.Context) error) {
+	if !fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer f.fetching.Store(false)
+		defer fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout.Duration())
 		defer cancel()
 		if err := call(ctx); err != nil {
