Confirm an old list of endpoints before each send

Callers saw: requests reach endpoints more than drain_ms after they said that they leave (DRAIN), from one front whose reads take long. Cause: nothing bounded the age of the list by which a send is decided. A front relied on its next read, and one read without an answer held the next ones. Change: before each send, prefill included, a front whose list is older than drain_ms less the time that a request takes (0.5 s) reads the store and asks three peers at once, and waits up to 0.25 s for that. If the store refuses or peers know no better it goes on; if nobody answers it rejects with 503 (not run) for up to 2 s. Reads of the feed have a timeout of their own and may run side by side; a late answer is dropped.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -106,7 +106,7 @@
 		d.CachedBy = ""
 		d.KVSource = &mn.KVSource{Addr: plan.Prefiller.Addr, Handle: handle}
 	}
-	if failed := q.checkEndpoint(plan.Target.ID); failed != nil {
+	if failed := q.checkEndpoint(ctx, plan.Target.ID); failed != nil {
 		q.release(d.KVSource)
 		return *failed
 	}
@@ -135,9 +135,13 @@
 	return q.forwardComplete(plan, a, sent)
 }
 
-// checkEndpoint returns a result if the endpoint must get no requests any more, because
-// it is leaving or gone from the list.
-func (q *request) checkEndpoint(id mn.EndpointID) *result {
+// checkEndpoint returns a result if the request must not be sent to the endpoint: it is
+// leaving or gone from the list, or the list may be too old to tell. It is called right
+// before each send.
+func (q *request) checkEndpoint(ctx context.Context, id mn.EndpointID) *result {
+	if err := q.View.ConfirmList(ctx); err != nil {
+		return &result{endpoint: id, notRun: true, final: true, err: err}
+	}
 	e, ok := q.Balancer.Endpoint(id)
 	switch {
 	case !ok:
@@ -151,7 +155,7 @@
 // prefill has the plan's prefill endpoint prefill the prompt, and returns the
 // handle of the KV cache.
 func (q *request) prefill(ctx context.Context, plan *place.Plan, d mn.Dispatch) (string, *result) {
-	if failed := q.checkEndpoint(plan.Prefiller.ID); failed != nil {
+	if failed := q.checkEndpoint(ctx, plan.Prefiller.ID); failed != nil {
 		return "", failed
 	}
 	d.PrefillOnly, d.LastEvent, d.Rank = true, "", plan.PrefillRank
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -99,12 +99,16 @@
 	age       mn.Millis
 	keysFresh bool
 	listAge   mn.Millis
+	// unconfirmed is the result of ConfirmList.
+	unconfirmed *mn.Error
 }
 
 func (v *view) Table() (*paths.Table, mn.Millis) { return v.table, v.age }
 func (v *view) KeysFresh() bool                  { return v.keysFresh }
 func (v *view) ListAge() mn.Millis               { return v.listAge }
 
+func (v *view) ConfirmList(context.Context) *mn.Error { return v.unconfirmed }
+
 // received is a request as an endpoint received it.
 type received struct {
 	endpoint, method, target, body string
@@ -299,7 +303,10 @@
 		"body over the limit":                 {"/book/", strings.Repeat("x", 1001), nil, nil, 413},
 		"no configuration":                    {"/book/", "", nil, func(v *view) { v.table = nil }, 503},
 		"no time left":                        {"/book/", "", []string{"Within", "20"}, nil, 503},
-		"no endpoint in the pool":             {"/resumable/", "", []string{"Tokens", "10"}, nil, 503},
+		"list of endpoints too old": {"/book/", "", nil, func(v *view) {
+			v.unconfirmed = mn.Errorf(mn.NotCurrent, "list is old").WithRetryAfter(100)
+		}, 503},
+		"no endpoint in the pool": {"/resumable/", "", []string{"Tokens", "10"}, nil, 503},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -60,6 +61,10 @@
 	KeysFresh() bool
 	// ListAge returns the age of the evidence that the list of endpoints is the newest.
 	ListAge() mn.Millis
+	// ConfirmList makes sure that the list of endpoints is recent enough for a request
+	// to be sent by it, or that nobody has a newer one. It returns an error if the
+	// request must not be sent.
+	ConfirmList(ctx context.Context) *mn.Error
 }
 
 // Config holds a server's dependencies and parameters.
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	mn "mustardnotch"
-	"mustardnotch/core/lists"
 	"mustardnotch/core/paths"
 	"mustardnotch/core/relay"
 )
@@ -18,21 +17,10 @@
 	// An empty answer after it shows that the front's catalog was the newest until
 	// then.
 	catalogPollTimeout = 900 * mn.Millisecond
-	// endpointsInterval is the time between two reads of the endpoint feed, which
-	// changes all the time. It is a fraction of the time within which a leaving
-	// endpoint must get no more requests.
-	endpointsInterval = 450 * mn.Millisecond
 	// maxCatalogAge is the age of the evidence for the catalog above which a front
 	// that is not a reader reads the catalog feed itself. The evidence from the
 	// readers becomes this old when several exchanges in a row fail.
 	maxCatalogAge = 1300 * mn.Millisecond
-	// maxListAgeShare is the same for the list of endpoints, as a share of the time
-	// within which a leaving endpoint must get no more requests. It leaves time for
-	// two reads.
-	maxListAgeShare = 0.45
-	// outageMargin is added to the age above which any front reads the list: while the
-	// store serves some front, evidence reaches all of them within this time.
-	outageMargin = 600 * mn.Millisecond
 	// ageCheckInterval is the time between two checks of the age of the evidence.
 	ageCheckInterval = 80 * mn.Millisecond
 	// aliveWindow is how long a front counts as alive after its last state arrived.
@@ -64,9 +52,17 @@
 	list        []mn.Endpoint
 	fingerprint uint64
 	listedAt    mn.Millis
+	// feed reads the list from the store, and confirmer confirms it before a send.
+	feed      *listFeed
+	confirmer *listConfirmer
 }
 
-func newFrontView(f *Front) *frontView { return &frontView{Front: f} }
+func newFrontView(f *Front) *frontView {
+	v := &frontView{Front: f}
+	v.feed = newListFeed(v)
+	v.confirmer = &listConfirmer{view: v}
+	return v
+}
 
 // Table implements [front.View].
 func (v *frontView) Table() (*paths.Table, mn.Millis) {
@@ -204,45 +200,6 @@
 	return nil
 }
 
-// followEndpoints keeps the list of endpoints up to date until ctx is done.
-func (v *frontView) followEndpoints(ctx context.Context) error {
-	list := lists.New(v.platform.Store.Endpoint, v.maxListAge()+outageMargin)
-	store := newDependency(v.Front, "store", "endpoints")
-	next := mn.Offset(-1)
-	failures := 0
-	for ctx.Err() == nil {
-		known, at := v.listed()
-		list.Adopt(known, at)
-		if !relay.ShouldRead(v.rank(), v.clock.Now()-at, v.maxListAge()) {
-			// A peer's list comes without its offset in the feed, so this front's next
-			// read takes a snapshot.
-			next = -1
-			_ = v.clock.Sleep(ctx, ageCheckInterval)
-			continue
-		}
-		sent := v.clock.Now()
-		after, err := v.readEndpoints(ctx, list, next)
-		store.record(err)
-		pause := endpointsInterval
-		if err == nil {
-			next, failures = after, 0
-			v.setList(list.Endpoints(v.clock.Now()), sent)
-		} else {
-			failures++
-			list.MarkFailed()
-			pause = relay.RetryDelay(v.rank(), failures, v.peers.count())
-		}
-		_ = v.clock.Sleep(ctx, pause)
-	}
-	return nil
-}
-
-// maxListAge returns the age of the list above which a front that is not a reader
-// reads the endpoint feed itself.
-func (v *frontView) maxListAge() mn.Millis {
-	return mn.Millis(maxListAgeShare * float64(v.conf().DrainWithin))
-}
-
 // setList puts a list of endpoints in force that was the newest at time at, unless
 // a newer one is known.
 func (v *frontView) setList(list []mn.Endpoint, at mn.Millis) {
@@ -262,34 +219,6 @@
 	v.log.WithFields(logrus.Fields{"event": "endpoints", "count": len(list), "age_ms": v.clock.Now() - at}).Info()
 }
 
-// readEndpoints applies the endpoint feed from offset next on to list, and returns
-// the offset to read from next.
-func (v *frontView) readEndpoints(ctx context.Context, list *lists.List, next mn.Offset) (mn.Offset, error) {
-	items, after, snapshot, err := v.readFeed(ctx, mn.EndpointFeed, next, 0)
-	if err != nil {
-		return next, err
-	}
-	now := v.clock.Now()
-	list.MarkRead(now)
-	if snapshot {
-		for _, err := range list.Replace(items, now) {
-			v.logEntryError(mn.Item{}, err)
-		}
-		return after, nil
-	}
-	for _, i := range items {
-		v.logEntryError(i, list.Apply(i, now))
-	}
-	return after, nil
-}
-
-// logEntryError logs an item of the endpoint feed that can't be decoded.
-func (v *frontView) logEntryError(i mn.Item, err error) {
-	if err != nil {
-		v.log.WithFields(logrus.Fields{"event": "endpoint_unreadable", "endpoint": i.Key, "offset": i.Offset}).Warn(err)
-	}
-}
-
 // dependency logs and counts when a dependency is lost, and logs when it is back.
 type dependency struct {
 	log    *logrus.Entry
--- a/node/lists_test.go
+++ b/node/lists_test.go
@@ -108,3 +108,56 @@
 	_, at := a.view.listed()
 	require.Less(t, a.clock.Now()-at, drainWithin/2)
 }
+
+// A front that nobody answers must not send on an old list either. It serves again,
+// with the list that it has, once it has been cut off for long.
+func TestIsolatedFrontRejectsUntilListCannotBeConfirmed(t *testing.T) {
+	c := newTestCluster(t)
+	var cut atomic.Bool
+	c.wrapStore = func(s mn.Store) mn.Store { return cutStore{s, &cut} }
+	c.catalog.Routes[0].Open = true
+	c.write()
+	c.start("a")
+	a := c.fronts["a"]
+	cut.Store(true)
+	c.eventually(func() bool { return a.view.ListAge() > a.view.maxSendAge() })
+	for a.view.ListAge() < a.view.maxSendAge()+maxSilence/2 {
+		before, age := c.arrivals.Load(), a.view.ListAge()
+		status, body := c.get("a", "/a/", "")
+		require.Equal(t, 503, status, "list of %d ms", age)
+		require.Contains(t, body, "MN204")
+		require.Equal(t, before, c.arrivals.Load())
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.eventually(func() bool { status, _ := c.get("a", "/a/", ""); return status == 200 })
+	cut.Store(false)
+	c.eventually(func() bool { return a.view.ListAge() < a.view.maxListAge() })
+}
+
+// cutStore is a store that answers nothing while it is cut off.
+type cutStore struct {
+	mn.Store
+	cut *atomic.Bool
+}
+
+func (s cutStore) Newest(ctx context.Context, feed mn.FeedKind) ([]mn.Item, mn.Offset, error) {
+	if s.cut.Load() {
+		return nil, 0, awaitTimeout(ctx)
+	}
+	return s.Store.Newest(ctx, feed)
+}
+
+func (s cutStore) Follow(ctx context.Context, feed mn.FeedKind, from mn.Offset, wait mn.Millis) ([]mn.Item, mn.Offset, error) {
+	if s.cut.Load() {
+		return nil, 0, awaitTimeout(ctx)
+	}
+	return s.Store.Follow(ctx, feed, from, wait)
+}
+
+// awaitTimeout returns the error of a call without an answer.
+func awaitTimeout(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
