Read a large configuration from the store, not from the fronts that read it first

Cause: all fronts fetched the configuration from the front that told them first, mostly a reader, whose link was busy for seconds with thirty copies. Change: a peer sends a configuration of up to 64 KB; a longer one is read from the store by each front, and from a peer only if that read fails. Such a fetch may take 1.5 s.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -59,8 +59,11 @@
 }
 
 // Catalog implements the Fronts service.
-func (s *Server) Catalog(context.Context, *meshpb.CatalogRequest) (*meshpb.CatalogReply, error) {
+func (s *Server) Catalog(_ context.Context, in *meshpb.CatalogRequest) (*meshpb.CatalogReply, error) {
 	i := s.host.CatalogItem()
+	if in.MaxBytes > 0 && int64(len(i.Value)) > in.MaxBytes {
+		i.Value = nil
+	}
 	return &meshpb.CatalogReply{Offset: int64(i.Offset), Key: i.Key, Value: i.Value}, nil
 }
 
@@ -128,9 +131,10 @@
 	return nil
 }
 
-// Catalog returns the newest catalog item of the peer at addr.
-func (c *Client) Catalog(ctx context.Context, addr string) (mn.Item, error) {
-	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Catalog(ctx, &meshpb.CatalogRequest{})
+// Catalog returns the newest catalog item of the peer at addr. Its value is empty if it
+// is longer than maxBytes, unless maxBytes is 0.
+func (c *Client) Catalog(ctx context.Context, addr string, maxBytes int64) (mn.Item, error) {
+	r, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Catalog(ctx, &meshpb.CatalogRequest{MaxBytes: maxBytes})
 	if err != nil {
 		return mn.Item{}, err
 	}
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -33,6 +33,12 @@
 	// time between two exchanges with the same peer. Urgent updates that occur within
 	// it are sent together.
 	urgentIntervalPerFront = 1 * mn.Millisecond
+	// catalogFetchTimeout bounds a fetch of the catalog, which may be large and the link
+	// slow.
+	catalogFetchTimeout = 1500 * mn.Millisecond
+	// maxRelayedCatalog is the size in bytes of a catalog from which on fronts get it
+	// from the store instead of from each other.
+	maxRelayedCatalog = 64 << 10
 	// askTimeout bounds a question to peers by a front whose evidence is old, and
 	// askedPeers is how many it asks at once. They are small since they are asked again
 	// soon.
@@ -388,18 +394,38 @@
 	f.view.mu.Unlock()
 	switch {
 	case !known || state.CatalogOffset > own:
-		f.fetchFromPeer(state, &f.fetchingCatalog, func(ctx context.Context) error {
-			i, err := f.gossip.Catalog(ctx, state.Addr)
-			if err == nil {
-				f.view.apply(i)
-			}
-			return err
+		f.fetchFromPeer(state, &f.fetchingCatalog, catalogFetchTimeout, func(ctx context.Context) error {
+			return f.fetchCatalog(ctx, state.Addr)
 		})
 	case state.CatalogOffset == own && sent > 0:
 		f.view.confirm(0, sent-state.CatalogAge-peerAgeSlack)
 	}
 }
 
+// fetchCatalog fetches the catalog from the peer at addr, or from the store if it is
+// large.
+//
+// Load pattern: a configuration grows by thousands of routes, and all fronts learn of it
+// at once from the two that read the store, whose links may be slow.
+func (f *Front) fetchCatalog(ctx context.Context, addr string) error {
+	i, err := f.gossip.Catalog(ctx, addr, maxRelayedCatalog)
+	if err != nil {
+		return err
+	}
+	if len(i.Value) == 0 {
+		err := f.view.readCatalog(ctx)
+		if err == nil {
+			return nil
+		}
+		f.log.WithFields(logrus.Fields{"event": "large_config_unread", "offset": i.Offset}).Warn(err)
+		if i, err = f.gossip.Catalog(ctx, addr, 0); err != nil {
+			return err
+		}
+	}
+	f.view.apply(i)
+	return nil
+}
+
 // receiveListEvidence uses a peer's evidence that its list of endpoints is the
 // newest, like [Front.receiveCatalogEvidence].
 func (f *Front) receiveListEvidence(state mn.FrontState, sent mn.Millis) {
@@ -416,7 +442,7 @@
 	if same || !newer {
 		return
 	}
-	f.fetchFromPeer(state, &f.fetchingList, func(ctx context.Context) error {
+	f.fetchFromPeer(state, &f.fetchingList, exchangeTimeout, func(ctx context.Context) error {
 		list, at, ok, err := f.gossip.Endpoints(ctx, state.Addr)
 		if ok {
 			f.view.adoptPeerList(list, at-peerAgeSlack)
@@ -427,13 +453,13 @@
 
 // fetchFromPeer runs call in the background, unless another fetch of the same data is
 // still running.
-func (f *Front) fetchFromPeer(state mn.FrontState, fetching *atomic.Bool, call func(context.Context) error) {
+func (f *Front) fetchFromPeer(state mn.FrontState, fetching *atomic.Bool, timeout mn.Millis, call func(context.Context) error) {
 	if !fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer fetching.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 		defer cancel()
 		if err := call(ctx); err != nil {
 			f.log.WithFields(logrus.Fields{"event": "fetch_failed", "front": state.VM}).Warn(err)
