Reproduce a deadly prompt segment, and a stream that ends inside an event (red)

Change: two tests, listed as red. Result: both fail on this code: the sixth request with a deadly segment is still sent to an engine (502, 503 due); a stream that ends inside an event is answered 200, whole.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -51,12 +51,18 @@
 			return e, err
 		}
 		e.Prompt = &mn.PromptInfo{Tokens: n, MaxOutput: 10, Segments: []mn.PromptSegment{{ID: "a", Tokens: n / 2}, {ID: string(e.ID), Tokens: n - n/2}}}
+		if v := h.Get("Segments"); v != "" {
+			e.Prompt.Segments = nil
+			for _, id := range strings.Split(v, ",") {
+				e.Prompt.Segments = append(e.Prompt.Segments, mn.PromptSegment{ID: id, Tokens: n / int64(1+strings.Count(v, ","))})
+			}
+		}
 	}
 	return e, nil
 }
 
 func (testDialect) OutgoingHeader(h http.Header, d mn.Dispatch) http.Header {
-	out := http.Header{"Id": h["Id"], "Customer": {string(d.Customer)}, "Endpoint": {string(d.Endpoint)}}
+	out := http.Header{"Segments": h["Segments"], "Id": h["Id"], "Customer": {string(d.Customer)}, "Endpoint": {string(d.Endpoint)}}
 	out.Set("Within", strconv.FormatInt(int64(d.Timeout), 10))
 	if d.PrefillOnly {
 		out.Set("Prefill", "1")
--- /dev/null
+++ b/io/front/poison_test.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+// crashingEngine is an engine that ends as soon as it begins to answer a request with a
+// deadly segment, and is back some time later under the same id.
+type crashingEngine struct {
+	b       *fixture
+	id      mn.EndpointID
+	arrived *int
+}
+
+func (e *crashingEngine) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(e.b.t, err)
+	e.b.t.Cleanup(func() { l.Close() })
+	e.b.server.Balancer.SetEndpoints([]mn.Endpoint{{ID: e.id, Pool: "model", Addr: l.Addr().String(), Capacity: 8, State: mn.EndpointReady, Role: mn.EngineDecode}})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					streamHead(c, r)
+					if strings.Contains(r.Header.Get("Segments"), "deadly") {
+						e.b.mu.Lock()
+						*e.arrived++
+						e.b.mu.Unlock()
+						l.Close()
+						return
+					}
+					chunk(c, "id: 1\ndata: x\n\n")
+					fmt.Fprint(c, "0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+}
+
+// Requests with a deadly segment come one after the other, no two alike. They share
+// their first segment and their caller with sound ones. Each engine that begins to answer
+// one ends.
+func TestRequestsWithDeadlySegmentAreRejected(t *testing.T) {
+	b := newFixture(t, map[string]script{})
+	var arrived int
+	send := func(id, segments string) int {
+		resp, _, err := b.do("POST", "/stream/"+id, "body "+id, "Id", id, "Tokens", "300", "Segments", segments)
+		if err != nil {
+			return 0
+		}
+		return resp.StatusCode
+	}
+	for i := range 12 {
+		(&crashingEngine{b: b, id: mn.EndpointID(fmt.Sprint("d", i)), arrived: &arrived}).start()
+		require.Equal(t, 200, send(fmt.Sprint("sound-", i), fmt.Sprintf("first,common,own-%d", i)))
+		status := send(fmt.Sprint("deadly-", i), fmt.Sprintf("first,deadly,tail-%d", i))
+		if i >= 5 {
+			require.Equal(t, 503, status, "request %d", i)
+		}
+		time.Sleep(60 * time.Millisecond) // The front checks whether the engine still listens.
+	}
+	require.LessOrEqual(t, arrived, 5)
+}
+
+// A stream without a length ends with its connection. If that is inside an event, the
+// stream has been broken off, and must not look complete to the caller.
+func TestStreamThatEndsInsideEventIsBrokenOff(t *testing.T) {
+	cases := map[string]struct {
+		events   string
+		complete bool
+	}{
+		"after an event":                  {"id: 1\ndata: x\n\nid: 2\ndata: y\n\n", true},
+		"inside an event":                 {"id: 1\ndata: x\n\nid: 2\ndat", false},
+		"before the first event":          {"", false},
+		"inside the first event":          {"id: 1\nda", false},
+		"after the last line of an event": {"id: 1\ndata: x\n\nid: 2\ndata: y\n", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), tc.events)
+				return false
+			}})
+			resp, body, err := b.do("POST", "/stream/", "p", "Tokens", "50")
+			if tc.complete {
+				require.NoError(t, err)
+				require.Equal(t, tc.events, body)
+				return
+			}
+			require.True(t, err != nil || resp.StatusCode >= 500, "answered %v with %q", resp, body)
+			require.NotContains(t, body, "dat\n")
+		})
+	}
+}
