Break off a stream that ends inside an event

Cause: the end of the connection was taken for the end of the answer, and what had arrived of an event was sent on. Change: a stream that ends inside an event, or without any event, has been broken off; only a resumed one whose end is marked may have none.

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -182,6 +182,12 @@
 	return n, err
 }
 
+// EndsWithConn reports whether the body has neither a length nor chunks, so that its end is
+// that of the connection.
+func (a *Answer) EndsWithConn() bool {
+	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+}
+
 // ReadAll reads the complete body, which must not be longer than limit bytes.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -320,7 +320,8 @@
 	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
 }
 
-// forwardStream forwards a stream event by event.
+// forwardStream forwards a stream event by event. An answer may end with its connection,
+// so a stream that ends inside an event, or has none, has been broken off.
 func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
 	id := plan.Target.ID
 	if !a.Signed || a.Header.Get("Content-Encoding") != "" {
@@ -338,21 +339,19 @@
 		}
 		n, err := a.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		end := bytes.LastIndex(buf, eventEnd) + len(eventEnd)
-		if err == io.EOF {
-			end = len(buf)
-		}
-		if end >= len(eventEnd) || err == io.EOF {
-			if now := q.Clock.Now(); err == nil {
-				q.Balancer.EventReceived(plan, now-q.lastEventAt)
-				q.longestPause = max(q.longestPause, now-q.lastEventAt)
-				q.lastEventAt = now
-			}
+		if end := bytes.LastIndex(buf, eventEnd) + len(eventEnd); end >= len(eventEnd) {
+			now := q.Clock.Now()
+			q.Balancer.EventReceived(plan, now-q.lastEventAt)
+			q.longestPause = max(q.longestPause, now-q.lastEventAt)
+			q.lastEventAt = now
 			if fail := q.forwardEvents(plan, a, buf[:end], sent); fail != nil {
 				return *fail
 			}
 			buf = append(buf[:0], buf[end:]...)
 		}
+		if err == io.EOF && (len(buf) > 0 || q.lastEventAt == math.MaxInt64 && !q.mayLackEvents(a)) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			q.Balancer.ReportResult(id, false)
 			q.clearCrashes()
@@ -366,6 +365,12 @@
 	}
 }
 
+// mayLackEvents reports whether a complete answer may have no events: it is resumed, the
+// caller may have all of them, and its end is marked.
+func (q *request) mayLackEvents(a *back.Answer) bool {
+	return (q.lastEvent != "" || q.info.LastEvent != "") && !a.EndsWithConn()
+}
+
 const (
 	// crashCheckDelay is the time from a failed attempt to the check whether the
 	// endpoint still accepts connections. A process that crashes closes all its
