Find prompt segments that crash engines, by all fronts together

Cause: crashes were counted by a hash of the whole request, and no two of these are alike; a part of a prompt was never looked at. Ruled out: counting segments alone. Up to 27 requests without an event run at an engine that ends, and the deadly ones share their first segment with sound ones. Change: core/poison.SegmentTracker counts the segments of requests that an engine had not begun to answer when it crashed; a request that runs to its end clears its segments everywhere. A segment with two crashes is a suspect, of which one request may run at a time, at a front chosen by hash and, if it gets none, at the next ones; two crashes in trials, or one of five in all, put it into quarantine, and explain its other crashes away. Segments that shared all crashes are rejected together only. Checked on arrival and before each send (MN305, MN327, 503). Fronts send each other what they observed, and all that they know after a restart or a failed exchange.

--- /dev/null
+++ b/core/poison/segments.go
@@ -0,0 +1,449 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	mn "mustardnotch"
+)
+
+// SuspectedSegment means that a request shares a prompt segment with requests that were
+// running on endpoints as these crashed.
+const SuspectedSegment mn.Code = 327
+
+func init() {
+	mn.RegisterCode(mn.CodeDoc{Code: SuspectedSegment, Title: "suspected prompt segment", Since: "0.3",
+		Severity: mn.SeverityRetry, Outcome: mn.OutcomeNotRun,
+		Text: "A segment of the prompt may crash endpoints. A trial with another request decides within a second or two."})
+}
+
+const (
+	// suspectCrashes is how many crashes make a segment a suspect.
+	suspectCrashes = 2
+	// quarantineTrials is how many crashes in trials put a segment into quarantine. One
+	// is enough for a segment with sureCrashes crashes: endpoints also crash for other
+	// reasons, and a trial may be running there.
+	quarantineTrials = 2
+	sureCrashes      = 5
+	// trialStagger is the time after which the front with the next rank may try a
+	// suspect as well. The first may get no request with it.
+	trialStagger = 300 * mn.Millisecond
+	// suspectRetryAfter is when a caller with a suspected segment comes back: a trial
+	// has mostly ended by then.
+	suspectRetryAfter = 300 * mn.Millisecond
+	// restartTime is less than an endpoint takes to be back after a crash. Reports of
+	// crashes of an endpoint within it are of the same one.
+	restartTime = 2 * mn.Second
+	// segmentTTL is how long a crash counts.
+	segmentTTL = 10 * mn.Minute
+	// maxCrashes bounds the crashes that are kept, and maxCrashSegments the segments of
+	// each.
+	maxCrashes       = 256
+	maxCrashSegments = 256
+	// maxCleared bounds the segments that are known to be sound.
+	maxCleared = 4096
+)
+
+// SegmentTracker finds prompt segments that crash the engines which begin to answer
+// requests with them. It combines the observations of all fronts, and is safe for
+// concurrent use.
+//
+// Load pattern: now and then a request has a segment that ends any engine. Each request
+// is different; they share their other segments and their callers with sound requests.
+// An engine runs tens of requests when it ends.
+//
+// All segments of requests that an engine had not begun to answer when it crashed are
+// counted. A request that runs to its end clears its segments of the crashes before.
+// A segment with suspectCrashes crashes is a suspect: only one request with it may run
+// at a time, as a trial. If engines crash in trials, the segments with the most crashes
+// are in quarantine, and the crashes that they explain no longer count against others. Segments that were part of exactly the same crashes can't be told apart, so
+// only requests with all of them are rejected.
+type SegmentTracker struct {
+	clock mn.Clock
+
+	mu      sync.Mutex
+	crashes []*engineCrash
+	// cleared is when a request with a segment last ran to its end, for segments that
+	// were part of a crash before.
+	cleared map[string]cleared
+	// changes numbers this front's own observations.
+	changes int64
+
+	// stale means that crashes or cleared have changed since suspects and quarantined
+	// were computed from them.
+	stale bool
+	// suspects holds when each suspect became one. quarantined holds sets of segments:
+	// requests with all segments of a set are rejected.
+	suspects    map[string]mn.Millis
+	quarantined [][]string
+	// running holds the segments with a trial at this front.
+	running map[string]bool
+}
+
+// engineCrash is a crash of an engine.
+type engineCrash struct {
+	endpoint mn.EndpointID
+	at       mn.Millis
+	// segments holds the segments of requests that the engine had not begun to answer.
+	// The value reports whether one of these was a trial of the segment.
+	segments map[string]bool
+	// change numbers this front's last observation of it, 0 if only peers have any.
+	change int64
+}
+
+// cleared is a run of a request with a segment.
+type cleared struct {
+	at mn.Millis
+	// change is the number of this front's observation, 0 if a peer's.
+	change int64
+}
+
+// NewSegmentTracker returns a SegmentTracker without crashes.
+func NewSegmentTracker(clock mn.Clock) *SegmentTracker {
+	return &SegmentTracker{clock: clock, cleared: map[string]cleared{}, running: map[string]bool{}}
+}
+
+// Trial is permission to run the only request with a suspected segment. The zero value,
+// and nil, are of requests without suspects.
+type Trial struct {
+	tracker  *SegmentTracker
+	segments []string
+}
+
+// Segments returns the suspects that the request tries.
+func (t *Trial) Segments() []string {
+	if t == nil {
+		return nil
+	}
+	return t.segments
+}
+
+// End ends the trial, so that another request may try the suspects.
+func (t *Trial) End() {
+	if t == nil {
+		return
+	}
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	for _, s := range t.segments {
+		delete(t.tracker.running, s)
+	}
+	t.segments = nil
+}
+
+// Admit decides whether a request with the given shared segments may be sent to an
+// engine. It is called before each send, with the request's trial so far, and returns the
+// trial to go on with. The function rank returns this front's rank among all fronts for a
+// segment. The error has code [mn.Quarantined] or [SuspectedSegment].
+func (t *SegmentTracker) Admit(trial *Trial, segments []string, rank func(segment string) int) (*Trial, *mn.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.crashes) == 0 {
+		return trial, nil
+	}
+	t.update()
+	for _, set := range t.quarantined {
+		if containsAll(segments, set) {
+			return trial, mn.Errorf(mn.Quarantined, "requests with prompt segments %v crash endpoints", set)
+		}
+	}
+	now := t.clock.Now()
+	var untried []string
+	for _, s := range segments {
+		since, suspect := t.suspects[s]
+		if !suspect || slices.Contains(trial.Segments(), s) {
+			continue
+		}
+		if t.running[s] || now < since+mn.Millis(rank(s))*trialStagger {
+			return trial, mn.Errorf(SuspectedSegment, "prompt segment %s may crash endpoints", s).WithRetryAfter(suspectRetryAfter)
+		}
+		untried = append(untried, s)
+	}
+	if len(untried) == 0 {
+		return trial, nil
+	}
+	if trial == nil {
+		trial = &Trial{tracker: t}
+	}
+	for _, s := range untried {
+		t.running[s] = true
+	}
+	trial.segments = append(trial.segments, untried...)
+	return trial, nil
+}
+
+func containsAll(segments, set []string) bool {
+	for _, s := range set {
+		if !slices.Contains(segments, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// AddCrash adds what this front observed of an engine's crash, and reports whether it was
+// news.
+func (t *SegmentTracker) AddCrash(c mn.EngineCrash) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crash := t.merge(c)
+	if crash == nil {
+		return false
+	}
+	t.changes++
+	crash.change = t.changes
+	return true
+}
+
+// merge adds up reports of a crash. It returns the crash, or nil if there was no news.
+func (t *SegmentTracker) merge(c mn.EngineCrash) *engineCrash {
+	if len(c.Segments) == 0 || c.Age >= segmentTTL {
+		return nil
+	}
+	crash, changed := t.crash(c.Endpoint, t.clock.Now()-max(0, c.Age)), false
+	add := func(s string, tried bool) {
+		was, known := crash.segments[s]
+		if known && (was || !tried) || !known && len(crash.segments) >= maxCrashSegments {
+			return
+		}
+		crash.segments[s], changed = tried, true
+	}
+	for _, s := range c.Segments {
+		add(s, false)
+	}
+	for _, s := range c.Tried {
+		add(s, true)
+	}
+	if !changed {
+		return nil
+	}
+	t.stale = true
+	return crash
+}
+
+// crash returns the crash of the endpoint around the time at, and adds it if it is new.
+func (t *SegmentTracker) crash(endpoint mn.EndpointID, at mn.Millis) *engineCrash {
+	for _, c := range t.crashes {
+		if c.endpoint == endpoint && c.at-at < restartTime && at-c.at < restartTime {
+			return c
+		}
+	}
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = t.crashes[1:]
+	}
+	c := &engineCrash{endpoint: endpoint, at: at, segments: map[string]bool{}}
+	t.crashes = append(t.crashes, c)
+	slices.SortStableFunc(t.crashes, func(a, b *engineCrash) int { return cmp.Compare(a.at, b.at) })
+	return c
+}
+
+// Succeeded records that a request with the given shared segments ran to its end, and
+// reports whether that clears any of them.
+func (t *SegmentTracker) Succeeded(segments []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := false
+	for _, s := range segments {
+		if t.clear(s, t.clock.Now()) {
+			t.changes++
+			t.cleared[s] = cleared{t.cleared[s].at, t.changes}
+			found = true
+		}
+	}
+	return found
+}
+
+// clear clears a segment of the crashes before at, and reports whether there were any.
+func (t *SegmentTracker) clear(segment string, at mn.Millis) bool {
+	found := slices.ContainsFunc(t.crashes, func(c *engineCrash) bool {
+		_, ok := c.segments[segment]
+		return ok && c.at <= at && c.at > t.cleared[segment].at
+	})
+	if found {
+		t.cleared[segment] = cleared{at: at}
+		t.stale = true
+	}
+	return found
+}
+
+// update drops crashes that no longer count, and computes suspects and quarantined from
+// the others if that is due.
+func (t *SegmentTracker) update() {
+	oldest := t.clock.Now() - segmentTTL
+	if len(t.crashes) > 0 && t.crashes[0].at <= oldest {
+		t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return c.at <= oldest })
+		t.stale = true
+	}
+	if len(t.cleared) > maxCleared {
+		t.forgetCleared()
+	}
+	if !t.stale {
+		return
+	}
+	t.stale, t.quarantined = false, nil
+	explained := map[*engineCrash]bool{}
+	counts := t.count(explained)
+	for set := worst(counts); set != nil; set = worst(counts) {
+		t.quarantined = append(t.quarantined, set)
+		for _, c := range counts[set[0]].crashes {
+			explained[c] = true
+		}
+		counts = t.count(explained)
+	}
+	before := t.suspects
+	t.suspects = map[string]mn.Millis{}
+	for s, n := range counts {
+		if len(n.crashes) < suspectCrashes {
+			continue
+		}
+		since, known := before[s]
+		if !known {
+			since = t.clock.Now()
+		}
+		t.suspects[s] = since
+	}
+}
+
+// forgetCleared drops the segments whose crashes have expired.
+func (t *SegmentTracker) forgetCleared() {
+	for s, c := range t.cleared {
+		if len(t.crashes) == 0 || c.at < t.crashes[0].at {
+			delete(t.cleared, s)
+		}
+	}
+}
+
+// crashCount holds the crashes that count against a segment.
+type crashCount struct {
+	crashes []*engineCrash
+	// trials is how many of the crashes were in a trial of the segment.
+	trials int
+}
+
+// proved reports whether the segment belongs into quarantine.
+func (n *crashCount) proved() bool {
+	return n.trials >= quarantineTrials || n.trials > 0 && len(n.crashes) >= sureCrashes
+}
+
+// count returns the crashes that count against each segment.
+func (t *SegmentTracker) count(explained map[*engineCrash]bool) map[string]*crashCount {
+	counts := map[string]*crashCount{}
+	for _, c := range t.crashes {
+		if explained[c] {
+			continue
+		}
+		for s, tried := range c.segments {
+			if c.at <= t.cleared[s].at {
+				continue
+			}
+			n := counts[s]
+			if n == nil {
+				n = &crashCount{}
+				counts[s] = n
+			}
+			n.crashes = append(n.crashes, c)
+			if tried {
+				n.trials++
+			}
+		}
+	}
+	return counts
+}
+
+// worst returns the segments that belong into quarantine next, sorted, or nil: those with
+// the most crashes, if that is proved. If several segments have as many, it returns those
+// that share all their crashes.
+func worst(counts map[string]*crashCount) []string {
+	most := 0
+	for _, n := range counts {
+		most = max(most, len(n.crashes))
+	}
+	var first string
+	for s, n := range counts {
+		if len(n.crashes) == most && n.proved() && (first == "" || s < first) {
+			first = s
+		}
+	}
+	if first == "" {
+		return nil
+	}
+	set := []string{}
+	for s, n := range counts {
+		if slices.Equal(n.crashes, counts[first].crashes) {
+			set = append(set, s)
+		}
+	}
+	slices.Sort(set)
+	return set
+}
+
+// Status is what a SegmentTracker knows, for logs and metrics.
+type Status struct {
+	// Crashes is the number of crashes that count, Suspects that of suspected segments.
+	Crashes, Suspects int
+	// Quarantined holds sets of segments. Requests with all of a set are rejected.
+	Quarantined [][]string
+}
+
+// Status returns what the tracker knows.
+func (t *SegmentTracker) Status() Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update()
+	return Status{len(t.crashes), len(t.suspects), slices.Clone(t.quarantined)}
+}
+
+// SegmentCursor records what a peer front was sent. The zero value is for one that was
+// sent nothing.
+type SegmentCursor struct{ change int64 }
+
+// Since returns what this front observed since c of crashes and cleared segments, and
+// advances c. If all is set, it returns all that the front knows, for a peer that may
+// have missed what others observed.
+func (t *SegmentTracker) Since(c *SegmentCursor, all bool) (crashes []mn.EngineCrash, sound []mn.ClearedSegment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !all && c.change == t.changes {
+		return nil, nil
+	}
+	now := t.clock.Now()
+	for _, e := range t.crashes {
+		if all || e.change > c.change {
+			crashes = append(crashes, e.report(now))
+		}
+	}
+	for s, r := range t.cleared {
+		if all || r.change > c.change {
+			sound = append(sound, mn.ClearedSegment{Segment: s, Age: now - r.at})
+		}
+	}
+	c.change = t.changes
+	return crashes, sound
+}
+
+// report returns the crash as it is sent to peers at now.
+func (c *engineCrash) report(now mn.Millis) mn.EngineCrash {
+	out := mn.EngineCrash{Endpoint: c.endpoint, Age: now - c.at}
+	for s, tried := range c.segments {
+		out.Segments = append(out.Segments, s)
+		if tried {
+			out.Tried = append(out.Tried, s)
+		}
+	}
+	slices.Sort(out.Segments)
+	slices.Sort(out.Tried)
+	return out
+}
+
+// Receive applies what a peer front observed or knows.
+func (t *SegmentTracker) Receive(crashes []mn.EngineCrash, sound []mn.ClearedSegment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range crashes {
+		t.merge(c)
+	}
+	for _, s := range sound {
+		t.clear(s.Segment, t.clock.Now()-max(0, s.Age))
+	}
+}
--- a/front_state.go
+++ b/front_state.go
@@ -40,6 +40,25 @@
 	Count    int64      `json:"count"`
 }
 
+// EngineCrash is what fronts observed of an engine whose process ended.
+type EngineCrash struct {
+	Endpoint EndpointID
+	// Age is the time since the crash.
+	Age Millis
+	// Segments holds the shared prompt segments of requests that the engine had not begun
+	// to answer, and Tried those of them for which one of these requests was a trial.
+	Segments []string
+	Tried    []string
+}
+
+// ClearedSegment is a prompt segment of a request that ran to its end after engines had
+// crashed with requests that share it.
+type ClearedSegment struct {
+	Segment string
+	// Age is the time since the request ended.
+	Age Millis
+}
+
 // StateScope is how much of its work a front includes in its [FrontState].
 type StateScope int64
 
@@ -86,6 +105,10 @@
 	Runs []RunCount `json:"runs"`
 	// Crashes lists the recent endpoint crashes that this incarnation observed.
 	Crashes []CrashRecord `json:"-"`
+	// EngineCrashes and ClearedSegments are what the front knows of prompt segments that
+	// may crash engines, from its own observation or that of others.
+	EngineCrashes   []EngineCrash    `json:"-"`
+	ClearedSegments []ClearedSegment `json:"-"`
 	// PrefilledPrompts lists the prompt segments that endpoints recently prefilled,
 	// fetched or listed as cached, including those that no other prompt shares.
 	PrefilledPrompts []PrefilledPrompt `json:"-"`
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -7,11 +7,8 @@
 	"io"
 	"math"
 	"net/http"
-	"os"
 	"strings"
 
-	"github.com/sirupsen/logrus"
-
 	mn "mustardnotch"
 	"mustardnotch/core/place"
 	"mustardnotch/io/back"
@@ -136,12 +133,15 @@
 }
 
 // checkEndpoint returns a result if the request must not be sent to the endpoint: it is
-// leaving or gone from the list, or the list may be too old to tell. It is called right
-// before each send.
+// leaving or gone from the list, the list may be too old to tell, or the prompt may crash
+// it. It is called right before each send.
 func (q *request) checkEndpoint(ctx context.Context, id mn.EndpointID) *result {
 	if err := q.View.ConfirmList(ctx); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
 	}
+	if err := q.admitSegments(); err != nil {
+		return &result{endpoint: id, notRun: true, final: true, err: err}
+	}
 	e, ok := q.Balancer.Endpoint(id)
 	switch {
 	case !ok:
@@ -371,36 +371,6 @@
 	return (q.lastEvent != "" || q.info.LastEvent != "") && !a.EndsWithConn()
 }
 
-const (
-	// crashCheckDelay is the time from a failed attempt to the check whether the
-	// endpoint still accepts connections. A process that crashes closes all its
-	// sockets at once.
-	crashCheckDelay = 20 * mn.Millisecond
-	// crashCheckTimeout bounds the check.
-	crashCheckTimeout = 500 * mn.Millisecond
-)
-
-// checkCrash checks in the background whether an endpoint that did not complete its
-// answer has crashed. If so, it counts the crash against the request's content.
-func (q *request) checkCrash(to mn.Endpoint, err error) {
-	if q.r.Context().Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
-	fingerprint := q.fingerprint()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout.Duration())
-		defer cancel()
-		if q.Clock.Sleep(ctx, crashCheckDelay) != nil || !q.Back.ConnRefused(ctx, to.Addr) {
-			return
-		}
-		crash := mn.CrashRecord{Fingerprint: fingerprint, VM: mn.VMID(to.ID), SeenAt: q.Clock.Wall()}
-		q.CrashTracker.Add(crash)
-		q.OnCrash(crash)
-		q.Log.WithFields(logrus.Fields{"event": "endpoint_crashed", "request": q.info.ID, "endpoint": to.ID,
-			"fingerprint": fingerprint, "crashes": q.CrashTracker.Crashes(fingerprint)}).Warn()
-	}()
-}
-
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
@@ -437,14 +407,6 @@
 	return nil
 }
 
-// clearCrashes deletes the crashes that were counted against the request's content,
-// since a request with this content has now run to its end.
-func (q *request) clearCrashes() {
-	if q.CrashTracker.HasSuspects() {
-		q.CrashTracker.Clear(q.fingerprint())
-	}
-}
-
 // requestTarget returns the request's target as the caller sent it. A target in
 // absolute form, which is meant for proxies, is reduced to its path and query.
 func requestTarget(r *http.Request) string {
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -86,6 +86,43 @@
 	require.LessOrEqual(t, arrived, 5)
 }
 
+// A request crashes each endpoint that starts to run it, and its caller sends it
+// again and again. After the third crash no endpoint may get it any more, while
+// requests with other content are still served.
+func TestPoisonousRequestIsRejected(t *testing.T) {
+	scripts := map[string]script{}
+	b := newFixture(t, scripts)
+	for i := range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			l.Close()
+			c.Close()
+		}()
+		name := fmt.Sprint("p", i)
+		b.server.Balancer.SetEndpoints([]mn.Endpoint{{ID: mn.EndpointID(name), Pool: "plain", Addr: l.Addr().String(), Capacity: 6, State: mn.EndpointReady}})
+		resp, _, err := b.do("POST", "/book/poison", "same")
+		require.NoError(t, err)
+		if i < 3 {
+			require.Equal(t, 502, resp.StatusCode, "attempt %d", i)
+		} else {
+			require.Equal(t, 503, resp.StatusCode, "attempt %d", i)
+		}
+		time.Sleep(60 * time.Millisecond) // The front checks whether the endpoint still listens.
+	}
+	addr := b.listen("p9", succeed)
+	b.server.Balancer.SetEndpoints([]mn.Endpoint{{ID: "p9", Pool: "plain", Addr: addr, Capacity: 6, State: mn.EndpointReady}})
+	resp, _, err := b.do("POST", "/book/poison", "other")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+}
+
 // A stream without a length ends with its connection. If that is inside an event, the
 // stream has been broken off, and must not look complete to the caller.
 func TestStreamThatEndsInsideEventIsBrokenOff(t *testing.T) {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -45,6 +45,10 @@
 	job      place.Job
 	// cost is what the request takes from the customer's rate.
 	cost float64
+	// segments holds the ids of the prompt's segments that other prompts may share.
+	segments []string
+	// trial is set while the request tries suspected segments.
+	trial *poison.Trial
 	// cachedFingerprint is the result of fingerprint, or empty before its first call.
 	cachedFingerprint string
 
@@ -98,6 +102,7 @@
 		return err
 	}
 	q.body = body
+	defer q.endTrial()
 	if err := q.admit(); err != nil {
 		return err
 	}
@@ -118,6 +123,11 @@
 		return mn.Errorf(NoRoute, "no route for host %q path %q", q.r.Host, q.r.URL.Path)
 	}
 	q.route = route
+	if p := q.info.Prompt; p != nil && len(p.Segments) > 1 {
+		for _, s := range p.Segments[:len(p.Segments)-1] {
+			q.segments = append(q.segments, s.ID)
+		}
+	}
 	q.cost = 1
 	q.job = place.Job{Pool: paths.ChoosePool(route, q.info.ID), Prompt: q.info.Prompt, Urgency: route.Urgency}
 	timeout := defaultTimeout
@@ -167,6 +177,10 @@
 			return e.WithRetryAfter(0)
 		}
 	}
+	if e := q.admitSegments(); e != nil {
+		q.cost = 0
+		return e
+	}
 	if q.job.Deadline-q.Clock.Now() < minTimeLeft {
 		q.cost = 0
 		return mn.Errorf(mn.DeadlineTooShort, "%d ms left before the deadline, at least %d ms needed", q.job.Deadline-q.Clock.Now(), minTimeLeft)
@@ -179,14 +193,6 @@
 	return nil
 }
 
-// fingerprint returns the fingerprint of the request's content.
-func (q *request) fingerprint() string {
-	if q.cachedFingerprint == "" {
-		q.cachedFingerprint = poison.Fingerprint(q.job.Pool, string(q.customer), q.r.Method, q.r.Host, q.r.URL.RequestURI(), string(q.body))
-	}
-	return q.cachedFingerprint
-}
-
 // send places the request and sends it to endpoints until it is answered or must
 // not be sent again.
 func (q *request) send() *mn.Error {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -36,20 +36,21 @@
 // statuses maps result codes to HTTP statuses. 429 and 503 promise that the request
 // has not run. A code whose outcome is unknown has 502 or 504.
 var statuses = map[mn.Code]int{
-	mn.BadRequest:       http.StatusBadRequest,
-	mn.TooLarge:         http.StatusRequestEntityTooLarge,
-	NoRoute:             http.StatusNotFound,
-	mn.Unauthenticated:  http.StatusUnauthorized,
-	mn.RateExceeded:     http.StatusTooManyRequests,
-	mn.NotCurrent:       http.StatusServiceUnavailable,
-	mn.NoEndpoint:       http.StatusServiceUnavailable,
-	mn.Overloaded:       http.StatusServiceUnavailable,
-	mn.Quarantined:      http.StatusServiceUnavailable,
-	mn.DeadlineTooShort: http.StatusServiceUnavailable,
-	mn.DeadlineExceeded: http.StatusGatewayTimeout,
-	mn.EndpointFailed:   http.StatusBadGateway,
-	mn.OutcomeNotKnown:  http.StatusBadGateway,
-	mn.Truncated:        http.StatusBadGateway,
+	mn.BadRequest:           http.StatusBadRequest,
+	mn.TooLarge:             http.StatusRequestEntityTooLarge,
+	NoRoute:                 http.StatusNotFound,
+	mn.Unauthenticated:      http.StatusUnauthorized,
+	mn.RateExceeded:         http.StatusTooManyRequests,
+	mn.NotCurrent:           http.StatusServiceUnavailable,
+	mn.NoEndpoint:           http.StatusServiceUnavailable,
+	mn.Overloaded:           http.StatusServiceUnavailable,
+	mn.Quarantined:          http.StatusServiceUnavailable,
+	poison.SuspectedSegment: http.StatusServiceUnavailable,
+	mn.DeadlineTooShort:     http.StatusServiceUnavailable,
+	mn.DeadlineExceeded:     http.StatusGatewayTimeout,
+	mn.EndpointFailed:       http.StatusBadGateway,
+	mn.OutcomeNotKnown:      http.StatusBadGateway,
+	mn.Truncated:            http.StatusBadGateway,
 }
 
 // View is the configuration as the front knows it.
@@ -77,10 +78,14 @@
 	Limiter      *quota.Limiter
 	RetryBudgets *retry.PoolBudgets
 	CrashTracker *poison.Tracker
-	Runs         *duty.RunCounter
-	Back         *back.Client
-	Stats        *stats.Set
-	Log          *logrus.Entry
+	// Segments finds prompt segments that crash engines. SegmentRank returns this front's
+	// rank for trials of a segment.
+	Segments    *poison.SegmentTracker
+	SegmentRank func(segment string) int
+	Runs        *duty.RunCounter
+	Back        *back.Client
+	Stats       *stats.Set
+	Log         *logrus.Entry
 	// ApplyWithin is how soon a new configuration must take effect. An older view is
 	// no proof that a route or a key does not exist.
 	ApplyWithin mn.Millis
--- a/io/gossip/cursor.go
+++ b/io/gossip/cursor.go
@@ -3,6 +3,7 @@
 import (
 	mn "mustardnotch"
 	"mustardnotch/core/place"
+	"mustardnotch/core/poison"
 )
 
 // Cursor records what a peer front was sent. The zero Cursor means that nothing was
@@ -10,6 +11,8 @@
 type Cursor struct {
 	// Balancer records what was sent of the loads and the prefilled prompts.
 	Balancer place.Cursor
+	// Segments records what was sent of crashes and cleared prompt segments.
+	Segments poison.SegmentCursor
 	spent    map[mn.CustomerID]float64
 	runs     map[runKey]int64
 	// synced reports whether the peer is assumed to have everything that was sent.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -193,6 +193,12 @@
 	for _, p := range f.Crashes {
 		out.Crashes = append(out.Crashes, &meshpb.FrontCrash{Fingerprint: p.Fingerprint, Endpoint: string(p.VM), WallMs: int64(p.SeenAt)})
 	}
+	for _, c := range f.EngineCrashes {
+		out.EngineCrashes = append(out.EngineCrashes, &meshpb.EngineCrash{Endpoint: string(c.Endpoint), AgeMs: int64(c.Age), Segments: c.Segments, Tried: c.Tried})
+	}
+	for _, c := range f.ClearedSegments {
+		out.ClearedSegments = append(out.ClearedSegments, &meshpb.ClearedSegment{Segment: c.Segment, AgeMs: int64(c.Age)})
+	}
 	out.Reads = encodePrompts(f.PrefilledPrompts)
 	for _, e := range f.Timings {
 		m := &meshpb.EngineTimings{Pool: string(e.Pool)}
@@ -249,6 +255,12 @@
 	for _, p := range in.Crashes {
 		f.Crashes = append(f.Crashes, mn.CrashRecord{Fingerprint: p.Fingerprint, VM: mn.VMID(p.Endpoint), SeenAt: mn.Millis(p.WallMs)})
 	}
+	for _, c := range in.EngineCrashes {
+		f.EngineCrashes = append(f.EngineCrashes, mn.EngineCrash{Endpoint: mn.EndpointID(c.Endpoint), Age: mn.Millis(c.AgeMs), Segments: c.Segments, Tried: c.Tried})
+	}
+	for _, c := range in.ClearedSegments {
+		f.ClearedSegments = append(f.ClearedSegments, mn.ClearedSegment{Segment: c.Segment, Age: mn.Millis(c.AgeMs)})
+	}
 	f.PrefilledPrompts = decodePrompts(in.Reads)
 	for _, m := range in.Timings {
 		e := mn.EngineTimings{Pool: mn.PoolID(m.Pool)}
--- a/node/front.go
+++ b/node/front.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"mustardnotch/core/place"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/quota"
+	"mustardnotch/core/rendez"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/stats"
 	"mustardnotch/io/back"
@@ -85,12 +87,14 @@
 	queues       *place.Queues
 	limiter      *quota.Limiter
 	crashTracker *poison.Tracker
-	runs         *duty.RunCounter
-	holder       *duty.Holder
-	back         *back.Client
-	gossip       *gossip.Client
-	peers        *peerSet
-	leaving      atomic.Bool
+	// segments finds prompt segments that crash engines.
+	segments *poison.SegmentTracker
+	runs     *duty.RunCounter
+	holder   *duty.Holder
+	back     *back.Client
+	gossip   *gossip.Client
+	peers    *peerSet
+	leaving  atomic.Bool
 	// fetchingCatalog and fetchingList report whether a catalog or a list of endpoints is
 	// being fetched from a peer front.
 	fetchingCatalog, fetchingList atomic.Bool
@@ -119,6 +123,7 @@
 		balancer:     place.New(place.Config{DataCentre: s.DataCentre, Naive: s.Router == "naive", Disabled: disabled}, clock),
 		limiter:      quota.New(quota.Tolerance{Window: s.QuotaWindow, Share: s.QuotaTolerance, Slack: s.QuotaSlack}, clock),
 		crashTracker: poison.New(poison.Config{CrashThreshold: crashThreshold, TTL: crashTTL, MaxSuspects: maxSuspects}, clock),
+		segments:     poison.NewSegmentTracker(clock),
 		runs:         duty.NewRunCounter(s.UsageWindow, s.UsageReportWithin, clock),
 		holder:       duty.New(s.VM, self.Incarnation, s.DutyLease, clock),
 		back:         back.New(clock, s.IP),
@@ -236,9 +241,17 @@
 		Limiter: f.limiter, RetryBudgets: retry.NewPoolBudgets(c, f.clock), CrashTracker: f.crashTracker, Runs: f.runs, Back: f.back,
 		Stats: f.stats, Log: f.log, ApplyWithin: f.conf().ApplyWithin, Leaving: f.leaving.Load,
 		OnCrash: f.crashNotices.add, MaxIdleConns: f.maxIdleConns,
+		Segments: f.segments, SegmentRank: f.segmentRank,
 	})
 }
 
+// segmentRank returns this front's rank among the fronts that are alive for trials of a
+// prompt segment.
+func (f *Front) segmentRank(segment string) int {
+	alive := f.alive()
+	return slices.Index(rendez.Top(segment, alive, len(alive)), f.self.VM)
+}
+
 // idleConnShare is the share of the connections that an endpoint accepts which all
 // fronts together may keep idle. The rest is for running requests.
 const idleConnShare = 0.5
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -327,6 +327,7 @@
 	}
 	if scope >= mn.ScopeChanges {
 		state.Loads, state.PrefilledPrompts, state.Timings = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
+		state.EngineCrashes, state.ClearedSegments = f.segments.Since(&c.Segments, scope == mn.ScopeAll)
 		state.Spent, state.Runs, state.Crashes = c.SpentChanges(f.limiter.Spent()), c.RunChanges(f.runs.Own()), f.crashNotices.list()
 	}
 	return state
@@ -339,6 +340,7 @@
 		f.balancer.ReceiveState(state)
 		f.limiter.ReceiveState(state)
 		f.runs.ReceiveState(state)
+		f.segments.Receive(state.EngineCrashes, state.ClearedSegments)
 	}
 	for _, p := range state.Crashes {
 		f.crashTracker.Add(p)
--- /dev/null
+++ b/node/segments_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
+)
+
+// quarantines reports whether a front rejects requests with the segment.
+func quarantines(f *Front, segment string) bool {
+	_, err := f.segments.Admit(nil, []string{"first", segment}, f.segmentRank)
+	return err != nil && err.Code == mn.Quarantined
+}
+
+// Engines crash with a segment at different fronts. All fronts reject it soon, also one
+// that starts later, and one that the store rejects.
+func TestDeadlySegmentIsKnownToAllFronts(t *testing.T) {
+	c := newTestCluster(t, "a", "b", "c")
+	c.eventually(func() bool { return c.fronts["a"].peers.count() == 3 && c.fronts["b"].peers.count() == 3 })
+	time.Sleep(500 * time.Millisecond) // The first exchanges.
+	for name := range c.fronts {
+		c.store.SetDown(name, true)
+	}
+	crash := func(front string, n int, tried ...string) {
+		c.fronts[front].segments.AddCrash(mn.EngineCrash{Endpoint: mn.EndpointID(fmt.Sprint("e-", n)), Segments: []string{fmt.Sprint("other-", n), "deadly"}, Tried: tried})
+		c.fronts[front].balancer.RequestUrgentUpdate()
+	}
+	crash("a", 1)
+	crash("b", 2)
+	c.eventually(func() bool { return c.fronts["c"].segments.Status().Suspects == 1 })
+	crash("c", 3, "deadly")
+	crash("a", 4, "deadly")
+	for _, f := range c.fronts {
+		c.eventually(func() bool { return quarantines(f.Front, "deadly") })
+		require.False(t, quarantines(f.Front, "other-1"))
+	}
+	for name := range c.fronts {
+		c.store.SetDown(name, false)
+	}
+	c.start("d")
+	c.eventually(func() bool { return quarantines(c.fronts["d"].Front, "deadly") })
+}
