Keep deadly prompt segments across the end of all fronts

Callers saw: after all fronts were killed at once, four more engines crash until the new ones have found the same segment again (BUDGET allows three requests; with few requests a second that is more than three). Cause: only fronts knew of it, and none of them was left. Change: the first reader writes the crashes of suspects and quarantined segments to a feed of one record when it learns of one, every 0.5 s at most; a front reads it once at its start. Result: TestDeadlySegmentIsKnownAfterAllFrontsHaveEnded failed before and passes.

--- a/core/poison/segments.go
+++ b/core/poison/segments.go
@@ -70,6 +70,8 @@
 	// changes numbers this front's own observations.
 	changes int64
 
+	// version is the number of times that suspects and quarantined were computed.
+	version int64
 	// stale means that crashes or cleared have changed since suspects and quarantined
 	// were computed from them.
 	stale bool
@@ -282,6 +284,7 @@
 		return
 	}
 	t.stale, t.quarantined = false, nil
+	t.version++
 	explained := map[*engineCrash]bool{}
 	counts := t.count(explained)
 	for set := worst(counts); set != nil; set = worst(counts) {
@@ -422,6 +425,29 @@
 	return crashes, sound
 }
 
+// Snapshot returns the crashes that count against suspects and segments in quarantine,
+// with only these segments, for a process that starts after all others have ended. The
+// version changes with each change of what the tracker knows.
+func (t *SegmentTracker) Snapshot() (crashes []mn.EngineCrash, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.update()
+	now := t.clock.Now()
+	counts := t.count(nil)
+	for _, c := range t.crashes {
+		out := c.report(now)
+		single := func(s string) bool {
+			n := counts[s]
+			return n == nil || len(n.crashes) < suspectCrashes || c.at <= t.cleared[s].at
+		}
+		out.Segments, out.Tried = slices.DeleteFunc(out.Segments, single), slices.DeleteFunc(out.Tried, single)
+		if len(out.Segments) > 0 {
+			crashes = append(crashes, out)
+		}
+	}
+	return crashes, t.version
+}
+
 // report returns the crash as it is sent to peers at now.
 func (c *engineCrash) report(now mn.Millis) mn.EngineCrash {
 	out := mn.EngineCrash{Endpoint: c.endpoint, Age: now - c.at}
--- a/front_state.go
+++ b/front_state.go
@@ -42,13 +42,13 @@
 
 // EngineCrash is what fronts observed of an engine whose process ended.
 type EngineCrash struct {
-	Endpoint EndpointID
+	Endpoint EndpointID `json:"endpoint"`
 	// Age is the time since the crash.
-	Age Millis
+	Age Millis `json:"age_ms"`
 	// Segments holds the shared prompt segments of requests that the engine had not begun
 	// to answer, and Tried those of them for which one of these requests was a trial.
-	Segments []string
-	Tried    []string
+	Segments []string `json:"segments"`
+	Tried    []string `json:"tried,omitempty"`
 }
 
 // ClearedSegment is a prompt segment of a request that ran to its end after engines had
--- a/node/front.go
+++ b/node/front.go
@@ -173,6 +173,7 @@
 	g.Go(func() error { return f.learnCached(run) })
 	g.Go(func() error { return f.performDuties(run) })
 	g.Go(func() error { return f.storeRuns(run) })
+	g.Go(func() error { return f.storeCrashes(run) })
 	g.Go(func() error { return f.watchSettings(run) })
 	g.Go(func() error { return f.logEngines(run) })
 	g.Go(func() error {
--- a/node/segments_test.go
+++ b/node/segments_test.go
@@ -44,3 +44,28 @@
 	c.start("d")
 	c.eventually(func() bool { return quarantines(c.fronts["d"].Front, "deadly") })
 }
+
+// All fronts end at once after a segment was put into quarantine. Those that start
+// afterwards reject it without another crash.
+func TestDeadlySegmentIsKnownAfterAllFrontsHaveEnded(t *testing.T) {
+	c := newTestCluster(t, "a", "b")
+	c.eventually(func() bool { return c.fronts["a"].peers.count() == 2 && c.fronts["b"].peers.count() == 2 })
+	for n := range 4 {
+		crash := mn.EngineCrash{Endpoint: mn.EndpointID(fmt.Sprint("e-", n)), Segments: []string{fmt.Sprint("other-", n), "deadly"}}
+		if n >= 2 {
+			crash.Tried = []string{"deadly"}
+		}
+		c.fronts["a"].segments.AddCrash(crash)
+	}
+	c.eventually(func() bool { return quarantines(c.fronts["b"].Front, "deadly") })
+	time.Sleep(storeCrashesInterval.Duration() + 300*time.Millisecond)
+	for _, f := range c.fronts {
+		f.stop()
+	}
+	for _, f := range c.fronts {
+		require.NoError(t, <-f.done)
+	}
+	c.start("c")
+	c.eventually(func() bool { return quarantines(c.fronts["c"].Front, "deadly") })
+	require.False(t, quarantines(c.fronts["c"].Front, "other-1"))
+}
--- a/store.go
+++ b/store.go
@@ -25,6 +25,8 @@
 	DutyFeed FeedKind = "duties"
 	// RunFeed carries the fronts' run counts.
 	RunFeed FeedKind = "runs"
+	// CrashFeed carries what fronts know of prompt segments that crash engines.
+	CrashFeed FeedKind = "crashes"
 )
 
 // Store is the platform's store. A call that fails with [PlatformUnavailable] may
