Tell a front that was away which requests crash endpoints

Cause: fronts pass a crash on for 3 s only, and only what they observed themselves. A record that came again after its request had been cleared also counted again. Change: a full state, which a front gets after its start or a failed exchange, has the crashes of all requests that the sender rejects. Records older than the clearing of their request don't count.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -10,6 +10,7 @@
 package poison
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
@@ -63,6 +64,8 @@
 
 	mu       sync.Mutex
 	suspects map[string][]crash
+	// clearedAt is when a suspect was cleared. Records of earlier crashes may still come.
+	clearedAt map[string]mn.Millis
 }
 
 type crash struct {
@@ -72,7 +75,7 @@
 
 // New returns a Tracker without crashes.
 func New(config Config, clock mn.Clock) *Tracker {
-	return &Tracker{config: config, clock: clock, suspects: map[string][]crash{}}
+	return &Tracker{config: config, clock: clock, suspects: map[string][]crash{}, clearedAt: map[string]mn.Millis{}}
 }
 
 // Add counts a crash. Records of the same VM and fingerprint within minCrashInterval
@@ -80,7 +83,7 @@
 func (t *Tracker) Add(r mn.CrashRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Fingerprint == "" || t.expired(r.SeenAt) {
+	if r.Fingerprint == "" || t.expired(r.SeenAt) || r.SeenAt < t.clearedAt[r.Fingerprint] {
 		return
 	}
 	known := t.suspects[r.Fingerprint]
@@ -128,6 +131,24 @@
 
 func (t *Tracker) expired(seenAt mn.Millis) bool { return seenAt+t.config.TTL <= t.clock.Wall() }
 
+// Records returns the crashes of quarantined fingerprints, the newest first, at most
+// limit. Adding them to another Tracker quarantines these there.
+func (t *Tracker) Records(limit int) []mn.CrashRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []mn.CrashRecord
+	for f := range t.suspects {
+		if t.count(f) < t.config.CrashThreshold {
+			continue
+		}
+		for _, c := range t.suspects[f] {
+			out = append(out, mn.CrashRecord{Fingerprint: f, VM: c.vm, SeenAt: c.seenAt})
+		}
+	}
+	slices.SortFunc(out, func(a, b mn.CrashRecord) int { return cmp.Compare(b.SeenAt, a.SeenAt) })
+	return out[:min(limit, len(out))]
+}
+
 // Check returns an Error with code Quarantined if the fingerprint has CrashThreshold
 // crashes or more.
 func (t *Tracker) Check(fingerprint string) *mn.Error {
@@ -145,9 +166,15 @@
 func (t *Tracker) Clear(fingerprint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.count(fingerprint) < t.config.CrashThreshold {
-		delete(t.suspects, fingerprint)
+	n := t.count(fingerprint)
+	if n == 0 || n >= t.config.CrashThreshold {
+		return
+	}
+	delete(t.suspects, fingerprint)
+	if len(t.clearedAt) >= t.config.MaxSuspects {
+		clear(t.clearedAt)
 	}
+	t.clearedAt[fingerprint] = t.clock.Wall()
 }
 
 // Quarantined returns how many fingerprints are quarantined.
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -54,6 +54,30 @@
 	require.Zero(t, tracker.Crashes("e"))
 }
 
+// Peers repeat their records for seconds, and send them all to a front that has started.
+func TestClearedSuspectStaysCleared(t *testing.T) {
+	clock := mn.NewManualClock(1000)
+	config := poison.Config{CrashThreshold: 3, TTL: 100 * mn.Second, MaxSuspects: 3}
+	tracker, started := poison.New(config, clock), poison.New(config, clock)
+	for n := range 3 {
+		sound := mn.CrashRecord{Fingerprint: "sound", VM: mn.VMID(fmt.Sprint("vm-", n)), SeenAt: clock.Wall()}
+		tracker.Add(sound)
+		tracker.Add(mn.CrashRecord{Fingerprint: "poison", VM: sound.VM, SeenAt: sound.SeenAt})
+		clock.Advance(10)
+		if n < 2 {
+			tracker.Clear("sound")
+			tracker.Add(sound)
+		}
+	}
+	require.Equal(t, 1, tracker.Crashes("sound"))
+	require.Len(t, tracker.Records(100), 3)
+	for _, r := range tracker.Records(100) {
+		started.Add(r)
+	}
+	require.NotNil(t, started.Check("poison"))
+	require.Zero(t, started.Crashes("sound"))
+}
+
 // A poison request runs in batches with harmless ones, and all requests of a crashed
 // batch are retried. It must crash exactly two endpoints, and no harmless request may be
 // quarantined, as would happen if every request of a crashed batch counted each time.
--- a/core/poison/segments.go
+++ b/core/poison/segments.go
@@ -277,12 +277,12 @@
 		t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return c.at <= oldest })
 		t.stale = true
 	}
-	if len(t.cleared) > maxCleared {
-		t.forgetCleared()
-	}
 	if !t.stale {
 		return
 	}
+	if len(t.cleared) > maxCleared {
+		t.forgetCleared()
+	}
 	t.stale, t.quarantined = false, nil
 	t.version++
 	explained := map[*engineCrash]bool{}
--- a/front_state.go
+++ b/front_state.go
@@ -103,7 +103,8 @@
 	Spent map[CustomerID]float64 `json:"-"`
 	// Runs holds the run counts of this incarnation for recent windows.
 	Runs []RunCount `json:"runs"`
-	// Crashes lists the recent endpoint crashes that this incarnation observed.
+	// Crashes lists the recent endpoint crashes that this incarnation observed, or with
+	// ScopeAll, those of requests that it rejects because of them.
 	Crashes []CrashRecord `json:"-"`
 	// EngineCrashes and ClearedSegments are what the front knows of prompt segments that
 	// may crash engines, from its own observation or that of others.
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -329,6 +329,9 @@
 		state.Loads, state.PrefilledPrompts, state.Timings = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
 		state.EngineCrashes, state.ClearedSegments = f.segments.Since(&c.Segments, scope == mn.ScopeAll)
 		state.Spent, state.Runs, state.Crashes = c.SpentChanges(f.limiter.Spent()), c.RunChanges(f.runs.Own()), f.crashNotices.list()
+		if scope == mn.ScopeAll {
+			state.Crashes = f.crashTracker.Records(maxCrashRecords)
+		}
 	}
 	return state
 }
@@ -492,6 +495,9 @@
 	crashNoticeTTL = 3 * mn.Second
 	// maxCrashNotices bounds the number of crashes in a state.
 	maxCrashNotices = 64
+	// maxCrashRecords bounds the number of crashes in a full state, which a front gets
+	// that may have missed the notices.
+	maxCrashRecords = 512
 )
 
 // crashList holds the crashes that this front observed recently.
--- a/node/segments_test.go
+++ b/node/segments_test.go
@@ -69,3 +69,20 @@
 	c.eventually(func() bool { return quarantines(c.fronts["c"].Front, "deadly") })
 	require.False(t, quarantines(c.fronts["c"].Front, "other-1"))
 }
+
+// A request has crashed three endpoints while a front was away. The front must reject
+// requests with the same content once it is back.
+func TestRestartedFrontRejectsPoisonousRequest(t *testing.T) {
+	c := newTestCluster(t, "a", "b")
+	c.eventually(func() bool { return c.fronts["a"].peers.count() == 2 })
+	a := c.fronts["a"]
+	for n := range crashThreshold {
+		crash := mn.CrashRecord{Fingerprint: "poison", VM: mn.VMID(fmt.Sprint("e-", n)), SeenAt: a.clock.Wall()}
+		a.crashTracker.Add(crash)
+		a.crashNotices.add(crash)
+	}
+	c.eventually(func() bool { return c.fronts["b"].crashTracker.Check("poison") != nil })
+	time.Sleep(crashNoticeTTL.Duration())
+	c.start("c")
+	c.eventually(func() bool { return c.fronts["c"].crashTracker.Check("poison") != nil })
+}
