--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -6,7 +6,8 @@
 // same content as one that crashed two endpoints are quarantined.
 //
 // Fronts only count crashes, without a [Quarantine]: their endpoints may run several
-// suspects at a time, so their [Config.CrashThreshold] is higher.
+// suspects at a time, so their [Config.CrashThreshold] is higher. They also find prompt
+// segments that crash engines whatever else a request holds, with a [SegmentTracker].
 package poison
 
 import (
--- a/core/poison/segments.go
+++ b/core/poison/segments.go
@@ -41,6 +41,8 @@
 	// each.
 	maxCrashes       = 256
 	maxCrashSegments = 256
+	// recentTime is longer than the time between two full states.
+	recentTime = 15 * mn.Second
 	// maxCleared bounds the segments that are known to be sound.
 	maxCleared = 4096
 )
@@ -402,8 +404,9 @@
 type SegmentCursor struct{ change int64 }
 
 // Since returns what this front observed since c of crashes and cleared segments, and
-// advances c. If all is set, it returns all that the front knows, for a peer that may
-// have missed what others observed.
+// advances c. If all is set, for a peer that may have missed what others observed, it
+// returns the crashes that Snapshot returns, and the segments cleared by any front within
+// recentTime.
 func (t *SegmentTracker) Since(c *SegmentCursor, all bool) (crashes []mn.EngineCrash, sound []mn.ClearedSegment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -411,16 +414,20 @@
 		return nil, nil
 	}
 	now := t.clock.Now()
-	for _, e := range t.crashes {
-		if all || e.change > c.change {
-			crashes = append(crashes, e.report(now))
-		}
-	}
 	for s, r := range t.cleared {
-		if all || r.change > c.change {
+		if all && now-r.at < recentTime || !all && r.change > c.change {
 			sound = append(sound, mn.ClearedSegment{Segment: s, Age: now - r.at})
 		}
 	}
+	if all {
+		c.change = t.changes
+		return t.snapshot(), sound
+	}
+	for _, e := range t.crashes {
+		if e.change > c.change {
+			crashes = append(crashes, e.report(now))
+		}
+	}
 	c.change = t.changes
 	return crashes, sound
 }
@@ -431,6 +438,12 @@
 func (t *SegmentTracker) Snapshot() (crashes []mn.EngineCrash, version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	crashes = t.snapshot()
+	return crashes, t.version
+}
+
+// snapshot returns the crashes for Snapshot.
+func (t *SegmentTracker) snapshot() (crashes []mn.EngineCrash) {
 	t.update()
 	now := t.clock.Now()
 	counts := t.count(nil)
@@ -445,7 +458,7 @@
 			crashes = append(crashes, out)
 		}
 	}
-	return crashes, t.version
+	return crashes
 }
 
 // report returns the crash as it is sent to peers at now.
--- a/front_state.go
+++ b/front_state.go
@@ -95,8 +95,8 @@
 	CatalogAge    Millis `json:"-"`
 	// Loads holds the load that the front places on endpoints.
 	Loads []EndpointLoad `json:"-"`
-	// Scope determines how much of Loads, Spent, Runs, Crashes and PrefilledPrompts
-	// is set.
+	// Scope determines how much of Loads, Spent, Runs, Crashes, EngineCrashes,
+	// ClearedSegments and PrefilledPrompts is set.
 	Scope StateScope `json:"-"`
 	// Spent is each customer's spending at this incarnation, in the unit of its
 	// rate.
@@ -106,8 +106,8 @@
 	// Crashes lists the recent endpoint crashes that this incarnation observed, or with
 	// ScopeAll, those of requests that it rejects because of them.
 	Crashes []CrashRecord `json:"-"`
-	// EngineCrashes and ClearedSegments are what the front knows of prompt segments that
-	// may crash engines, from its own observation or that of others.
+	// EngineCrashes and ClearedSegments are what the front observed of prompt segments
+	// that may crash engines, or with ScopeAll, what it knows of those that do.
 	EngineCrashes   []EngineCrash    `json:"-"`
 	ClearedSegments []ClearedSegment `json:"-"`
 	// PrefilledPrompts lists the prompt segments that endpoints recently prefilled,
