Split the segment tracker into deciding, evaluating and sharing

Cause: one file of 475 lines had three jobs. Change: functions moved to evaluate.go and share.go, unchanged; two comments. Result: go test ./core/poison passes.

--- a/core/poison/segments.go
+++ b/core/poison/segments.go
@@ -59,8 +59,9 @@
 // counted. A request that runs to its end clears its segments of the crashes before.
 // A segment with suspectCrashes crashes is a suspect: only one request with it may run
 // at a time, as a trial. If engines crash in trials, the segments with the most crashes
-// are in quarantine, and the crashes that they explain no longer count against others. Segments that were part of exactly the same crashes can't be told apart, so
-// only requests with all of them are rejected.
+// are in quarantine, and the crashes that they explain no longer count against others.
+// Segments that were part of exactly the same crashes can't be told apart, so only
+// requests with all of them are rejected.
 type SegmentTracker struct {
 	clock mn.Clock
 
@@ -108,8 +109,8 @@
 	return &SegmentTracker{clock: clock, cleared: map[string]cleared{}, running: map[string]bool{}}
 }
 
-// Trial is permission to run the only request with a suspected segment. The zero value,
-// and nil, are of requests without suspects.
+// Trial is permission to run the only request with a suspected segment. A request without
+// suspects has none; a nil Trial has no segments.
 type Trial struct {
 	tracker  *SegmentTracker
 	segments []string
@@ -271,118 +272,6 @@
 	return found
 }
 
-// update drops crashes that no longer count, and computes suspects and quarantined from
-// the others if that is due.
-func (t *SegmentTracker) update() {
-	oldest := t.clock.Now() - segmentTTL
-	if len(t.crashes) > 0 && t.crashes[0].at <= oldest {
-		t.crashes = slices.DeleteFunc(t.crashes, func(c *engineCrash) bool { return c.at <= oldest })
-		t.stale = true
-	}
-	if !t.stale {
-		return
-	}
-	if len(t.cleared) > maxCleared {
-		t.forgetCleared()
-	}
-	t.stale, t.quarantined = false, nil
-	t.version++
-	explained := map[*engineCrash]bool{}
-	counts := t.count(explained)
-	for set := worst(counts); set != nil; set = worst(counts) {
-		t.quarantined = append(t.quarantined, set)
-		for _, c := range counts[set[0]].crashes {
-			explained[c] = true
-		}
-		counts = t.count(explained)
-	}
-	before := t.suspects
-	t.suspects = map[string]mn.Millis{}
-	for s, n := range counts {
-		if len(n.crashes) < suspectCrashes {
-			continue
-		}
-		since, known := before[s]
-		if !known {
-			since = t.clock.Now()
-		}
-		t.suspects[s] = since
-	}
-}
-
-// forgetCleared drops the segments whose crashes have expired.
-func (t *SegmentTracker) forgetCleared() {
-	for s, c := range t.cleared {
-		if len(t.crashes) == 0 || c.at < t.crashes[0].at {
-			delete(t.cleared, s)
-		}
-	}
-}
-
-// crashCount holds the crashes that count against a segment.
-type crashCount struct {
-	crashes []*engineCrash
-	// trials is how many of the crashes were in a trial of the segment.
-	trials int
-}
-
-// proved reports whether the segment belongs into quarantine.
-func (n *crashCount) proved() bool {
-	return n.trials >= quarantineTrials || n.trials > 0 && len(n.crashes) >= sureCrashes
-}
-
-// count returns the crashes that count against each segment.
-func (t *SegmentTracker) count(explained map[*engineCrash]bool) map[string]*crashCount {
-	counts := map[string]*crashCount{}
-	for _, c := range t.crashes {
-		if explained[c] {
-			continue
-		}
-		for s, tried := range c.segments {
-			if c.at <= t.cleared[s].at {
-				continue
-			}
-			n := counts[s]
-			if n == nil {
-				n = &crashCount{}
-				counts[s] = n
-			}
-			n.crashes = append(n.crashes, c)
-			if tried {
-				n.trials++
-			}
-		}
-	}
-	return counts
-}
-
-// worst returns the segments that belong into quarantine next, sorted, or nil: those with
-// the most crashes, if that is proved. If several segments have as many, it returns those
-// that share all their crashes.
-func worst(counts map[string]*crashCount) []string {
-	most := 0
-	for _, n := range counts {
-		most = max(most, len(n.crashes))
-	}
-	var first string
-	for s, n := range counts {
-		if len(n.crashes) == most && n.proved() && (first == "" || s < first) {
-			first = s
-		}
-	}
-	if first == "" {
-		return nil
-	}
-	set := []string{}
-	for s, n := range counts {
-		if slices.Equal(n.crashes, counts[first].crashes) {
-			set = append(set, s)
-		}
-	}
-	slices.Sort(set)
-	return set
-}
-
 // Status is what a SegmentTracker knows, for logs and metrics.
 type Status struct {
 	// Crashes is the number of crashes that count, Suspects that of suspected segments.
@@ -398,91 +287,3 @@
 	t.update()
 	return Status{len(t.crashes), len(t.suspects), slices.Clone(t.quarantined)}
 }
-
-// SegmentCursor records what a peer front was sent. The zero value is for one that was
-// sent nothing.
-type SegmentCursor struct{ change int64 }
-
-// Since returns what this front observed since c of crashes and cleared segments, and
-// advances c. If all is set, for a peer that may have missed what others observed, it
-// returns the crashes that Snapshot returns, and the segments cleared by any front within
-// recentTime.
-func (t *SegmentTracker) Since(c *SegmentCursor, all bool) (crashes []mn.EngineCrash, sound []mn.ClearedSegment) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !all && c.change == t.changes {
-		return nil, nil
-	}
-	now := t.clock.Now()
-	for s, r := range t.cleared {
-		if all && now-r.at < recentTime || !all && r.change > c.change {
-			sound = append(sound, mn.ClearedSegment{Segment: s, Age: now - r.at})
-		}
-	}
-	if all {
-		c.change = t.changes
-		return t.snapshot(), sound
-	}
-	for _, e := range t.crashes {
-		if e.change > c.change {
-			crashes = append(crashes, e.report(now))
-		}
-	}
-	c.change = t.changes
-	return crashes, sound
-}
-
-// Snapshot returns the crashes that count against suspects and segments in quarantine,
-// with only these segments, for a process that starts after all others have ended. The
-// version changes with each change of what the tracker knows.
-func (t *SegmentTracker) Snapshot() (crashes []mn.EngineCrash, version int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	crashes = t.snapshot()
-	return crashes, t.version
-}
-
-// snapshot returns the crashes for Snapshot.
-func (t *SegmentTracker) snapshot() (crashes []mn.EngineCrash) {
-	t.update()
-	now := t.clock.Now()
-	counts := t.count(nil)
-	for _, c := range t.crashes {
-		out := c.report(now)
-		single := func(s string) bool {
-			n := counts[s]
-			return n == nil || len(n.crashes) < suspectCrashes || c.at <= t.cleared[s].at
-		}
-		out.Segments, out.Tried = slices.DeleteFunc(out.Segments, single), slices.DeleteFunc(out.Tried, single)
-		if len(out.Segments) > 0 {
-			crashes = append(crashes, out)
-		}
-	}
-	return crashes
-}
-
-// report returns the crash as it is sent to peers at now.
-func (c *engineCrash) report(now mn.Millis) mn.EngineCrash {
-	out := mn.EngineCrash{Endpoint: c.endpoint, Age: now - c.at}
-	for s, tried := range c.segments {
-		out.Segments = append(out.Segments, s)
-		if tried {
-			out.Tried = append(out.Tried, s)
-		}
-	}
-	slices.Sort(out.Segments)
-	slices.Sort(out.Tried)
-	return out
-}
-
-// Receive applies what a peer front observed or knows.
-func (t *SegmentTracker) Receive(crashes []mn.EngineCrash, sound []mn.ClearedSegment) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range crashes {
-		t.merge(c)
-	}
-	for _, s := range sound {
-		t.clear(s.Segment, t.clock.Now()-max(0, s.Age))
-	}
-}
