Send the head of a resumed stream that has no events left

A stream resumed after its last event has none, and net/http wrote a 200 of its own. Change: the head is sent at the end of a complete stream at the latest. Result: TestResumedStreamWithoutEventsBearsEndpointsHead failed before (no signature) and passes.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -353,6 +353,9 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
+			if !q.headSent { // A resumed stream may have no events left.
+				q.sendHead(a.Status, a.Header)
+			}
 			q.Balancer.ReportResult(id, false)
 			q.clearCrashes()
 			return result{}
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -153,3 +153,18 @@
 		})
 	}
 }
+
+// A caller that has got all events of a stream resumes it. The answer has no events, but it
+// is the endpoint's, with its status and its signature.
+func TestResumedStreamWithoutEventsBearsEndpointsHead(t *testing.T) {
+	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}})
+	resp, body, err := b.do("POST", "/resumable/", "p", "Tokens", "50", "Last", "7")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "s", resp.Header.Get("Seal"))
+	require.Empty(t, body)
+}
