Pass on a stream without events if its end is marked

Callers saw: 502 for a complete stream without events that is not resumed. Change: a stream without events is broken off only if it ends with its connection. Result: TestStreamWithoutEventsBearsEndpointsHead, which replaces the test of the resumed one and has it as a case, failed before for the case 'not resumed' and passes.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -321,7 +321,8 @@
 }
 
 // forwardStream forwards a stream event by event. An answer may end with its connection,
-// so a stream that ends inside an event, or has none, has been broken off.
+// so a stream that ends inside an event has been broken off, and so has one that ends with
+// its connection before the first.
 func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
 	id := plan.Target.ID
 	if !a.Signed || a.Header.Get("Content-Encoding") != "" {
@@ -349,11 +350,11 @@
 			}
 			buf = append(buf[:0], buf[end:]...)
 		}
-		if err == io.EOF && (len(buf) > 0 || q.lastEventAt == math.MaxInt64 && !q.mayLackEvents(a)) {
+		if err == io.EOF && (len(buf) > 0 || q.lastEventAt == math.MaxInt64 && a.EndsWithConn()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
-			if !q.headSent { // A resumed stream may have no events left.
+			if !q.headSent { // For example, a resumed stream has no events left.
 				q.sendHead(a.Status, a.Header)
 			}
 			q.Balancer.ReportResult(id, false)
@@ -368,12 +369,6 @@
 	}
 }
 
-// mayLackEvents reports whether a complete answer may have no events: it is resumed, the
-// caller may have all of them, and its end is marked.
-func (q *request) mayLackEvents(a *back.Answer) bool {
-	return (q.lastEvent != "" || q.info.LastEvent != "") && !a.EndsWithConn()
-}
-
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -154,17 +154,25 @@
 	}
 }
 
-// A caller that has got all events of a stream resumes it. The answer has no events, but it
-// is the endpoint's, with its status and its signature.
-func TestResumedStreamWithoutEventsBearsEndpointsHead(t *testing.T) {
-	b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
-		streamHead(c, r)
-		fmt.Fprint(c, "0\r\n\r\n")
-		return true
-	}})
-	resp, body, err := b.do("POST", "/resumable/", "p", "Tokens", "50", "Last", "7")
-	require.NoError(t, err)
-	require.Equal(t, 200, resp.StatusCode)
-	require.Equal(t, "s", resp.Header.Get("Seal"))
-	require.Empty(t, body)
+// A stream whose end is marked may have no events, for example if a caller that has got
+// all of them resumes it. It is passed on with the endpoint's status and signature.
+func TestStreamWithoutEventsBearsEndpointsHead(t *testing.T) {
+	cases := map[string][]string{
+		"resumed after the last event": {"/resumable/", "Tokens", "50", "Last", "7"},
+		"not resumed":                  {"/stream/", "Tokens", "50"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, map[string]script{"d1": func(r *http.Request, _ string, c net.Conn) bool {
+				streamHead(c, r)
+				fmt.Fprint(c, "0\r\n\r\n")
+				return true
+			}})
+			resp, body, err := b.do("POST", tc[0], "p", tc[1:]...)
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			require.Equal(t, "s", resp.Header.Get("Seal"))
+			require.Empty(t, body)
+		})
+	}
 }
