Review case: a key that was taken away runs again after the store turned a front away

Tried: the store answers 503 to the only front for 9 s while seven configurations of 235 KB are written, the last without the key. A read of the log returns 1,024 KB, so the front catches up in two reads and takes the first for the end. The stand-ins of the scripts come with this case.

--- /dev/null
+++ b/review/stand/client.go
@@ -0,0 +1,74 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// request is a client's request and its answer.
+type request struct {
+	sent   time.Time
+	id     string
+	key    string
+	path   string
+	front  string
+	status int
+	answer string
+	sealed bool
+	// retryAfter is when the client may come back.
+	retryAfter time.Duration
+}
+
+// client sends idempotent requests on connections that it keeps.
+type client struct {
+	http *http.Client
+
+	mu   sync.Mutex
+	sent []request
+}
+
+func newClient() *client {
+	return &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}, Timeout: 2 * time.Second}}
+}
+
+// get sends one request and records it.
+func (c *client) get(f *front, path, key string) request {
+	q := request{id: fmt.Sprintf("%016x", rand.Uint64()), key: key, path: path, front: f.name}
+	r, err := http.NewRequest(http.MethodGet, "http://"+f.addr+path, nil)
+	if err != nil {
+		panic(err) // The path is constant.
+	}
+	r.Host = host
+	r.Header.Set("X-Request-Id", q.id)
+	r.Header.Set("X-Deadline-Ms", "1000")
+	r.Header.Set("Authorization", "Bearer "+key)
+	q.sent = time.Now()
+	if resp, err := c.http.Do(r); err == nil {
+		b, readErr := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if readErr == nil {
+			q.status, q.answer, q.sealed = resp.StatusCode, string(b), resp.Header.Get("X-Server-Seal") != ""
+		}
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+			q.retryAfter = time.Duration(s * float64(time.Second))
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, q)
+	return q
+}
+
+// all returns the requests sent so far.
+func (c *client) all() []request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]request(nil), c.sent...)
+}
