--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mustardnotch ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand crashing-request review/3/record.txt
+exec target/review-stand late-call review/3/record.txt
--- a/review/stand/front.go
+++ b/review/stand/front.go
@@ -76,12 +76,12 @@
 `
 
 // newFront writes the settings of a front into dir.
-func newFront(dir string, n int, storeAddr, cloudAddr string) (*front, error) {
+func newFront(dir, name, storeAddr, cloudAddr string) (*front, error) {
 	ports, err := freePorts(4)
 	if err != nil {
 		return nil, err
 	}
-	f := &front{name: fmt.Sprintf("front-%s-%d", zone, n), file: filepath.Join(dir, fmt.Sprintf("front-%d.conf", n)), log: filepath.Join(dir, fmt.Sprintf("front-%d.log", n))}
+	f := &front{name: name, file: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log")}
 	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i])) }
 	f.addr, f.ready = at(0), at(1)
 	own := fmt.Sprintf("node_name=%s\nzone=%s\nip=127.0.0.1\nlisten.frontend=%s\nlisten.readiness=%s\nport_range=%d,%d\nprovider.address=%s\ncloud_api.address=%s\n",
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,12 +38,16 @@
 	fleet   *fleet
 	fronts  []*front
 	version int
+	// connect returns the addresses at which a front finds the store and the receiver of
+	// duty calls; if it is nil, it finds them at their own.
+	connect func(front, storeAddr string) (store, cloud string, err error)
 }
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"crashing-request": crashingRequest,
 	"extra-answer":     extraAnswers,
+	"late-call":        lateCall,
 	"revoked-key":      revokedKey,
 }
 
@@ -137,7 +141,13 @@
 		}
 	}
 	for n := range fronts {
-		f, err := newFront(w.dir, n+1, storeAddr, cloudAddr)
+		name, store, cloud := fmt.Sprintf("front-%s-%d", zone, n+1), storeAddr, cloudAddr
+		if w.connect != nil {
+			if store, cloud, err = w.connect(name, storeAddr); err != nil {
+				return err
+			}
+		}
+		f, err := newFront(w.dir, name, store, cloud)
 		if err != nil {
 			return err
 		}
