--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -78,3 +78,17 @@
 	defer c.mu.Unlock()
 	return append([]request(nil), c.sent...)
 }
+
+// list writes all requests to the record, with their answers and where they ran.
+func (w *world) list(title string, c *client) {
+	runs, _ := w.fleet.all()
+	byID := map[string][]string{}
+	for _, r := range runs {
+		byID[r.id] = append(byID[r.id], fmt.Sprintf("%s at %.3f", r.runner, r.at.Sub(w.started).Seconds()))
+	}
+	fmt.Fprintf(w.record, "\n%s: sent at (s), id, front, path, key, status (0 is none), runs\n", title)
+	for _, q := range c.all() {
+		fmt.Fprintf(w.record, "%.3f %s %s %s %s %d %s\n", q.sent.Sub(w.started).Seconds(), q.id, q.front, q.path, q.key, q.status, strings.Join(byID[q.id], ", "))
+	}
+	fmt.Fprintln(w.record)
+}
--- a/review/stand/crashing.go
+++ b/review/stand/crashing.go
@@ -82,6 +82,8 @@
 // that crash runners reached them after the fronts were in touch again.
 func (w *world) checkCrashing(deadly, sound *client, touch time.Time) (bool, error) {
 	runs, crashes := w.fleet.all()
+	w.list("sound requests", sound)
+	w.list("requests that crash runners", deadly)
 	w.say("runners crashed %d times", len(crashes))
 	if len(crashes) < 3 {
 		return false, nil
--- a/review/stand/extra.go
+++ b/review/stand/extra.go
@@ -13,9 +13,9 @@
 	// extraRunners of four runners send an extra answer after extraShare of theirs, for
 	// extraFor at a time, extraTimes times.
 	extraRunners = 2
-	extraShare   = 0.05
+	extraShare   = 0.03
 	extraFor     = 5 * time.Second
-	extraTimes   = 4
+	extraTimes   = 6
 	// bookers is how many clients book, each a booking every bookPause.
 	bookers   = 14
 	bookPause = 200 * time.Millisecond
@@ -69,6 +69,7 @@
 	for _, r := range runs {
 		byID[r.id] = append(byID[r.id], r)
 	}
+	w.list("all requests", c)
 	twice, booked, refused, counts := 0, 0, 0, map[int]int{}
 	for _, q := range c.all() {
 		if !strings.HasPrefix(q.path, "/pule252/") {
--- a/review/stand/front.go
+++ b/review/stand/front.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -75,42 +76,42 @@
 provider.keep_s=300
 `
 
+// Ports of a front, as on the platform. Each front has a loopback address of its own.
+const (
+	callerPort, readyPort = 8360, 8365
+	firstPort, lastPort   = 7500, 7515
+)
+
 // newFront writes the settings of a front into dir.
 func newFront(dir, name, storeAddr, cloudAddr string) (*front, error) {
-	ports, err := freePorts(4)
+	ip, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
 	f := &front{name: name, file: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log")}
-	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i])) }
-	f.addr, f.ready = at(0), at(1)
-	own := fmt.Sprintf("node_name=%s\nzone=%s\nip=127.0.0.1\nlisten.frontend=%s\nlisten.readiness=%s\nport_range=%d,%d\nprovider.address=%s\ncloud_api.address=%s\n",
-		f.name, zone, f.addr, f.ready, ports[2], ports[3], storeAddr, cloudAddr)
+	f.addr, f.ready = hostPort(ip, callerPort), hostPort(ip, readyPort)
+	own := fmt.Sprintf("node_name=%s\nzone=%s\nip=%s\nlisten.frontend=%s\nlisten.readiness=%s\nport_range=%d,%d\nprovider.address=%s\ncloud_api.address=%s\n",
+		f.name, zone, ip, f.addr, f.ready, firstPort, lastPort, storeAddr, cloudAddr)
 	return f, os.WriteFile(f.file, []byte(own+settings), 0o600)
 }
 
-// freePorts returns n free ports in a row.
-func freePorts(n int) ([]int, error) {
+func hostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+// freeAddress returns a random loopback address at which the ports of a front are free.
+func freeAddress() (string, error) {
 next:
-	for range 200 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		l.Close()
-		var ports []int
-		for i := range n {
-			l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+		for _, port := range []int{callerPort, readyPort, firstPort, firstPort + 1} {
+			l, err := net.Listen("tcp", hostPort(ip, port))
 			if err != nil {
 				continue next
 			}
 			l.Close()
-			ports = append(ports, first+i)
 		}
-		return ports, nil
+		return ip, nil
 	}
-	return nil, errors.New("no free ports in a row")
+	return "", errors.New("no loopback address with free ports")
 }
 
 // command returns the words of `run` of the role in the deploy file.
--- a/review/stand/holder.go
+++ b/review/stand/holder.go
@@ -127,6 +127,7 @@
 	time.Sleep(10 * time.Second)
 	close(stop)
 	wg.Wait()
+	w.list("all requests", c)
 	return w.checkFences(api.all(), healed), nil
 }
 
--- a/review/stand/revoked.go
+++ b/review/stand/revoked.go
@@ -16,7 +16,7 @@
 	largeRoutes = 1080
 	// storm and stormGap are the configurations in quick succession: the doses of the
 	// sheets are 0.33 s apart for 4 s.
-	storm    = 7
+	storm    = 11
 	stormGap = 330 * time.Millisecond
 	// refusedFor is how long the store turns the front away: 9 s on the sheets.
 	refusedFor = 9 * time.Second
@@ -84,6 +84,7 @@
 	for _, r := range runs {
 		ranAt[r.id] = r
 	}
+	w.list("all requests", c)
 	late, counts := 0, map[string]map[int]int{}
 	for _, q := range c.all() {
 		if counts[q.key] == nil {
