--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,7 +27,7 @@
 	retryAfter time.Duration
 }
 
-// client sends idempotent requests on connections that it keeps.
+// client sends requests on connections that it keeps, and repeats none.
 type client struct {
 	http *http.Client
 
@@ -38,10 +39,15 @@
 	return &client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true}, Timeout: 2 * time.Second}}
 }
 
-// get sends one request and records it.
+// get sends an idempotent request and records it.
 func (c *client) get(f *front, path, key string) request {
+	return c.send(f, http.MethodGet, path, key, "")
+}
+
+// send sends one request and records it.
+func (c *client) send(f *front, method, path, key, body string) request {
 	q := request{id: fmt.Sprintf("%016x", rand.Uint64()), key: key, path: path, front: f.name}
-	r, err := http.NewRequest(http.MethodGet, "http://"+f.addr+path, nil)
+	r, err := http.NewRequest(method, "http://"+f.addr+path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // The path is constant.
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -43,6 +43,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"crashing-request": crashingRequest,
+	"extra-answer":     extraAnswers,
 	"revoked-key":      revokedKey,
 }
 
@@ -56,7 +57,7 @@
 
 func play(name, file string) int {
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), store: newStore()}
-	w.fleet = &fleet{store: w.store}
+	w.fleet = &fleet{store: w.store, extraAt: map[string]string{}}
 	var err error
 	if w.record, err = os.Create(file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -3,13 +3,17 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +44,13 @@
 	next  int
 	runs  []run
 	crash []time.Time
+	// extra is the share of the answers of the first faulty runners after which an extra
+	// answer follows late, 0 for none. extras is how many have followed.
+	extra  float64
+	faulty int
+	extras []time.Time
+	// extraAt holds the requests where an extra answer arrived, and the runner.
+	extraAt map[string]string
 }
 
 // runner is one incarnation of a runner.
@@ -53,8 +64,21 @@
 	waiting chan struct{}
 	stop    chan struct{}
 	once    sync.Once
+	number  int
 }
 
+// connection is a connection to a runner.
+type connection struct {
+	net.Conn
+	// extra means that an extra answer follows where the next one is expected.
+	extra atomic.Bool
+	// last is the id of the last request that was answered on it.
+	last string
+}
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
 // start starts a runner at addr, or at a free port if addr is empty.
 func (f *fleet) start(addr string) error {
 	if addr == "" {
@@ -66,11 +90,13 @@
 	}
 	f.mu.Lock()
 	f.next++
-	id := fmt.Sprintf("i-%04d", f.next)
+	id, n := fmt.Sprintf("i-%04d", f.next), f.next
 	f.mu.Unlock()
 	r := &runner{fleet: f, id: id, addr: l.Addr().String(), born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, slots), waiting: make(chan struct{}, slots+queued), stop: make(chan struct{})}
-	r.server = &http.Server{Handler: r, IdleTimeout: 10 * time.Second}
+		slots: make(chan struct{}, slots), waiting: make(chan struct{}, slots+queued), stop: make(chan struct{}), number: n}
+	r.server = &http.Server{Handler: r, IdleTimeout: 10 * time.Second, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connection{Conn: c})
+	}}
 	go func() { _ = r.server.Serve(l) }() // It ends when the runner ends.
 	go r.writeEntries()
 	return nil
@@ -113,6 +139,10 @@
 	if err != nil {
 		return
 	}
+	c := q.Context().Value(connectionKey{}).(*connection)
+	if c.extra.Swap(false) {
+		r.sendExtra(c, q.Header.Get("X-Request-Id"))
+	}
 	h, id := w.Header(), q.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
 	h.Set("Keep-Alive", "timeout=10")
@@ -144,6 +174,36 @@
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", len(r.slots), max(0, len(r.waiting)-len(r.slots)), slots))
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer) // The front may have gone.
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.last = id
+	if r.number <= r.faulty && rand.Float64() < r.extra {
+		c.extra.Store(true)
+	}
+}
+
+// sendExtra sends bytes that belong to no request where the answer to request id is
+// expected: an answer as a runner sheds a request, which `fleetbench wire` shows so. With
+// EXTRA=id it bears the id of the request that was answered before.
+func (r *runner) sendExtra(c *connection, id string) {
+	answer := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+	if os.Getenv("EXTRA") == "id" {
+		answer += "X-Request-Id: " + c.last + "\r\n"
+	}
+	if _, err := io.WriteString(c.Conn, answer+"\r\n"); err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.extras = append(r.extras, time.Now())
+	r.extraAt[id] = r.id
+}
+
+// setExtra has the first faulty runners send an extra answer after a share of theirs.
+func (f *fleet) setExtra(faulty int, share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faulty, f.extra = faulty, share
 }
 
 // all returns what the runners ran, and when they crashed.
