Take back calls that got no answer

Cause: a call that was given up closed its connection in the ordinary way, so that the operating system went on sending it. Change: one dialer for HTTP calls and requests to endpoints. Its connections are reset when they are closed; those to the platform also fail if bytes stay unacknowledged for 0.9 s, since a stopped process closes nothing. io/back's dialer moves there.

--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -292,3 +293,22 @@
 	}
 	require.Len(t, c.idle[e.addr], 2)
 }
+
+// A request that was given up must not reach the endpoint after a partition: its deadline
+// counts from its arrival.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	e := newEndpoint(t, func(_ int64, _ net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			ended <- err
+			return
+		}
+		_, err := br.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := New(mn.NewSystemClock(), "").Do(ctx, dialect{}, call(e, "1"))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 	"net"
-	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	mn "mustardnotch"
+	"mustardnotch/io/wire"
 )
 
 const (
@@ -25,11 +25,6 @@
 	// ackTimeout is how long sent bytes may stay unacknowledged before a connection
 	// fails.
 	ackTimeout = 1500 * mn.Millisecond
-	// probeIdle, probeInterval and probeCount are the TCP keep-alive parameters that
-	// detect a peer which has become unreachable.
-	probeIdle     = 1 * mn.Second
-	probeInterval = 700 * mn.Millisecond
-	probeCount    = 2
 	// defaultIdleTime bounds the idle time of a connection to an endpoint that does
 	// not announce its own keep-alive time.
 	defaultIdleTime = 4 * mn.Second
@@ -57,7 +52,7 @@
 // concurrent use.
 type Client struct {
 	clock  mn.Clock
-	dialer net.Dialer
+	dialer *wire.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -66,24 +61,7 @@
 // New returns a client that connects from the local IP address, or from any if it
 // is empty.
 func New(clock mn.Clock, local string) *Client {
-	c := &Client{clock: clock, idle: map[string][]*conn{}}
-	c.dialer = net.Dialer{
-		Timeout: dialTimeout.Duration(),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle.Duration(), Interval: probeInterval.Duration(), Count: probeCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			ctlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout))
-			})
-			return errors.Join(ctlErr, err)
-		},
-	}
-	if a, err := netip.ParseAddr(local); err == nil && !a.IsUnspecified() {
-		c.dialer.LocalAddr = &net.TCPAddr{IP: a.AsSlice()}
-	}
-	return c
+	return &Client{clock: clock, dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections.
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -32,7 +32,7 @@
 
 // New returns a client of the platform at base, a URL without a path.
 func New(base string) *Client {
-	return &Client{base: base, http: wire.NewHTTPClient()}
+	return &Client{base: base, http: wire.NewPlatformClient()}
 }
 
 // appendAnswer is the platform's answer to an append.
--- a/io/wire/drpc.go
+++ b/io/wire/drpc.go
@@ -63,7 +63,7 @@
 			Expiration:  idleExpiration.Duration(),
 			KeyCapacity: idlePerPeer,
 		}),
-		dialer: net.Dialer{Timeout: dialTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout.Duration()},
 	}
 	if a, err := netip.ParseAddrPort(local); err == nil && !a.Addr().IsUnspecified() {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
--- a/io/wire/http.go
+++ b/io/wire/http.go
@@ -18,17 +18,29 @@
 )
 
 const (
-	dialTimeout      = 2 * time.Second
+	dialTimeout = 2 * mn.Second
+	// platformAckTimeout is how long bytes sent to the platform may stay unacknowledged.
+	// It is shorter than the time by which a holder's last call precedes the end of its
+	// lease, so that no call arrives after that of the next holder.
+	platformAckTimeout = 900 * mn.Millisecond
+
 	maxIdlePerHost   = 256
 	maxErrorBody     = 4 << 10
 	maxResponseBytes = 64 << 20
 )
 
 // NewHTTPClient returns a client for one peer. It follows no redirects and ignores
-// the proxy settings in the environment.
-func NewHTTPClient() *http.Client {
+// the proxy settings in the environment. A call that is given up can't reach the peer
+// later, unless it is already there.
+func NewHTTPClient() *http.Client { return newHTTPClient(0) }
+
+// NewPlatformClient is like [NewHTTPClient] for the platform: its calls don't reach the
+// platform later even if this process is stopped.
+func NewPlatformClient() *http.Client { return newHTTPClient(platformAckTimeout) }
+
+func newHTTPClient(ackTimeout mn.Millis) *http.Client {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         NewDialer(dialTimeout, ackTimeout, "").DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 	}
--- /dev/null
+++ b/io/wire/http_test.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	mn "mustardnotch"
+)
+
+// heldCall sends a request over a connection on which nobody answers, and returns how the
+// server sees the connection end once the caller has given up.
+func heldCall(t *testing.T, c *http.Client) error {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err != nil {
+			ended <- err
+			return
+		}
+		_, err = r.ReadByte()
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr().String()+"/", nil)
+	require.NoError(t, err)
+	_, err = Fetch(c, req, 1)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	return <-ended
+}
+
+// A connection that is closed in the ordinary way goes on delivering what was written to it
+// before, for as long as the network takes. Only a reset takes it back.
+func TestAbandonedCallIsReset(t *testing.T) {
+	require.ErrorIs(t, heldCall(t, NewHTTPClient()), syscall.ECONNRESET)
+	require.ErrorIs(t, heldCall(t, NewPlatformClient()), syscall.ECONNRESET)
+}
+
+// A process that is stopped closes no connection, so the operating system has to take back
+// what was sent.
+func TestPlatformCallsAreDroppedWhileUnacknowledged(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	conn, err := NewDialer(mn.Second, platformAckTimeout, "").DialContext(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		timeout, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		require.NoError(t, err)
+		require.EqualValues(t, platformAckTimeout, timeout)
+	}))
+}
+
+// A reset must not cost an answer that was read completely.
+func TestConnectionThatEndsAfterAnswerIsNoError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			w.Header().Set("Connection", "close")
+			_, err = w.Write(body)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	})}
+	go s.Serve(l)
+	defer s.Close()
+	c := NewPlatformClient()
+	for range 20 {
+		var out int
+		require.NoError(t, DoJSON(t.Context(), c, http.MethodPost, "http://"+l.Addr().String()+"/", 7, &out))
+		require.Equal(t, 7, out)
+	}
+}
