Read feeds up to their end or not at all

Cause: an answer of the store holds 1,024 KB at most. The client left out where the feed ends, so readers took the first answer for all there is, confirmed it as the newest, and told peers so. Change: Follow returns all records up to the end or MN406; readers then take the newest record of each key.

--- a/codedocs.go
+++ b/codedocs.go
@@ -66,6 +66,8 @@
 		Text: "The log holds a record that this release can't read. If its version is newer than the release supports, upgrade the process."},
 	{Code: RecordsExpired, Title: "log records expired", Severity: SeverityOperator, Outcome: OutcomeNotRun,
 		Text: "Records that this process still needs have expired from the log, and no snapshot covers them."},
+	{Code: ReadIncomplete, Title: "read incomplete", Severity: SeverityRetry, Outcome: OutcomeNotRun,
+		Text: "A feed has more records than one answer of the platform's store holds. The reader takes the newest record of each key instead."},
 	{Code: LeaseLost, Title: "control lease lost", Severity: SeverityRetry, Outcome: OutcomeNotRun,
 		Text: "The process does not hold the control lease, or the lease ends too soon for the call."},
 	{Code: OrderExpired, Title: "order expired", Severity: SeverityRetry, Outcome: OutcomeNotRun,
--- a/codes.go
+++ b/codes.go
@@ -66,6 +66,7 @@
 	BadSetting          Code = 403
 	UnknownRecord       Code = 404
 	RecordsExpired      Code = 405
+	ReadIncomplete      Code = 406
 	LeaseLost           Code = 501
 	OrderExpired        Code = 502
 	OrderStale          Code = 503
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -226,16 +226,17 @@
 	return after, nil
 }
 
-// readFeed returns the records of a feed from offset next on, and waits up to wait
-// for the first one. If next is negative or its records have expired, it returns
-// the newest item of each key instead, and snapshot is true. The result after is
-// the offset to read from next.
+// readFeed returns the records of a feed from offset next up to its end, and waits up to
+// wait for the first one. If next is negative, its records have expired or they don't fit
+// in one answer, it returns the newest item of each key instead, and snapshot is true.
+// The result after is the offset to read from next.
 func (f *Front) readFeed(ctx context.Context, feed mn.FeedKind, next mn.Offset, wait mn.Millis) (items []mn.Item, after mn.Offset, snapshot bool, err error) {
 	if next >= 0 {
 		items, after, err = f.platform.Store.Follow(ctx, feed, next, wait)
-		if mn.CodeOf(err) != mn.RecordsExpired {
+		if code := mn.CodeOf(err); code != mn.RecordsExpired && code != mn.ReadIncomplete {
 			return items, after, false, err
 		}
+		f.log.WithFields(logrus.Fields{"event": "feed_relisted", "feed": feed, "offset": next}).Info(err)
 	}
 	items, after, err = f.platform.Store.Newest(ctx, feed)
 	return items, after, true, err
@@ -403,7 +404,7 @@
 			return f.fetchCatalog(ctx, state.Addr)
 		})
 	case state.CatalogOffset == own && sent > 0:
-		f.view.confirm(0, sent-state.CatalogAge-peerAgeSlack)
+		f.view.confirm(sent - state.CatalogAge - peerAgeSlack)
 	}
 }
 
@@ -427,8 +428,8 @@
 			return err
 		}
 	}
-	f.view.apply(i)
-	return nil
+	_, err = f.view.apply(i)
+	return err
 }
 
 // receiveListEvidence uses a peer's evidence that its list of endpoints is the
--- a/node/front_view.go
+++ b/node/front_view.go
@@ -42,7 +42,8 @@
 	mu          sync.Mutex
 	catalogItem mn.Item
 	table       *paths.Table
-	// next is the offset from which the catalog feed is read next.
+	// next is the offset from which the catalog feed is read next, or -1 before this front
+	// has read it.
 	next mn.Offset
 	// confirmedAt is the latest time at which the catalog is known to have been the
 	// newest.
@@ -58,7 +59,7 @@
 }
 
 func newFrontView(f *Front) *frontView {
-	v := &frontView{Front: f}
+	v := &frontView{Front: f, next: -1}
 	v.feed = newListFeed(v)
 	v.confirmer = &listConfirmer{view: v}
 	return v
@@ -113,20 +114,21 @@
 	v.setList(list, at)
 }
 
-// apply puts the catalog of an item in force unless a newer one is in force.
-func (v *frontView) apply(i mn.Item) {
+// apply puts the catalog of an item in force unless a newer one is in force. It returns
+// false if the item is not a catalog, and an error if the catalog can't be read.
+func (v *frontView) apply(i mn.Item) (found bool, err error) {
 	c, err := v.platform.Store.Catalog(i)
 	if err != nil {
 		v.log.WithFields(logrus.Fields{"event": "config_unreadable", "offset": i.Offset}).Error(err)
-		return
+		return true, err
 	}
 	if c == nil {
-		return
+		return false, nil
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.table != nil && (i.Offset <= v.catalogItem.Offset || c.Version < v.table.Catalog.Version) {
-		return
+		return true, nil
 	}
 	v.catalogItem, v.table = i, paths.New(c)
 	v.limiter.SetRates(c.Customers)
@@ -134,17 +136,23 @@
 	v.balancer.RequestUrgentUpdate()
 	v.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "offset": i.Offset,
 		"routes": len(c.Routes), "customers": len(c.Customers)}).Info()
+	return true, nil
 }
 
-// confirm records that the catalog was the newest at time at, and that it includes
-// the catalog feed up to offset next.
-func (v *frontView) confirm(next mn.Offset, at mn.Millis) {
+// confirm records that the catalog was the newest at time at.
+func (v *frontView) confirm(at mn.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.next = max(v.next, next)
 	v.confirmedAt = max(v.confirmedAt, at)
 }
 
+// advance records that the catalog feed has been read up to offset next.
+func (v *frontView) advance(next mn.Offset) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next = max(v.next, next)
+}
+
 // position returns the offset from which to read the catalog feed, and reports
 // whether there is a catalog.
 func (v *frontView) position() (next mn.Offset, known bool) {
@@ -174,7 +182,8 @@
 	return nil
 }
 
-// readCatalog reads the catalog feed once and applies the changes.
+// readCatalog reads the catalog feed once and applies the changes. The catalog is
+// confirmed only if the newest one in the feed could be read.
 func (v *frontView) readCatalog(ctx context.Context) error {
 	sent := v.clock.Now()
 	next, known := v.position()
@@ -185,15 +194,22 @@
 	if err != nil {
 		return err
 	}
+	var newestErr error
 	for _, i := range items {
-		v.apply(i)
+		if found, err := v.apply(i); found {
+			newestErr = err
+		}
+	}
+	if newestErr != nil {
+		return newestErr // The offset stays, or the next read would find nothing and confirm the catalog.
 	}
 	confirmed := sent
-	if !snapshot && len(items) == 0 {
+	if !snapshot && len(items) == 0 && v.clock.Now()-sent >= catalogPollTimeout {
 		// The store checks for changes once more at the end of the wait.
-		confirmed = min(sent+catalogPollTimeout, v.clock.Now())
+		confirmed = sent + catalogPollTimeout
 	}
-	v.confirm(after, confirmed)
+	v.advance(after)
+	v.confirm(confirmed)
 	if _, known := v.position(); !known {
 		_ = v.clock.Sleep(ctx, emptyCatalogPause) // No configuration was written yet.
 	}
--- a/store.go
+++ b/store.go
@@ -35,10 +35,12 @@
 	// Newest returns the newest item of each key. The items include every record
 	// before next.
 	Newest(ctx context.Context, feed FeedKind) (items []Item, next Offset, err error)
-	// Follow returns the records from offset from onwards and the offset that
-	// follows them. A deleted key has an empty value. If there are no records yet,
-	// Follow waits for one for up to wait. It fails with code [RecordsExpired] if
-	// the record at offset from has expired.
+	// Follow returns the records from offset from up to the end of the feed, and the
+	// offset that follows them. A deleted key has an empty value. If there are no
+	// records yet, Follow waits for one for up to wait. It fails with code
+	// [RecordsExpired] if the record at offset from has expired, and with code
+	// [ReadIncomplete] if it gets only some of the records, so that what it returns is
+	// always all that the feed holds.
 	Follow(ctx context.Context, feed FeedKind, from Offset, wait Millis) (items []Item, next Offset, err error)
 	// Put appends a record and returns its offset. If at is not negative, Put fails
 	// with code [Conflict] unless the feed ends at that offset.
