Believe an answer only if it can belong to the request

Callers saw: a booking runs at two endpoints. Cause: an answer was matched by its id, and without one it counted as that to the last request. An endpoint may send any earlier answer again, also a refusal of the same request. Change: one place decides whose an answer is. A connection doesn't carry an id twice, and is replaced after 256 requests; an answer without an id counts on its first request only.

--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -22,7 +22,7 @@
 type dialect struct{ mn.Dialect }
 
 func (dialect) ParseReply(_ int, h http.Header) mn.ReplyInfo {
-	return mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Signed: true, Closing: h.Get("Connection") == "close"}
+	return mn.ReplyInfo{ID: mn.RequestID(strings.Join(h.Values("Id"), ",")), Signed: h.Get("Not-Run") == "", NotRun: h.Get("Not-Run") != "", Closing: h.Get("Connection") == "close"}
 }
 
 // endpoint is a listener whose connections a function serves.
@@ -312,3 +312,83 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
 }
+
+// Bytes after a complete answer belong to no request, whatever they look like. An answer
+// is believed only if it names the request on a connection that has not carried it before,
+// or if the connection has carried no other.
+func TestAnswerIsAttributedOnProof(t *testing.T) {
+	refusal := func(id string) string {
+		if id != "" {
+			id = "Id: " + id + "\r\n"
+		}
+		return "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + id + "Content-Length: 0\r\n\r\n"
+	}
+	cases := map[string]struct {
+		// extra is sent where the answer to the second request is expected.
+		extra string
+		// first and second are the ids of the requests.
+		first, second string
+		// err is set if the second call must fail, since its answer can't be told.
+		err bool
+	}{
+		"refusal that names no request":       {refusal(""), "1", "2", true},
+		"success that names no request":       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "1", "2", true},
+		"refusal of the earlier request":      {refusal("1"), "1", "2", false},
+		"earlier refusal of the same request": {refusal("1"), "1", "1", false},
+		"earlier success of the same request": {okAnswer("1", "other"), "1", "1", false},
+		"refusal that names two requests":     {strings.Replace(refusal("2"), "Id: 2", "Id: 1\r\nId: 2", 1), "1", "2", false},
+		"refusals of two earlier requests":    {refusal("0") + refusal("1"), "1", "2", false},
+		"no extra answer":                     {"", "1", "2", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if n > 0 {
+						fmt.Fprint(c, tc.extra)
+					}
+					fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "own"))
+				}
+			})
+			c := New(mn.NewSystemClock(), "")
+			b, err := readBody(t, c, call(e, tc.first))
+			require.NoError(t, err)
+			require.Equal(t, "own", b)
+			b, err = readBody(t, c, call(e, tc.second))
+			if tc.err {
+				var sent *Error
+				require.ErrorAs(t, err, &sent)
+				require.True(t, sent.Sent, "the request may have run")
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "own", b)
+		})
+	}
+}
+
+// A refusal that names no request can only be meant for the first one on a connection.
+func TestRefusalWithoutIDOnNewConnection(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(*http.Request) string { return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" }))
+	c := New(mn.NewSystemClock(), "")
+	a, err := c.Do(t.Context(), dialect{}, call(e, "1"))
+	require.NoError(t, err)
+	defer a.Close()
+	require.Equal(t, http.StatusServiceUnavailable, a.Status)
+	require.True(t, a.NotRun)
+}
+
+// The ids that a connection remembers are bounded, and so is its use.
+func TestConnectionIsReplacedWhenItHasCarriedManyRequests(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
+	c := New(mn.NewSystemClock(), "")
+	for i := range 2*maxCarried + 1 {
+		_, err := readBody(t, c, call(e, fmt.Sprint(i)))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 3, e.conns.Load())
+}
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -81,7 +81,7 @@
 // Do sends call and returns its answer as soon as the headers have arrived. Its
 // error is an [Error]. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, d mn.Dialect, call *Call) (*Answer, error) {
-	conn, err := c.get(ctx, call.Addr, call.MaxIdleTime)
+	conn, err := c.get(ctx, call.Addr, call.ID, call.MaxIdleTime)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -109,6 +109,8 @@
 	}
 	request.Write(call.Body)
 	req := &http.Request{Method: call.Method}
+	first := len(conn.carried) == 0
+	conn.carried = append(conn.carried, call.ID)
 	writeErr := make(chan error, 1)
 	write := func() {
 		_, err := conn.Write(request.Bytes())
@@ -126,10 +128,11 @@
 			return nil, err
 		}
 		info := d.ParseReply(resp.StatusCode, resp.Header)
-		if info.ID == "" && info.Signed && call.ID != "" {
-			return nil, errors.New("signed answer has no request id")
+		own, err := call.owns(info, first)
+		if err != nil {
+			return nil, err
 		}
-		if info.ID == "" || info.ID == call.ID {
+		if own {
 			conn.limiter.left = math.MaxInt64 // the body has limits of its own
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Skipped: skipped,
 				client: c, addr: call.Addr, maxIdle: call.MaxIdleConns, conn: conn, resp: resp, writeErr: writeErr}, nil
@@ -142,6 +145,21 @@
 	return nil, fmt.Errorf("more than %d answers to other requests", maxForeignAnswers)
 }
 
+// owns reports whether an answer belongs to the call, which is the first one on its
+// connection if first is set. It is the only place that decides this. The connection has
+// not carried a request with the id of the call before, so an answer with that id can't be
+// an earlier one that comes once more. An answer without an id may be the rest of an
+// earlier one unless there was none.
+func (call *Call) owns(info mn.ReplyInfo, first bool) (bool, error) {
+	switch {
+	case info.ID == "" && info.Signed && call.ID != "":
+		return false, errors.New("signed answer has no request id")
+	case info.ID == "" && call.ID != "" && !first:
+		return false, errors.New("answer on a connection that was used before has no request id")
+	}
+	return info.ID == "" || info.ID == call.ID, nil
+}
+
 // readFinal reads an answer and skips interim ones.
 func readFinal(conn *conn, req *http.Request) (*http.Response, error) {
 	for {
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,9 @@
 	// maxIdlePerAddr bounds the idle connections to one endpoint.
 	maxIdlePerAddr = 24
 	readBuffer     = 8 << 10
+	// maxCarried is how many requests a connection carries before it is replaced. It
+	// remembers their ids.
+	maxCarried = 256
 )
 
 // conn is a connection to an endpoint.
@@ -42,6 +46,9 @@
 	reader *bufio.Reader
 	// limiter bounds what reader reads while it reads heads.
 	limiter *headLimiter
+	// carried holds the ids of the requests that were sent on the connection. Its endpoint
+	// may send an answer to any of them once more.
+	carried []mn.RequestID
 	// idleAt is when the connection became idle, and maxIdleTime how long it may stay
 	// idle.
 	idleAt      mn.Millis
@@ -77,11 +84,11 @@
 	}
 }
 
-// get returns a connection to addr that has been idle for less than maxIdleTime, or
-// a new one.
-func (c *Client) get(ctx context.Context, addr string, maxIdleTime mn.Millis) (*conn, error) {
+// get returns a connection to addr that has been idle for less than maxIdleTime and has
+// not carried request id, or a new one.
+func (c *Client) get(ctx context.Context, addr string, id mn.RequestID, maxIdleTime mn.Millis) (*conn, error) {
 	for {
-		conn := c.take(addr)
+		conn := c.take(addr, id)
 		if conn == nil {
 			return c.dial(ctx, addr)
 		}
@@ -116,18 +123,19 @@
 	return n, err
 }
 
-// take removes the newest idle connection to addr and returns it, nil if there is
-// none.
-func (c *Client) take(addr string) *conn {
+// take removes the newest idle connection to addr that has not carried request id and
+// returns it, nil if there is none.
+func (c *Client) take(addr string, id mn.RequestID) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cs := c.idle[addr]
-	if len(cs) == 0 {
-		return nil
+	for n := len(cs) - 1; n >= 0; n-- {
+		if conn := cs[n]; id == "" || !slices.Contains(conn.carried, id) {
+			c.idle[addr] = slices.Delete(cs, n, n+1)
+			return conn
+		}
 	}
-	conn := cs[len(cs)-1]
-	c.idle[addr] = cs[:len(cs)-1]
-	return conn
+	return nil
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
@@ -161,7 +169,7 @@
 	if keepAlive > 0 {
 		conn.maxIdleTime = keepAlive - idleMargin
 	}
-	if conn.maxIdleTime <= 0 || conn.SetDeadline(time.Time{}) != nil {
+	if conn.maxIdleTime <= 0 || len(conn.carried) >= maxCarried || conn.SetDeadline(time.Time{}) != nil {
 		conn.Close()
 		return
 	}
