Continue a broken stream only with its own rest

Callers saw: the body of another answer inside their stream, repeated or missing events, or a complete end without the rest. Cause: after the head was sent, the next endpoint's answer was passed on like a first one. Change: its status and type have to be those of the head, and core/resume decides event by event whether one may follow. A run without events doesn't complete a stream that was cut inside an event. The same holds for the first run of a stream that the caller resumes. A stream whose last event has no id is not sent again. Streams move to a file of their own.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -1,10 +1,8 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strings"
@@ -25,12 +23,6 @@
 	maxAnswer = 16 << 20
 	// releaseTimeout bounds the request that frees a prompt's KV cache.
 	releaseTimeout = 1 * mn.Second
-	// eventBuffer is the initial size of the buffer for a stream. It grows when an
-	// event is longer.
-	eventBuffer = 16 << 10
-	// maxEvent bounds the size of an event. An endpoint in trouble may send bytes
-	// without end that are no event.
-	maxEvent = 1 << 20
 	// attemptTimeoutFactor is the attempt timeout of an idempotent request as a
 	// multiple of the expected time to the first event. After it, another endpoint is
 	// asked. The last attempt has no timeout other than the deadline.
@@ -86,8 +78,8 @@
 		d.Rank = plan.Rank
 	}
 	d.LastEvent = q.info.LastEvent
-	if q.lastEvent != "" {
-		d.LastEvent = q.lastEvent
+	if q.route.Resumable {
+		d.LastEvent = q.position.NextRun()
 	}
 	if plan.CachedBy != nil {
 		d.CachedBy = plan.CachedBy.Addr
@@ -126,6 +118,12 @@
 	}
 	q.mayHaveRun = true
 	q.countRun()
+	if q.headSent {
+		if err := q.checkContinues(a); err != nil {
+			q.Balancer.ReportResult(plan.Target.ID, true)
+			return result{endpoint: plan.Target.ID, err: err}
+		}
+	}
 	if q.route.Kind == mn.RouteStream && a.Status < 300 {
 		return q.forwardStream(plan, a, sentToTarget)
 	}
@@ -320,91 +318,6 @@
 	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
 }
 
-// forwardStream forwards a stream event by event. An answer may end with its connection,
-// so a stream that ends inside an event has been broken off, and so has one that ends with
-// its connection before the first.
-func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
-	id := plan.Target.ID
-	if !a.Signed || a.Header.Get("Content-Encoding") != "" {
-		q.Balancer.ReportResult(id, true)
-		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
-	}
-	buf := make([]byte, 0, eventBuffer)
-	for {
-		if len(buf) == cap(buf) && cap(buf) >= maxEvent {
-			q.Balancer.ReportResult(id, true)
-			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: an event is longer than %d bytes", id, maxEvent)}
-		}
-		if len(buf) == cap(buf) {
-			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
-		}
-		n, err := a.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if end := bytes.LastIndex(buf, eventEnd) + len(eventEnd); end >= len(eventEnd) {
-			now := q.Clock.Now()
-			q.Balancer.EventReceived(plan, now-q.lastEventAt)
-			q.longestPause = max(q.longestPause, now-q.lastEventAt)
-			q.lastEventAt = now
-			if fail := q.forwardEvents(plan, a, buf[:end], sent); fail != nil {
-				return *fail
-			}
-			buf = append(buf[:0], buf[end:]...)
-		}
-		if err == io.EOF && (len(buf) > 0 || q.lastEventAt == math.MaxInt64 && a.EndsWithConn()) {
-			err = io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			if !q.headSent { // For example, a resumed stream has no events left.
-				q.sendHead(a.Status, a.Header)
-			}
-			q.Balancer.ReportResult(id, false)
-			q.clearCrashes()
-			return result{}
-		}
-		if err != nil {
-			q.Balancer.ReportResult(id, true)
-			q.checkCrash(plan.Target, err)
-			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
-		}
-	}
-}
-
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
-
-// forwardEvents sends complete events to the caller.
-func (q *request) forwardEvents(plan *place.Plan, a *back.Answer, events []byte, sent mn.Millis) *result {
-	if q.firstEventAt == 0 {
-		q.firstEventAt = q.Clock.Now()
-		if plan.Prefiller == nil {
-			q.Balancer.PrefillDone(plan, q.firstEventAt-sent)
-		} else {
-			q.Balancer.OutputStarted(plan, q.firstEventAt-sent)
-		}
-	}
-	if !q.headSent {
-		q.sendHead(a.Status, a.Header)
-	}
-	if len(events) == 0 {
-		return nil
-	}
-	if q.route.Resumable {
-		for _, e := range bytes.Split(events, eventEnd) {
-			if event := q.Dialect.EventID(e); event != "" {
-				q.lastEvent = event
-			}
-		}
-	}
-	_, err := q.w.Write(events)
-	if err == nil {
-		err = http.NewResponseController(q.w).Flush()
-	}
-	if err != nil {
-		return &result{endpoint: plan.Target.ID, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
-	}
-	return nil
-}
-
 // requestTarget returns the request's target as the caller sent it. A target in
 // absolute form, which is meant for proxies, is reduced to its path and query.
 func requestTarget(r *http.Request) string {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -9,6 +9,7 @@
 	"mustardnotch/core/paths"
 	"mustardnotch/core/place"
 	"mustardnotch/core/poison"
+	"mustardnotch/core/resume"
 )
 
 const (
@@ -75,8 +76,11 @@
 	lastEventAt mn.Millis
 	// longestPause is the longest time between two events.
 	longestPause mn.Millis
-	// lastEvent is the id of the last complete event of a stream that the caller got.
-	lastEvent string
+	// position is how far the caller has got in a stream that may be resumed.
+	position resume.Position
+	// cutInside reports whether the stream was broken off inside an event that has not
+	// arrived completely since.
+	cutInside bool
 	// fallback is an endpoint's own failure, which is forwarded if no other endpoint
 	// answers better.
 	fallback *failure
@@ -123,6 +127,7 @@
 		return mn.Errorf(NoRoute, "no route for host %q path %q", q.r.Host, q.r.URL.Path)
 	}
 	q.route = route
+	q.position = resume.After(q.info.LastEvent)
 	if p := q.info.Prompt; p != nil && len(p.Segments) > 1 {
 		for _, s := range p.Segments[:len(p.Segments)-1] {
 			q.segments = append(q.segments, s.ID)
@@ -236,6 +241,9 @@
 	if result.final || q.job.Deadline-q.Clock.Now() < minTimeLeft {
 		return false
 	}
+	if q.headSent && !q.position.Resumable() {
+		return false
+	}
 	if result.notRun {
 		return q.attempts <= maxResends
 	}
--- /dev/null
+++ b/io/front/stream.go
@@ -0,0 +1,152 @@
+package front
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+
+	mn "mustardnotch"
+	"mustardnotch/core/place"
+	"mustardnotch/io/back"
+)
+
+const (
+	// eventBuffer is the initial size of the buffer for a stream. It grows when an
+	// event is longer.
+	eventBuffer = 16 << 10
+	// maxEvent bounds the size of an event. An endpoint in trouble may send bytes
+	// without end that are no event.
+	maxEvent = 1 << 20
+)
+
+// forwardStream forwards a stream event by event. An answer may end with its connection,
+// so a stream that ends inside an event has been broken off, and so has one that ends with
+// its connection before the first. After a run that ended inside an event, one without
+// events is not the rest of the stream.
+func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
+	id := plan.Target.ID
+	if !a.Signed || a.Header.Get("Content-Encoding") != "" {
+		q.Balancer.ReportResult(id, true)
+		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
+	}
+	buf := make([]byte, 0, eventBuffer)
+	for {
+		if len(buf) == cap(buf) && cap(buf) >= maxEvent {
+			q.Balancer.ReportResult(id, true)
+			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: an event is longer than %d bytes", id, maxEvent)}
+		}
+		if len(buf) == cap(buf) {
+			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
+		}
+		n, err := a.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if end := bytes.LastIndex(buf, eventEnd) + len(eventEnd); end >= len(eventEnd) {
+			now := q.Clock.Now()
+			q.Balancer.EventReceived(plan, now-q.lastEventAt)
+			q.longestPause = max(q.longestPause, now-q.lastEventAt)
+			q.lastEventAt = now
+			if fail := q.forwardEvents(plan, a, buf[:end], sent); fail != nil {
+				return *fail
+			}
+			buf = append(buf[:0], buf[end:]...)
+		}
+		if err != nil && len(buf) > 0 {
+			q.cutInside = true
+		}
+		if err == io.EOF && (q.cutInside || q.lastEventAt == math.MaxInt64 && a.EndsWithConn()) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err == io.EOF {
+			if !q.headSent { // For example, a resumed stream has no events left.
+				q.sendHead(a.Status, a.Header)
+			}
+			q.Balancer.ReportResult(id, false)
+			q.clearCrashes()
+			return result{}
+		}
+		if err != nil {
+			q.Balancer.ReportResult(id, true)
+			q.checkCrash(plan.Target, err)
+			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
+		}
+	}
+}
+
+// eventEnd terminates an event.
+var eventEnd = []byte("\n\n")
+
+// forwardEvents sends complete events to the caller.
+func (q *request) forwardEvents(plan *place.Plan, a *back.Answer, events []byte, sent mn.Millis) *result {
+	events, broken := q.advance(events)
+	if broken != nil {
+		q.Balancer.ReportResult(plan.Target.ID, true)
+		broken = mn.Errorf(mn.Truncated, "endpoint %s: %w", plan.Target.ID, broken)
+	}
+	if broken != nil && len(events) == 0 {
+		return &result{endpoint: plan.Target.ID, err: broken}
+	}
+	q.cutInside = false
+	if q.firstEventAt == 0 {
+		q.firstEventAt = q.Clock.Now()
+		if plan.Prefiller == nil {
+			q.Balancer.PrefillDone(plan, q.firstEventAt-sent)
+		} else {
+			q.Balancer.OutputStarted(plan, q.firstEventAt-sent)
+		}
+	}
+	if !q.headSent {
+		q.sendHead(a.Status, a.Header)
+	}
+	_, err := q.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(q.w).Flush()
+	}
+	if err != nil {
+		return &result{endpoint: plan.Target.ID, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
+	}
+	if broken != nil {
+		return &result{endpoint: plan.Target.ID, err: broken}
+	}
+	return nil
+}
+
+// advance returns the first of the events that may follow what the caller has, and an
+// error if the one after them may not.
+func (q *request) advance(events []byte) (passed []byte, broken *mn.Error) {
+	if !q.route.Resumable {
+		return events, nil
+	}
+	for sent := 0; sent < len(events); {
+		end := sent + bytes.Index(events[sent:], eventEnd) + len(eventEnd)
+		if e := events[sent:end]; !isComment(e) {
+			if err := q.position.Advance(q.Dialect.EventID(e)); err != nil {
+				return events[:sent], mn.Errorf(mn.Truncated, "%w", err)
+			}
+		}
+		sent = end
+	}
+	return events, nil
+}
+
+// isComment reports whether an event is only a comment, as endpoints send them to keep a
+// connection open.
+func isComment(event []byte) bool {
+	for _, line := range bytes.Split(bytes.TrimSuffix(event, eventEnd), []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// checkContinues returns an error unless an answer may go on in the one whose head the
+// caller has. It is the only place that decides this; the events in it are checked one by
+// one.
+func (q *request) checkContinues(a *back.Answer) *mn.Error {
+	want, got := q.w.Header().Get("Content-Type"), a.Header.Get("Content-Type")
+	if q.route.Kind == mn.RouteStream && a.Status == q.status && got == want {
+		return nil
+	}
+	return mn.Errorf(mn.EndpointFailed, "the caller has a part of an answer with status %d and type %q, which one with status %d and type %q can't continue", q.status, want, a.Status, got)
+}
--- /dev/null
+++ b/io/front/stream_test.go
@@ -0,0 +1,116 @@
+package front
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// events answers with a stream of events with the given ids.
+func events(ids ...string) script {
+	return func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		for _, id := range ids {
+			chunk(c, "id: "+id+"\ndata: x\n\n")
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+}
+
+// A stream breaks off after event 2, inside event 3. Whatever the next endpoint answers, the
+// caller gets the rest of the stream, or a stream that ends broken off; nothing else stands
+// in it.
+func TestOnlyTheRestOfAStreamFollowsOneThatBrokeOff(t *testing.T) {
+	const begin = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+	other := func(status int, header ...string) script {
+		return func(r *http.Request, _ string, c net.Conn) bool {
+			return answer(c, r, status, "id: 3\ndata: other\n\n", append([]string{"Seal", "s"}, header...)...)
+		}
+	}
+	cases := map[string]struct {
+		next script
+		// want is what the caller gets after begin, and complete whether its answer then
+		// ends as a complete one.
+		want     string
+		complete bool
+	}{
+		"the rest":                  {stream(0), strings.TrimPrefix(completeStream, begin), true},
+		"signed redirect":           {other(302, "Content-Type", "text/event-stream"), "", false},
+		"signed 404":                {other(404, "Content-Type", "text/plain"), "", false},
+		"signed 409":                {other(409, "Content-Type", "text/event-stream"), "", false},
+		"signed failure":            {other(500, "Content-Type", "text/plain"), "", false},
+		"refusal":                   {shed, "", false},
+		"another status of success": {other(206, "Content-Type", "text/event-stream"), "", false},
+		"another type":              {other(200, "Content-Type", "application/json"), "", false},
+		"unsigned":                  {func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "id: 3\ndata: other\n\n") }, "", false},
+		"from the beginning":        {events("1", "2", "3", "4"), "", false},
+		"the last event again":      {events("2", "3", "4"), "", false},
+		"an event is missing":       {events("4"), "", false},
+		"events without ids": {func(r *http.Request, _ string, c net.Conn) bool {
+			streamHead(c, r)
+			chunk(c, "data: other\n\n")
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		}, "", false},
+		"no events":                    {events(), "", false},
+		"the rest, then event 3 again": {events("3", "3", "4"), "id: 3\ndata: x\n\n", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			run := func(r *http.Request, body string, c net.Conn) bool {
+				if runs.Add(1) == 1 {
+					return stream(2)(r, body, c)
+				}
+				return tc.next(r, body, c)
+			}
+			b := newFixture(t, map[string]script{"d1": run, "d2": run})
+			_, body, err := b.do("POST", "/resumable/", "p", "Tokens", "100")
+			require.Equal(t, begin+tc.want, body)
+			require.Equal(t, tc.complete, err == nil, "%v", err)
+			require.Equal(t, "2", b.requests()[1].header.Get("Last"))
+		})
+	}
+}
+
+// The caller of a resumed stream has events already, so the same holds for its first run.
+func TestCallersResumptionContinuesItsStream(t *testing.T) {
+	cases := map[string]struct {
+		run    script
+		status int
+	}{
+		"the rest":           {stream(0), 200},
+		"from the beginning": {events("1", "2", "3", "4"), 502},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, map[string]script{"d1": tc.run, "d2": tc.run})
+			resp, body, err := b.do("POST", "/resumable/", "p", "Tokens", "100", "Last", "2")
+			require.NoError(t, err)
+			require.Equal(t, tc.status, resp.StatusCode)
+			if tc.status == 200 {
+				require.Equal(t, "id: 3\ndata: x\n\nid: 4\ndata: x\n\n", body)
+			}
+		})
+	}
+}
+
+// Events without ids leave no place to go on from.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	run := func(r *http.Request, _ string, c net.Conn) bool {
+		streamHead(c, r)
+		chunk(c, ": comment\n\ndata: x\n\n")
+		return false
+	}
+	b := newFixture(t, map[string]script{"d1": run, "d2": run})
+	_, body, err := b.do("POST", "/resumable/", "p", "Tokens", "100")
+	require.Error(t, err, "a truncated answer must not look complete")
+	require.Equal(t, ": comment\n\ndata: x\n\n", body)
+	require.Len(t, b.requests(), 1)
+}
