Take only sound entries for endpoints

Seen: entries out of range, with missing fields or ids that can't stand in a header are taken for endpoints; one from the future hides the endpoint. Cause: only the fields in use were looked at, leniently, and only one had a range. Entries that no endpoint can have written yet are left out, so that the endpoint's own don't count as stale beside them.

--- a/node/catchup_test.go
+++ b/node/catchup_test.go
@@ -109,3 +109,35 @@
 	require.NoError(t, f.view.readCatalog(t.Context()))
 	require.Greater(t, f.view.confirmedAt, confirmed)
 }
+
+// Another program writes the entry of an endpoint with times that no endpoint can have. The
+// endpoint's own entries must not count as stale beside it, and the others must hold.
+func TestEntryFromTheFutureDoesNotHideEndpoint(t *testing.T) {
+	far := mn.Millis(253402300799999) // the end of the year 9999
+	for name, odd := range map[string]mn.Endpoint{
+		"started in the future": {StartedAt: far, Heartbeat: 1},
+		"too many heartbeats":   {StartedAt: mn.NewSystemClock().Wall() - 1000, Heartbeat: 1 << 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := stand.NewStore()
+			f := newIdleFront(t, store)
+			sound := mn.Endpoint{ID: "e-1", StartedAt: f.clock.Wall() - 500, Heartbeat: 1, Pool: "p", Addr: "127.0.0.1:80", DataCentre: "dc", Capacity: 1, State: mn.EndpointReady}
+			other := sound
+			other.ID = "e-2"
+			require.NoError(t, store.WriteEndpoint(other))
+			require.NoError(t, store.WriteEndpoint(sound))
+			require.NoError(t, f.view.feed.read(t.Context()))
+			odd.ID, odd.Pool, odd.Addr, odd.DataCentre, odd.Capacity, odd.State = sound.ID, sound.Pool, sound.Addr, sound.DataCentre, 1, sound.State
+			require.NoError(t, store.WriteEndpoint(odd))
+			require.NoError(t, f.view.feed.read(t.Context()))
+			list, _ := f.view.listed()
+			require.Len(t, list, 1, "the odd entry names no endpoint")
+			require.Equal(t, other.ID, list[0].ID)
+			sound.Heartbeat++
+			require.NoError(t, store.WriteEndpoint(sound))
+			require.NoError(t, f.view.feed.read(t.Context()))
+			list, _ = f.view.listed()
+			require.Len(t, list, 2)
+		})
+	}
+}
--- a/node/front_lists.go
+++ b/node/front_lists.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -75,7 +76,26 @@
 }
 
 func newListFeed(v *frontView) *listFeed {
-	return &listFeed{view: v, list: lists.New(v.platform.Store.Endpoint, v.maxListAge()+outageMargin), next: -1}
+	return &listFeed{view: v, list: lists.New(v.decodeEndpoint, v.maxListAge()+outageMargin), next: -1}
+}
+
+// maxStartAhead is how far in the future an endpoint may have started by this VM's time of
+// day. Times of day differ, and jump, by seconds.
+const maxStartAhead = mn.Hour
+
+// decodeEndpoint decodes an item of the endpoint feed. An entry that no endpoint can have
+// written yet is an error, since later entries of the endpoint would count as stale beside
+// it: an endpoint has started before it writes, and writes at most once in a millisecond.
+func (v *frontView) decodeEndpoint(i mn.Item) (mn.Endpoint, error) {
+	e, err := v.platform.Store.Endpoint(i)
+	if err != nil {
+		return e, err
+	}
+	latest := v.clock.Wall() + maxStartAhead
+	if e.StartedAt > latest || e.Heartbeat > int64(latest-e.StartedAt) {
+		return mn.Endpoint{}, fmt.Errorf("heartbeat %d of a run started at %d is in the future", e.Heartbeat, e.StartedAt)
+	}
+	return e, nil
 }
 
 // adopt adopts the list in force, which may be a peer's, and returns when it was known
