Heed endpoints that announce their end or ask for a pause

Endpoints say in their answers that they leave, or with a refusal for how long they want no requests; fronts went by the list alone. Change: every answer that belongs to a call is shown to the balancer (back.Observer), which keeps what an endpoint says for that run of it, also while the list has lost it. It counts when a request is placed, before each send, a separate prefill included, and for releases of KV caches. If all endpoints of a pool pause, callers are told when the first can be used. The soak has endpoints that announce their end, ask for pauses and send late refusals, and checks the first two at all times.

--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -57,6 +57,7 @@
 	byPool            map[mn.PoolID][]*endpointState
 	engines           map[mn.PoolID]*enginePool
 	peers             map[mn.VMID]peerState
+	notices           map[mn.EndpointID]*notice
 	prefillReports    []prefillReport
 	lastPrefillReport int64
 	// urgentUpdates counts changes that should be sent to peer fronts at once;
@@ -104,6 +105,8 @@
 	pause       mn.Millis
 	probing     bool
 	cache       *segmentCache
+	// notice is what the endpoint has said of itself, nil if nothing.
+	notice *notice
 }
 
 // New returns a Balancer without endpoints.
@@ -121,6 +124,7 @@
 		byPool:           map[mn.PoolID][]*endpointState{},
 		engines:          map[mn.PoolID]*enginePool{},
 		peers:            map[mn.VMID]peerState{},
+		notices:          map[mn.EndpointID]*notice{},
 		changed:          make(chan struct{}),
 	}
 }
@@ -189,6 +193,7 @@
 		byPool[e.Pool] = append(byPool[e.Pool], s)
 	}
 	b.endpoints, b.byPool = next, byPool
+	b.updateNotices(b.clock.Now())
 	for _, s := range next {
 		s.peerLoad = mn.EndpointLoad{}
 	}
@@ -240,7 +245,7 @@
 	}
 }
 
-// Endpoint returns an endpoint of the list.
+// Endpoint returns an endpoint as the list has it.
 func (b *Balancer) Endpoint(id mn.EndpointID) (mn.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -447,7 +452,7 @@
 
 // usable reports whether s may get new requests.
 func (s *endpointState) usable(now mn.Millis, avoid []mn.EndpointID) bool {
-	if s.State != mn.EndpointReady || s.Changing || now < s.pausedUntil || s.pause > 0 && s.probing {
+	if s.leaves() || s.asksPause(now) || s.Changing || now < s.pausedUntil || s.pause > 0 && s.probing {
 		return false
 	}
 	for _, id := range avoid {
--- /dev/null
+++ b/core/place/notice.go
@@ -0,0 +1,115 @@
+package place
+
+import mn "mustardnotch"
+
+// noticeTTL is how long a notice of an endpoint that is not listed is kept. Its entry may
+// be lost for a while, and endpoints that leave have ended by then.
+const noticeTTL = 10 * mn.Minute
+
+// notice is what an endpoint has said of itself in its answers to this front. It holds for
+// one run of the endpoint, whatever the list says of it.
+type notice struct {
+	startedAt mn.Millis
+	// leaving is set once the endpoint has announced that it leaves.
+	leaving bool
+	// pausedUntil is the end of the time for which the endpoint wants no requests.
+	pausedUntil mn.Millis
+	// listedAt is when the endpoint was last in the list.
+	listedAt mn.Millis
+}
+
+// ObserveReply records what an endpoint says of itself in an answer: that it leaves, or
+// that it wants no requests for some time. It reports whether that is new.
+//
+// Load pattern: endpoints leave, or are overloaded, and the front learns of it from their
+// answers long before the list tells it, or while it has no new list at all.
+func (b *Balancer) ObserveReply(e mn.Endpoint, r mn.ReplyInfo) bool {
+	if !r.Leaving && r.Pause <= 0 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, n, now := b.endpoints[e.ID], b.notices[e.ID], b.clock.Now()
+	if s != nil && s.StartedAt != e.StartedAt {
+		return false // The answer came from an earlier run.
+	}
+	if n == nil || n.startedAt != e.StartedAt {
+		n = &notice{startedAt: e.StartedAt, listedAt: now}
+		b.notices[e.ID] = n
+	}
+	if s != nil {
+		s.notice = n
+	}
+	changed := r.Leaving && !n.leaving || r.Pause > 0 && now+r.Pause > n.pausedUntil
+	n.leaving = n.leaving || r.Leaving
+	if r.Pause > 0 {
+		n.pausedUntil = max(n.pausedUntil, now+r.Pause)
+	}
+	return changed
+}
+
+// updateNotices attaches the notices to the endpoints of a new list, and drops those of
+// other runs and of endpoints that have not been listed for long.
+func (b *Balancer) updateNotices(now mn.Millis) {
+	for id, n := range b.notices {
+		s := b.endpoints[id]
+		switch {
+		case s == nil && now-n.listedAt > noticeTTL, s != nil && s.StartedAt != n.startedAt:
+			delete(b.notices, id)
+		case s != nil:
+			n.listedAt, s.notice = now, n
+		}
+	}
+}
+
+// leaves reports whether the endpoint leaves, by the list or by its own notice.
+func (s *endpointState) leaves() bool {
+	return s.State != mn.EndpointReady || s.notice != nil && s.notice.leaving
+}
+
+// asksPause reports whether the endpoint wants no requests at now.
+func (s *endpointState) asksPause(now mn.Millis) bool {
+	return s.notice != nil && now < s.notice.pausedUntil
+}
+
+// CheckSend returns an error if a request that was placed at an endpoint must not be sent
+// there any more.
+func (b *Balancer) CheckSend(id mn.EndpointID) *mn.Error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, now := b.endpoints[id], b.clock.Now()
+	switch {
+	case s == nil:
+		return mn.Errorf(mn.NoEndpoint, "endpoint %s is gone", id)
+	case s.leaves():
+		return mn.Errorf(mn.NoEndpoint, "endpoint %s is leaving", id)
+	case s.asksPause(now):
+		return mn.Errorf(mn.NoEndpoint, "endpoint %s wants no requests for %d ms", id, s.notice.pausedUntil-now)
+	}
+	return nil
+}
+
+// untilUsable returns how long until an endpoint of the pool can be used again, among those
+// that only pause. It returns false if none does.
+func (b *Balancer) untilUsable(j *Job, now mn.Millis) (mn.Millis, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shortest, found := mn.Millis(0), false
+	for _, s := range b.byPool[j.Pool] {
+		if s.leaves() || s.Changing || !s.asksPause(now) {
+			continue
+		}
+		if until := max(s.notice.pausedUntil, s.pausedUntil) - now; !found || until < shortest {
+			shortest, found = until, true
+		}
+	}
+	return shortest, found
+}
+
+// AsksPause reports whether an endpoint wants no requests now.
+func (b *Balancer) AsksPause(id mn.EndpointID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[id]
+	return s != nil && s.asksPause(b.clock.Now())
+}
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -136,6 +136,9 @@
 	case Send, SendLate:
 		return plan, nil
 	case NoEndpoint:
+		if wait, ok := q.balancer.untilUsable(j, now); ok {
+			return nil, &Rejection{Reason: "all usable endpoints in the pool want no requests", RetryAfter: q.retryAfter(j, now, wait)}
+		}
 		return nil, &Rejection{Reason: "no usable endpoint in the pool", RetryAfter: q.retryAfter(j, now, 500*mn.Millisecond)}
 	case Full:
 	}
--- a/dialect.go
+++ b/dialect.go
@@ -71,6 +71,10 @@
 	// KeepAlive is how long the endpoint keeps an idle connection open, 0 if not
 	// given.
 	KeepAlive Millis
+	// Leaving reports whether the endpoint is about to end.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests, 0 if it has not refused one.
+	Pause Millis
 }
 
 // Dialect translates between HTTP headers and the fields they carry.
--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -75,7 +75,7 @@
 }
 
 func call(e *endpoint, id string) *Call {
-	return &Call{ID: mn.RequestID(id), Addr: e.addr, Method: http.MethodGet, Target: "/p?q=1", Host: "h.example",
+	return &Call{ID: mn.RequestID(id), To: mn.Endpoint{Addr: e.addr}, Method: http.MethodGet, Target: "/p?q=1", Host: "h.example",
 		Header: http.Header{"Id": {id}}, MaxIdleTime: mn.Minute}
 }
 
@@ -94,7 +94,7 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), r.RequestURI) }))
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for i := range 5 {
 		b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -106,7 +106,7 @@
 // Guards against a target whose query is written twice.
 func TestTargetIsSentUnchanged(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), r.RequestURI) }))
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for _, target := range []string{"/", "/a?", "/a?b=c&d", "//x/y", "/a%2Fb/%20?x=%26", "/a;b=1/../c"} {
 		k := call(e, "1")
 		k.Target = target
@@ -137,7 +137,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, answerAll(tc.answer))
-			c := New(mn.NewSystemClock(), "")
+			c := New(mn.NewSystemClock(), "", nil)
 			for i := range 3 {
 				b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 				require.NoError(t, err)
@@ -162,7 +162,7 @@
 		late <- struct{}{}
 		time.Sleep(time.Second)
 	})
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for i := range 2 {
 		b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -187,7 +187,7 @@
 					fmt.Fprint(c, answer)
 				}
 			})
-			_, err := readBody(t, New(mn.NewSystemClock(), ""), call(e, "1"))
+			_, err := readBody(t, New(mn.NewSystemClock(), "", nil), call(e, "1"))
 			require.Error(t, err)
 		})
 	}
@@ -198,13 +198,13 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	_, err = New(mn.NewSystemClock(), "").Do(t.Context(), dialect{}, &Call{Addr: addr, Method: "GET", Target: "/", Header: http.Header{}})
+	_, err = New(mn.NewSystemClock(), "", nil).Do(t.Context(), dialect{}, &Call{To: mn.Endpoint{Addr: addr}, Method: "GET", Target: "/", Header: http.Header{}})
 	var e *Error
 	require.ErrorAs(t, err, &e)
 	require.False(t, e.Sent)
 
 	silent := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) { _, _ = http.ReadRequest(br) })
-	_, err = New(mn.NewSystemClock(), "").Do(t.Context(), dialect{}, call(silent, "1"))
+	_, err = New(mn.NewSystemClock(), "", nil).Do(t.Context(), dialect{}, call(silent, "1"))
 	require.ErrorAs(t, err, &e)
 	require.True(t, e.Sent, "the endpoint has read the request")
 }
@@ -221,7 +221,7 @@
 		seen.Add(1)
 		fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "own"))
 	})
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for i := range 4 {
 		_, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -242,7 +242,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	_, err := New(mn.NewSystemClock(), "").Do(ctx, dialect{}, call(e, "1"))
+	_, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, call(e, "1"))
 	require.True(t, errors.Is(err, context.Canceled), "%v", err)
 	select {
 	case <-gone:
@@ -262,7 +262,7 @@
 		fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "early"))
 		time.Sleep(300 * time.Millisecond)
 	})
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for i := range 2 {
 		k := call(e, fmt.Sprint(i))
 		k.Method, k.Body = http.MethodPost, make([]byte, 8<<20)
@@ -277,7 +277,7 @@
 // connections that an endpoint accepts.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	var open []*Answer
 	for i := range 6 {
 		k := call(e, fmt.Sprint(i))
@@ -308,7 +308,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := New(mn.NewSystemClock(), "").Do(ctx, dialect{}, call(e, "1"))
+	_, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, call(e, "1"))
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
 }
@@ -354,7 +354,7 @@
 					fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "own"))
 				}
 			})
-			c := New(mn.NewSystemClock(), "")
+			c := New(mn.NewSystemClock(), "", nil)
 			b, err := readBody(t, c, call(e, tc.first))
 			require.NoError(t, err)
 			require.Equal(t, "own", b)
@@ -374,7 +374,7 @@
 // A refusal that names no request can only be meant for the first one on a connection.
 func TestRefusalWithoutIDOnNewConnection(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(*http.Request) string { return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" }))
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	a, err := c.Do(t.Context(), dialect{}, call(e, "1"))
 	require.NoError(t, err)
 	defer a.Close()
@@ -385,7 +385,7 @@
 // The ids that a connection remembers are bounded, and so is its use.
 func TestConnectionIsReplacedWhenItHasCarriedManyRequests(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
-	c := New(mn.NewSystemClock(), "")
+	c := New(mn.NewSystemClock(), "", nil)
 	for i := range 2*maxCarried + 1 {
 		_, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -25,7 +25,7 @@
 // Call is a request to an endpoint.
 type Call struct {
 	ID     mn.RequestID
-	Addr   string
+	To     mn.Endpoint
 	Method string
 	// Target is the path and the query as the caller sent them.
 	Target string
@@ -81,7 +81,7 @@
 // Do sends call and returns its answer as soon as the headers have arrived. Its
 // error is an [Error]. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, d mn.Dialect, call *Call) (*Answer, error) {
-	conn, err := c.get(ctx, call.Addr, call.ID, call.MaxIdleTime)
+	conn, err := c.get(ctx, call.To.Addr, call.ID, call.MaxIdleTime)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -92,6 +92,9 @@
 		conn.Close()
 		return nil, &Error{Sent: true, Err: errors.Join(err, context.Cause(ctx))}
 	}
+	if c.observer != nil {
+		c.observer.ObserveReply(call.To, a.ReplyInfo)
+	}
 	a.stop = stop
 	return a, nil
 }
@@ -135,7 +138,7 @@
 		if own {
 			conn.limiter.left = math.MaxInt64 // the body has limits of its own
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Skipped: skipped,
-				client: c, addr: call.Addr, maxIdle: call.MaxIdleConns, conn: conn, resp: resp, writeErr: writeErr}, nil
+				client: c, addr: call.To.Addr, maxIdle: call.MaxIdleConns, conn: conn, resp: resp, writeErr: writeErr}, nil
 		}
 		// A body of an answer to another request counts like heads.
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -231,7 +234,7 @@
 // Close ends the answer. The connection is used again only if the complete answer
 // was read, nothing follows it, and the complete request was written.
 func (a *Answer) Close() {
-	if !a.stop() || !a.complete || a.resp.Close || a.Closing || a.Skipped > 0 || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !a.complete || a.resp.Close || a.Closing || a.Leaving || a.Skipped > 0 || a.conn.reader.Buffered() > 0 {
 		a.conn.Close()
 		return
 	}
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -58,17 +58,24 @@
 // Client sends requests to endpoints and reuses connections. It is safe for
 // concurrent use.
 type Client struct {
-	clock  mn.Clock
-	dialer *wire.Dialer
+	clock    mn.Clock
+	dialer   *wire.Dialer
+	observer Observer
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
+// Observer is told of every answer that belongs to a call.
+type Observer interface {
+	// ObserveReply receives what the endpoint e says of itself in an answer.
+	ObserveReply(e mn.Endpoint, r mn.ReplyInfo)
+}
+
 // New returns a client that connects from the local IP address, or from any if it
-// is empty.
-func New(clock mn.Clock, local string) *Client {
-	return &Client{clock: clock, dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
+// is empty. The observer may be nil.
+func New(clock mn.Clock, local string, observer Observer) *Client {
+	return &Client{clock: clock, observer: observer, dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections.
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -65,7 +65,7 @@
 		maxIdleTime = maxIdleTimeRepeatable
 	}
 	return &back.Call{
-		ID: q.info.ID, Addr: to.Addr, Method: q.r.Method, Target: requestTarget(q.r), Host: q.r.Host,
+		ID: q.info.ID, To: to, Method: q.r.Method, Target: requestTarget(q.r), Host: q.r.Host,
 		Header: q.Dialect.OutgoingHeader(q.r.Header, d), Body: q.body, MaxIdleTime: maxIdleTime,
 		MaxIdleConns: q.MaxIdleConns(q.job.Pool),
 	}
@@ -96,7 +96,7 @@
 		d.KVSource = &mn.KVSource{Addr: plan.Prefiller.Addr, Handle: handle}
 	}
 	if failed := q.checkEndpoint(ctx, plan.Target.ID); failed != nil {
-		q.release(d.KVSource)
+		q.release(plan, d.KVSource)
 		return *failed
 	}
 	if q.route.Kind == mn.RouteIdempotent && q.attempts < q.route.Attempts {
@@ -131,8 +131,8 @@
 }
 
 // checkEndpoint returns a result if the request must not be sent to the endpoint: it is
-// leaving or gone from the list, the list may be too old to tell, or the prompt may crash
-// it. It is called right before each send.
+// leaving, gone from the list or wants no requests, the list may be too old to tell, or the
+// prompt may crash it. It is called right before each send.
 func (q *request) checkEndpoint(ctx context.Context, id mn.EndpointID) *result {
 	if err := q.View.ConfirmList(ctx); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
@@ -140,12 +140,8 @@
 	if err := q.admitSegments(); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
 	}
-	e, ok := q.Balancer.Endpoint(id)
-	switch {
-	case !ok:
-		return &result{endpoint: id, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is gone", id)}
-	case e.State != mn.EndpointReady:
-		return &result{endpoint: id, notRun: true, err: mn.Errorf(mn.NoEndpoint, "endpoint %s is leaving", id)}
+	if err := q.Balancer.CheckSend(id); err != nil {
+		return &result{endpoint: id, notRun: true, err: err}
 	}
 	return nil
 }
@@ -180,16 +176,17 @@
 	return q.Dialect.ParseHandle(body)
 }
 
-// release frees a prompt's KV cache that no endpoint fetched.
-func (q *request) release(source *mn.KVSource) {
-	if source == nil {
+// release frees a prompt's KV cache that no endpoint fetched, unless the endpoint that
+// holds it wants no requests. It lapses by itself.
+func (q *request) release(plan *place.Plan, source *mn.KVSource) {
+	if source == nil || q.Balancer.AsksPause(plan.Prefiller.ID) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Duration())
 		defer cancel()
 		a, err := q.Back.Do(ctx, q.Dialect, &back.Call{
-			Addr: source.Addr, Method: http.MethodDelete, Target: q.Dialect.ReleasePath(source.Handle),
+			To: *plan.Prefiller, Method: http.MethodDelete, Target: q.Dialect.ReleasePath(source.Handle),
 			Host: source.Addr, Header: http.Header{}, MaxIdleTime: maxIdleTimeRepeatable,
 		})
 		if err != nil {
@@ -240,7 +237,7 @@
 	if a.Status == http.StatusMisdirectedRequest {
 		q.Balancer.ReportUnreachable(plan.Target.ID)
 	}
-	q.release(d.KVSource)
+	q.release(plan, d.KVSource)
 	return result{endpoint: plan.Target.ID, notRun: true,
 		err: mn.Errorf(mn.NoEndpoint, "endpoint %s answered %d without running the request", plan.Target.ID, a.Status)}
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -77,7 +77,11 @@
 }
 
 func (testDialect) ParseReply(status int, h http.Header) mn.ReplyInfo {
-	return mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
+	r := mn.ReplyInfo{ID: mn.RequestID(h.Get("Id")), Signed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421, Leaving: h.Get("Leaving") != ""}
+	if v, err := strconv.Atoi(h.Get("Pause")); err == nil {
+		r.Pause = mn.Millis(v)
+	}
+	return r
 }
 
 func (testDialect) ParseHandle(body []byte) (string, error) {
@@ -134,6 +138,11 @@
 	endpoints map[string]mn.Endpoint
 }
 
+// observer tells a balancer what endpoints say of themselves.
+type observer struct{ balancer *place.Balancer }
+
+func (o observer) ObserveReply(e mn.Endpoint, r mn.ReplyInfo) { o.balancer.ObserveReply(e, r) }
+
 // script answers a request at an endpoint by writing to the connection. It returns
 // false to close the connection.
 type script func(r *http.Request, body string, c net.Conn) bool
@@ -178,7 +187,7 @@
 	b.server = New(Config{
 		Clock: clock, Dialect: testDialect{}, View: b.view, Queues: place.NewQueues(balancer, clock), Balancer: balancer, Limiter: limiter,
 		RetryBudgets: retry.NewPoolBudgets(retry.PoolBudgetsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second, Fronts: func() int { return 1 }}, clock),
-		CrashTracker: poison.New(poison.Config{CrashThreshold: 3, TTL: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRunCounter(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, ""),
+		CrashTracker: poison.New(poison.Config{CrashThreshold: 3, TTL: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRunCounter(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, "", observer{balancer}),
 		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
 		Segments: poison.NewSegmentTracker(clock), SegmentRank: func(string) int { return 0 },
 		OnCrash: func(mn.CrashRecord) {}, MaxIdleConns: func(mn.PoolID) int { return 4 },
--- a/node/front.go
+++ b/node/front.go
@@ -126,11 +126,11 @@
 		segments:     poison.NewSegmentTracker(clock),
 		runs:         duty.NewRunCounter(s.UsageWindow, s.UsageReportWithin, clock),
 		holder:       duty.New(s.VM, self.Incarnation, s.DutyLease, clock),
-		back:         back.New(clock, s.IP),
 		peers:        newPeerSet(self),
 		crashNotices: &crashList{clock: clock},
 	}
 	f.settings.Store(s)
+	f.back = back.New(clock, s.IP, f)
 	f.queues = place.NewQueues(f.balancer, clock)
 	f.view = newFrontView(f)
 	f.gossip = gossip.NewClient(f, clock, self.Addr)
--- a/node/front_cached.go
+++ b/node/front_cached.go
@@ -96,7 +96,7 @@
 func (f *Front) fetchCachedSegments(ctx context.Context, e mn.Endpoint) ([]mn.PromptSegment, error) {
 	d := f.platform.Dialect
 	header := d.OutgoingHeader(http.Header{}, mn.Dispatch{Endpoint: e.ID, Rank: -1})
-	a, err := f.back.Do(ctx, d, &back.Call{Addr: e.Addr, Method: http.MethodGet, Target: d.CachedPath(), Host: e.Addr, Header: header, MaxIdleConns: f.maxIdleConns(e.Pool)})
+	a, err := f.back.Do(ctx, d, &back.Call{To: e, Method: http.MethodGet, Target: d.CachedPath(), Host: e.Addr, Header: header, MaxIdleConns: f.maxIdleConns(e.Pool)})
 	if err != nil {
 		return nil, err
 	}
--- a/node/front_engines.go
+++ b/node/front_engines.go
@@ -33,3 +33,16 @@
 	}
 	return nil
 }
+
+// ObserveReply implements [back.Observer].
+func (f *Front) ObserveReply(e mn.Endpoint, r mn.ReplyInfo) {
+	if !f.balancer.ObserveReply(e, r) {
+		return
+	}
+	name := "endpoint_pauses"
+	if r.Leaving {
+		name = "endpoint_leaving"
+	}
+	f.stats.Add(name, 1)
+	f.log.WithFields(logrus.Fields{"event": name, "endpoint": e.ID, "pool": e.Pool, "pause_ms": r.Pause, "list_age_ms": f.view.ListAge()}).Info()
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -67,7 +67,7 @@
 		}
 		req := Request{
 			ID: mn.RequestID(fmt.Sprintf("%d-%d-%d", c.options.Seed, n, i)), Customer: customer, Key: key, Method: k.method,
-			Target: k.path, Repeatable: k.repeatable, Stream: k.stream, Sent: c.clock.Now(),
+			Target: k.path, Repeatable: k.repeatable, Stream: k.stream, Sent: c.clock.Now(), Front: f.name,
 		}
 		if k.method == http.MethodPost {
 			req.Body = fmt.Sprintf("body %d", i)
@@ -107,7 +107,8 @@
 		return false
 	}
 	defer resp.Body.Close()
-	out.Status = resp.StatusCode
+	out.Status, out.Answered = resp.StatusCode, c.clock.Now()
+	out.Announced = resp.Header.Get("Server-Leaving") != ""
 	answer, err := io.ReadAll(resp.Body)
 	out.Answer, out.Complete = string(answer), err == nil
 	return err == nil
--- a/soak/check.go
+++ b/soak/check.go
@@ -41,6 +41,12 @@
 	Repeatable bool
 	Stream     bool
 	Sent       mn.Millis
+	// Front is the front that the request was sent to.
+	Front string
+	// Announced reports whether the answer said that its endpoint leaves, and Answered is
+	// when its head arrived.
+	Announced bool
+	Answered  mn.Millis
 	// Status is 0 if no answer arrived.
 	Status int
 	Answer string
@@ -52,6 +58,8 @@
 type FaultWindow struct {
 	From, To mn.Millis
 	Fault    string
+	// Front is the front that had the fault, empty if none had.
+	Front string
 }
 
 // History records what callers and endpoints observed, and which faults and
@@ -59,6 +67,7 @@
 type History struct {
 	Requests     []Request
 	Runs         []stand.Run
+	Arrivals     []stand.Arrival
 	DutyCalls    []stand.DutyCall
 	Faults       []FaultWindow
 	LeavingSince map[mn.EndpointID]mn.Millis
@@ -114,6 +123,7 @@
 			report("MIXED", "%s got the wrong answer %q", req.ID, req.Answer)
 		}
 	}
+	h.checkNotices(report, requests)
 	h.checkQuota(report)
 	h.checkDuties(report)
 	h.checkRecovery(report)
@@ -142,6 +152,69 @@
 	return true
 }
 
+// frontAt identifies a front's requests to an endpoint.
+type frontAt struct {
+	front    string
+	endpoint mn.EndpointID
+}
+
+// pauseMargin is how long after it asked for a pause an endpoint may still get requests,
+// and maxInPause how many it may get from a front until the pause ends.
+const (
+	pauseMargin = 500 * mn.Millisecond
+	maxInPause  = 2
+)
+
+// checkNotices checks that fronts heed what endpoints say in their answers: that they leave,
+// and that they want no requests for some time. A fault of the front excuses it.
+func (h *History) checkNotices(report func(string, string, ...any), requests map[mn.RequestID]*Request) {
+	announced, ranAt := map[frontAt]mn.Millis{}, map[mn.RequestID]mn.EndpointID{}
+	for _, r := range h.Runs {
+		ranAt[r.ID] = r.Endpoint
+	}
+	for _, r := range h.Requests {
+		at := frontAt{r.Front, ranAt[r.ID]}
+		if first, ok := announced[at]; r.Announced && (!ok || r.Answered < first) {
+			announced[at] = r.Answered
+		}
+	}
+	arrivals := map[frontAt][]stand.Arrival{}
+	for _, a := range h.Arrivals {
+		req := requests[a.ID]
+		if req == nil {
+			continue // It is reported as a run that nobody asked for.
+		}
+		at := frontAt{req.Front, a.Endpoint}
+		arrivals[at] = append(arrivals[at], a)
+		if since, ok := announced[at]; ok && req.Sent > since+drainBound && !h.faultAt(req.Front, since, a.At) {
+			report("DRAIN", "%s, sent %d ms after %s passed on that %s leaves, reached it", a.ID, req.Sent-since, req.Front, a.Endpoint)
+		}
+	}
+	for at, all := range arrivals {
+		for _, p := range all {
+			count := 0
+			for _, a := range all {
+				if p.Pause > 0 && a.At > p.At+pauseMargin && a.At < p.At+p.Pause {
+					count++
+				}
+			}
+			if count > maxInPause && !h.faultAt(at.front, p.At, p.At+p.Pause) {
+				report("BUDGET", "%d requests from %s reached %s within the %d ms for which it wanted none", count, at.front, at.endpoint, p.Pause)
+			}
+		}
+	}
+}
+
+// faultAt reports whether a front had a fault between from and to.
+func (h *History) faultAt(front string, from, to mn.Millis) bool {
+	for _, w := range h.Faults {
+		if w.Front == front && w.From <= to && w.To >= from {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *History) checkQuota(report func(string, string, ...any)) {
 	byCustomer := map[mn.CustomerID][]stand.Run{}
 	for _, r := range h.Runs {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -53,8 +53,21 @@
 		"REFUSED": {func(h *History) { h.Requests[2].Status = 503 }},
 		"MIXED":   {func(h *History) { h.Requests[0].Answer += "x" }, func(h *History) { h.Requests[0].Answer = h.Requests[0].Answer[1:] }},
 		"CONFIG":  {func(h *History) { h.Requests[0].Key, h.Requests[0].Sent = "old", 105_001 }},
-		"DRAIN":   {func(h *History) { h.Requests[0].Sent, h.Runs[0].At = 102_001, 102_002 }},
-		"QUOTA":   {func(h *History) { h.Runs[0].Cost = 43_000 }},
+		"DRAIN": {
+			func(h *History) { h.Requests[0].Sent, h.Runs[0].At = 102_001, 102_002 },
+			func(h *History) {
+				h.Requests[0].Front, h.Requests[0].Announced, h.Requests[0].Answered = "f", true, 50_010
+				h.Requests[2].Front = "f"
+				h.Arrivals = []stand.Arrival{{ID: "3", Endpoint: "e", At: 70_005}}
+			},
+		},
+		"BUDGET": {func(h *History) {
+			h.Arrivals = []stand.Arrival{{ID: "2", Endpoint: "e", At: 60_000, Pause: 1500}}
+			for n := range 3 {
+				h.Arrivals = append(h.Arrivals, stand.Arrival{ID: "2", Endpoint: "e", At: 60_600 + mn.Millis(n)})
+			}
+		}},
+		"QUOTA": {func(h *History) { h.Runs[0].Cost = 43_000 }},
 		"ONE": {
 			func(h *History) { h.DutyCalls[1].Body = "y" },
 			func(h *History) { h.DutyCalls[1].Fence = 0 },
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -196,7 +196,7 @@
 	c.mu.Unlock()
 	id := mn.EndpointID(fmt.Sprintf("i-%d", n))
 	e := &endpoint{
-		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, ServiceTime: serviceTime, Clock: c.clock, OnRun: c.recordRun},
+		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, ServiceTime: serviceTime, Clock: c.clock, OnRun: c.recordRun, OnArrival: c.recordArrival},
 		entry: mn.Endpoint{ID: id, StartedAt: c.clock.Wall(), Pool: pool, Addr: fmt.Sprintf("%s:%d", c.ip(100+n%150), endpointPort),
 			DataCentre: dataCentre, Capacity: capacity, State: mn.EndpointReady, Role: role},
 	}
@@ -221,6 +221,12 @@
 	c.history.Runs = append(c.history.Runs, r)
 }
 
+func (c *cluster) recordArrival(a stand.Arrival) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.Arrivals = append(c.history.Arrivals, a)
+}
+
 // writeHeartbeat writes the entry of e with the next heartbeat number.
 func (c *cluster) writeHeartbeat(e *endpoint) error {
 	c.mu.Lock()
@@ -254,6 +260,7 @@
 // entry stays for three heartbeat intervals, as it would after a crash.
 func (c *cluster) removeEndpoint(ctx context.Context, e *endpoint, graceful bool) error {
 	if graceful {
+		e.Announce()
 		c.mu.Lock()
 		e.entry.State = mn.EndpointLeaving
 		c.mu.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -12,17 +12,19 @@
 // fault is a fault or change that the soak can inject. inject returns when the fault
 // has ended.
 type fault struct {
-	name   string
-	inject func(c *cluster, ctx context.Context, f *front, e *endpoint, duration mn.Millis) error
+	name string
+	// onFront reports whether the front has the fault, or a link of its own.
+	onFront bool
+	inject  func(c *cluster, ctx context.Context, f *front, e *endpoint, duration mn.Millis) error
 }
 
 var faults = []fault{
-	{"kill a front", func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
+	{"kill a front", true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
 		f.proc.Kill()
 		_ = c.clock.Sleep(ctx, duration/3) // If ctx ends the sleep, the front still has to be restarted.
 		return c.startFront(f)
 	}},
-	{"stop a front", func(c *cluster, ctx context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+	{"stop a front", true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, _ mn.Millis) error {
 		if err := f.proc.Terminate(); err != nil {
 			return err
 		}
@@ -31,62 +33,70 @@
 		}
 		return c.startFront(f)
 	}},
-	{"pause a front", func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
+	{"pause a front", true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
 		if err := f.proc.Pause(); err != nil {
 			return err
 		}
 		_ = c.clock.Sleep(ctx, duration) // If ctx ends the sleep, the front still has to be resumed.
 		return f.proc.Resume()
 	}},
-	{"signal a reload", func(c *cluster, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+	{"signal a reload", false, func(c *cluster, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
 		return syscall.Kill(f.proc.PID(), syscall.SIGHUP)
 	}},
-	{"partition a front from the store", func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
+	{"partition a front from the store", true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
 		f.storeLink.Partition()
 		_ = c.clock.Sleep(ctx, duration) // If ctx ends the sleep, the link still has to be restored.
 		f.storeLink.Restore()
 		return nil
 	}},
-	{"blackhole a front's connections to the store", func(c *cluster, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
+	{"blackhole a front's connections to the store", true, func(c *cluster, _ context.Context, f *front, _ *endpoint, _ mn.Millis) error {
 		f.storeLink.Blackhole()
 		return nil
 	}},
-	{"blackhole an endpoint's connections", func(c *cluster, _ context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+	{"blackhole an endpoint's connections", false, func(c *cluster, _ context.Context, _ *front, e *endpoint, _ mn.Millis) error {
 		e.link.Blackhole()
 		return nil
 	}},
-	{"partition a front from an endpoint", func(c *cluster, ctx context.Context, f *front, e *endpoint, duration mn.Millis) error {
+	{"partition a front from an endpoint", true, func(c *cluster, ctx context.Context, f *front, e *endpoint, duration mn.Millis) error {
 		e.link.PartitionFrom(f.ip)
 		_ = c.clock.Sleep(ctx, duration) // If ctx ends the sleep, the link still has to be restored.
 		e.link.RestoreFrom(f.ip)
 		return nil
 	}},
-	{"crash an endpoint", func(c *cluster, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+	{"crash an endpoint", false, func(c *cluster, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
 		return c.replaceEndpoint(ctx, e, false)
 	}},
-	{"drain an endpoint", func(c *cluster, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+	{"drain an endpoint", false, func(c *cluster, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
 		return c.replaceEndpoint(ctx, e, true)
 	}},
-	{"store busy", storeFault(stand.Busy, 1)},
-	{"store resets", storeFault(stand.Reset, 0.6)},
-	{"store loses answers", storeFault(stand.Lost, 0.4)},
-	{"store slow", storeFault(stand.Slow, 1)},
-	{"compact the store", func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+	{"announce the end of an endpoint", false, func(c *cluster, ctx context.Context, _ *front, e *endpoint, _ mn.Millis) error {
+		// Its entry says that it is ready until it has ended.
+		e.Announce()
+		_ = c.clock.Sleep(ctx, drainBound+2*mn.Second) // If the soak ends, the endpoint is replaced at once.
+		return c.replaceEndpoint(ctx, e, false)
+	}},
+	{"endpoint asks for pauses", false, endpointFault(stand.AskPause, 0.2)},
+	{"endpoint sends late refusals", false, endpointFault(stand.LateRefusal, 0.3)},
+	{"store busy", false, storeFault(stand.Busy, 1)},
+	{"store resets", false, storeFault(stand.Reset, 0.6)},
+	{"store loses answers", false, storeFault(stand.Lost, 0.4)},
+	{"store slow", false, storeFault(stand.Slow, 1)},
+	{"compact the store", false, func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
 		c.store.Compact()
 		return nil
 	}},
-	{"endpoint loses answers", endpointFault(stand.LoseAnswer, 0.3)},
-	{"endpoint truncates answers", endpointFault(stand.TruncateAnswer, 0.3)},
-	{"endpoint sends extra data", endpointFault(stand.ExtraAnswer, 0.3)},
-	{"endpoint fails", endpointFault(stand.FailRun, 0.4)},
-	{"endpoint sheds load", endpointFault(stand.Shed, 0.4)},
-	{"write a configuration", func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+	{"endpoint loses answers", false, endpointFault(stand.LoseAnswer, 0.3)},
+	{"endpoint truncates answers", false, endpointFault(stand.TruncateAnswer, 0.3)},
+	{"endpoint sends extra data", false, endpointFault(stand.ExtraAnswer, 0.3)},
+	{"endpoint fails", false, endpointFault(stand.FailRun, 0.4)},
+	{"endpoint sheds load", false, endpointFault(stand.Shed, 0.4)},
+	{"write a configuration", false, func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
 		c.mu.Lock()
 		c.extraRoutes++
 		c.mu.Unlock()
 		return c.writeConfig()
 	}},
-	{"revoke a key", func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
+	{"revoke a key", false, func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
 		c.mu.Lock()
 		customer := []mn.CustomerID{"a", "b", hotCustomer}[c.rand.IntN(3)]
 		key := ""
@@ -157,7 +167,11 @@
 			go func() {
 				err := chosen.inject(c, ctx, f, e, duration)
 				c.mu.Lock()
-				c.history.Faults = append(c.history.Faults, FaultWindow{from, c.clock.Now(), chosen.name})
+				w := FaultWindow{From: from, To: c.clock.Now(), Fault: chosen.name}
+				if chosen.onFront {
+					w.Front = f.name
+				}
+				c.history.Faults = append(c.history.Faults, w)
 				delete(busyFronts, f)
 				delete(busyEndpoints, e)
 				c.mu.Unlock()
