Remember requests that crash endpoints after all fronts have ended

Cause: only crashes that count against prompt segments were stored, and the quarantine was asked once, as a request arrived. Change: the stored record holds the crashes of requests in quarantine or one crash short of it; the quarantine is asked before each send, after the check of a crash that would complete it. TestPoisonousRequestIsKnownAfterAllFrontsHaveEnded failed before in both cases, TestPoisonousRequestIsNotSentAgain with 4 runs instead of 3.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -67,6 +67,8 @@
 	suspects map[string][]crash
 	// clearedAt is when a suspect was cleared. Records of earlier crashes may still come.
 	clearedAt map[string]mn.Millis
+	// version counts the changes of what Snapshot returns.
+	version int64
 }
 
 type crash struct {
@@ -95,6 +97,9 @@
 		t.evict()
 	}
 	t.suspects[r.Fingerprint] = append(known, crash{r.VM, r.SeenAt})
+	if t.count(r.Fingerprint) >= t.config.CrashThreshold-1 {
+		t.version++
+	}
 }
 
 // minCrashInterval is the minimum time between two crashes of one endpoint.
@@ -137,9 +142,23 @@
 func (t *Tracker) Records(limit int) []mn.CrashRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.records(limit, t.config.CrashThreshold)
+}
+
+// Snapshot returns the crashes of the fingerprints that are in quarantine or one crash
+// short of it, the newest first, at most limit, and a number that grows when they change.
+// Another Tracker that adds them goes on counting.
+func (t *Tracker) Snapshot(limit int) ([]mn.CrashRecord, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records(limit, t.config.CrashThreshold-1), t.version
+}
+
+// records returns the crashes of fingerprints with minCrashes or more.
+func (t *Tracker) records(limit, minCrashes int) []mn.CrashRecord {
 	var out []mn.CrashRecord
 	for f := range t.suspects {
-		if t.count(f) < t.config.CrashThreshold {
+		if t.count(f) < minCrashes {
 			continue
 		}
 		for _, c := range t.suspects[f] {
@@ -150,6 +169,13 @@
 	return out[:min(limit, len(out))]
 }
 
+// NearQuarantine reports whether one more crash would put a fingerprint into quarantine.
+func (t *Tracker) NearQuarantine(fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count(fingerprint) >= t.config.CrashThreshold-1
+}
+
 // Check returns an Error with code Quarantined if the fingerprint has CrashThreshold
 // crashes or more.
 func (t *Tracker) Check(fingerprint string) *mn.Error {
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -132,12 +132,12 @@
 
 // checkEndpoint returns a result if the request must not be sent to the endpoint: it is
 // leaving, gone from the list or wants no requests, the list may be too old to tell, or the
-// prompt may crash it. It is called right before each send.
+// content may crash it. It is called right before each send.
 func (q *request) checkEndpoint(ctx context.Context, id mn.EndpointID) *result {
 	if err := q.View.ConfirmList(ctx); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
 	}
-	if err := q.admitSegments(); err != nil {
+	if err := q.admitContent(); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
 	}
 	if err := q.Balancer.CheckSend(id); err != nil {
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -29,6 +29,17 @@
 	return q.cachedFingerprint
 }
 
+// admitContent returns an error if the request must not be sent because its content has
+// crashed endpoints, as a whole or by segments of its prompt.
+func (q *request) admitContent() *mn.Error {
+	if q.CrashTracker.HasSuspects() {
+		if e := q.CrashTracker.Check(q.fingerprint()); e != nil {
+			return e.WithRetryAfter(0)
+		}
+	}
+	return q.admitSegments()
+}
+
 // admitSegments returns an error if the request must not be sent because segments of its
 // prompt crash engines, or may do so and are being tried by another request.
 func (q *request) admitSegments() *mn.Error {
@@ -51,8 +62,9 @@
 
 // checkCrash checks whether an endpoint that did not complete its answer has crashed. If
 // so, it counts the crash against the request's content, and against the segments of its
-// prompt unless the endpoint had begun to answer. It returns at once, except for a prompt
-// that may be sent again: by then the front should know whether its segments are suspects.
+// prompt unless the endpoint had begun to answer. It returns at once, except for a request
+// that may be sent again if the front should know the result by then: whether segments of
+// its prompt are suspects, or whether its content is in quarantine.
 func (q *request) checkCrash(to mn.Endpoint, err error) {
 	if q.r.Context().Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 		return
@@ -61,7 +73,7 @@
 	if q.lastEventAt == math.MaxInt64 {
 		c.segments = q.segments
 	}
-	if len(c.segments) > 0 && q.route.Repeatable() {
+	if q.route.Repeatable() && (len(c.segments) > 0 || q.CrashTracker.NearQuarantine(c.fingerprint)) {
 		c.tried = q.trial.Segments()
 		c.run()
 		return
--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -176,3 +176,39 @@
 		})
 	}
 }
+
+// A request that may be repeated crashes each endpoint that begins to run it. It reaches
+// three of them in all, although its front would send it again by itself.
+func TestPoisonousRequestIsNotSentAgain(t *testing.T) {
+	b := newFixture(t, map[string]script{})
+	var list []mn.Endpoint
+	arrived := make(chan string, 20)
+	for i := range 8 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				arrived <- r.URL.Path
+			}
+			l.Close()
+			c.Close()
+		}()
+		list = append(list, mn.Endpoint{ID: mn.EndpointID(fmt.Sprint("p", i)), Pool: "plain", Addr: l.Addr().String(), Capacity: 6, State: mn.EndpointReady})
+	}
+	b.server.Balancer.SetEndpoints(list)
+	var statuses []int
+	for range 4 {
+		resp, _, err := b.do("GET", "/get/poison", "")
+		require.NoError(t, err)
+		statuses = append(statuses, resp.StatusCode)
+		time.Sleep(60 * time.Millisecond) // The front checks whether the endpoint still listens.
+	}
+	require.Len(t, arrived, 3)
+	require.Equal(t, []int{502, 502, 503, 503}, statuses, "a request that may have run is never answered 503")
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -176,13 +176,7 @@
 // admit enforces the customer's rate, and rejects requests whose content has
 // crashed endpoints or whose deadline is too close.
 func (q *request) admit() *mn.Error {
-	if q.CrashTracker.HasSuspects() {
-		if e := q.CrashTracker.Check(q.fingerprint()); e != nil {
-			q.cost = 0
-			return e.WithRetryAfter(0)
-		}
-	}
-	if e := q.admitSegments(); e != nil {
+	if e := q.admitContent(); e != nil {
 		q.cost = 0
 		return e
 	}
--- a/node/front_crashes.go
+++ b/node/front_crashes.go
@@ -17,18 +17,20 @@
 
 // storedCrashes is the record of the crash feed.
 type storedCrashes struct {
-	// WrittenAt is the wall-clock time of the write. The ages of the crashes are as of
-	// then.
-	WrittenAt mn.Millis        `json:"written_at_ms"`
-	Crashes   []mn.EngineCrash `json:"crashes"`
+	// WrittenAt is the wall-clock time of the write. The ages of the crashes of engines
+	// are as of then.
+	WrittenAt mn.Millis `json:"written_at_ms"`
+	// Crashes holds what is known of prompt segments, Requests what is of whole requests.
+	Crashes  []mn.EngineCrash `json:"crashes"`
+	Requests []mn.CrashRecord `json:"requests"`
 }
 
-// storeCrashes reads what fronts that have ended knew of prompt segments that crash
-// engines. Then it writes what is new to the store while this front is the first reader,
-// until ctx is done.
+// storeCrashes reads what fronts that have ended knew of requests and prompt segments that
+// crash endpoints. Then it writes what is new to the store while this front is the first
+// reader, until ctx is done.
 func (f *Front) storeCrashes(ctx context.Context) error {
 	store := newDependency(f, "store", "crashes")
-	restored, written := false, int64(0)
+	restored, written, requestsWritten := false, int64(0), int64(0)
 	for ; ctx.Err() == nil; _ = f.clock.Sleep(ctx, storeCrashesInterval) {
 		if !restored {
 			err := f.restoreCrashes(ctx)
@@ -37,17 +39,18 @@
 			continue
 		}
 		crashes, version := f.segments.Snapshot()
-		if version == written || len(crashes) == 0 || f.rank() > 0 {
+		requests, requestsVersion := f.crashTracker.Snapshot(maxCrashRecords)
+		if version == written && requestsVersion == requestsWritten || len(crashes)+len(requests) == 0 || f.rank() > 0 {
 			continue
 		}
-		value, err := json.Marshal(storedCrashes{f.clock.Wall(), crashes})
+		value, err := json.Marshal(storedCrashes{f.clock.Wall(), crashes, requests})
 		if err != nil {
 			return err
 		}
 		_, err = f.platform.Store.Put(ctx, mn.CrashFeed, crashesKey, value, -1)
 		store.record(err)
 		if err == nil {
-			written = version
+			written, requestsWritten = version, requestsVersion
 		}
 	}
 	return nil
@@ -70,6 +73,9 @@
 			stored.Crashes[n].Age += since
 		}
 		f.segments.Receive(stored.Crashes, nil)
+		for _, r := range stored.Requests {
+			f.crashTracker.Add(r)
+		}
 	}
 	return nil
 }
--- a/node/segments_test.go
+++ b/node/segments_test.go
@@ -86,3 +86,33 @@
 	c.start("c")
 	c.eventually(func() bool { return c.fronts["c"].crashTracker.Check("poison") != nil })
 }
+
+// All fronts end at once after a request has crashed several endpoints, once short of
+// quarantine and once in it. Those that start afterwards go on counting.
+func TestPoisonousRequestIsKnownAfterAllFrontsHaveEnded(t *testing.T) {
+	for crashes := crashThreshold - 1; crashes <= crashThreshold; crashes++ {
+		t.Run(fmt.Sprint(crashes, " crashes"), func(t *testing.T) {
+			c := newTestCluster(t, "a", "b")
+			c.eventually(func() bool { return c.fronts["a"].peers.count() == 2 && c.fronts["b"].peers.count() == 2 })
+			a := c.fronts["a"]
+			for n := range crashes {
+				crash := mn.CrashRecord{Fingerprint: "poison", VM: mn.VMID(fmt.Sprint("e-", n)), SeenAt: a.clock.Wall()}
+				a.crashTracker.Add(crash)
+				a.crashNotices.add(crash)
+			}
+			a.crashTracker.Add(mn.CrashRecord{Fingerprint: "once", VM: "e-1", SeenAt: a.clock.Wall()})
+			c.eventually(func() bool { return c.fronts["b"].crashTracker.Crashes("poison") == crashes })
+			time.Sleep(storeCrashesInterval.Duration() + 300*time.Millisecond)
+			for _, f := range c.fronts {
+				f.stop()
+			}
+			for _, f := range c.fronts {
+				require.NoError(t, <-f.done)
+			}
+			c.start("c")
+			c.eventually(func() bool { return c.fronts["c"].crashTracker.Crashes("poison") == crashes })
+			require.Equal(t, crashes == crashThreshold, c.fronts["c"].crashTracker.Check("poison") != nil)
+			require.Zero(t, c.fronts["c"].crashTracker.Crashes("once"), "one crash is no sign yet")
+		})
+	}
+}
