Send nothing on for callers that have left

Callers saw: nothing; endpoints worked for callers that had left long before. A caller that closed only its sending side got an empty 200. Cause: net/http tells of a closed connection only after a goroutine of its own has run, and ends a request that got no answer with a 200. Change: the front looks at the caller's connection as it reads a request and before each send, without reading from it (wire.Peek, which io/back uses too), and always answers or aborts.

--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -193,23 +192,5 @@
 // isQuiet reports whether nothing has arrived on an idle connection: neither bytes,
 // which would belong to no request, nor the end of the connection.
 func isQuiet(conn *conn) bool {
-	if conn.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := conn.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return conn.reader.Buffered() == 0 && wire.Peek(conn.Conn) == wire.PeekQuiet
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -130,10 +130,13 @@
 	return q.forwardComplete(plan, a, sent)
 }
 
-// checkEndpoint returns a result if the request must not be sent to the endpoint: it is
-// leaving, gone from the list or wants no requests, the list may be too old to tell, or the
-// content may crash it. It is called right before each send.
+// checkEndpoint returns a result if the request must not be sent to the endpoint: the caller
+// has left, the endpoint is leaving, gone from the list or wants no requests, the list may be
+// too old to tell, or the content may crash it. It is called right before each send.
 func (q *request) checkEndpoint(ctx context.Context, id mn.EndpointID) *result {
+	if err := q.checkCaller(); err != nil {
+		return &result{endpoint: id, notRun: true, final: true, err: err}
+	}
 	if err := q.View.ConfirmList(ctx); err != nil {
 		return &result{endpoint: id, notRun: true, final: true, err: err}
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -192,7 +192,9 @@
 		Segments: poison.NewSegmentTracker(clock), SegmentRank: func(string) int { return 0 },
 		OnCrash: func(mn.CrashRecord) {}, MaxIdleConns: func(mn.PoolID) int { return 4 },
 	})
-	s := httptest.NewServer(b.server)
+	s := httptest.NewUnstartedServer(b.server)
+	s.Config.ConnContext = ConnContext
+	s.Start()
 	t.Cleanup(s.Close)
 	b.url = s.URL
 	return b
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -90,6 +90,9 @@
 func (q *request) serve() *mn.Error {
 	info, parseErr := q.Dialect.ParseRequest(q.r.Header)
 	q.info = info
+	if err := q.checkCaller(); err != nil {
+		return err
+	}
 	table, age := q.View.Table()
 	if table == nil {
 		return mn.Errorf(mn.NotCurrent, "no configuration yet").WithRetryAfter(defaultRetryAfter)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,6 +23,7 @@
 	"mustardnotch/core/stats"
 	"mustardnotch/io/back"
 	"mustardnotch/io/logs"
+	"mustardnotch/io/wire"
 )
 
 // NoRoute means that no declared route matches the request.
@@ -47,6 +49,7 @@
 	mn.Quarantined:          http.StatusServiceUnavailable,
 	poison.SuspectedSegment: http.StatusServiceUnavailable,
 	mn.DeadlineTooShort:     http.StatusServiceUnavailable,
+	mn.Cancelled:            http.StatusServiceUnavailable,
 	mn.DeadlineExceeded:     http.StatusGatewayTimeout,
 	mn.EndpointFailed:       http.StatusBadGateway,
 	mn.OutcomeNotKnown:      http.StatusBadGateway,
@@ -114,6 +117,28 @@
 	return &Server{Config: c, answeredSampler: logs.NewSampler(maxAnsweredLines, c.Clock)}
 }
 
+// connKey is the key of the caller's connection in the context of a request.
+type connKey struct{}
+
+// ConnContext adds the caller's connection to the context of its requests, for
+// [http.Server.ConnContext]. Without it, a caller's leaving is noticed later.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// checkCaller returns an error if the caller has left.
+//
+// Load pattern: a front has more requests than it has processor time for, reads them
+// seconds late, and their callers have given up meanwhile. net/http notices that only once
+// another goroutine has run.
+func (q *request) checkCaller() *mn.Error {
+	c, ok := q.r.Context().Value(connKey{}).(net.Conn)
+	if q.r.Context().Err() == nil && !(ok && wire.Peek(c) == wire.PeekClosed) {
+		return nil
+	}
+	return mn.Errorf(mn.Cancelled, "the caller's connection was closed").WithOutcome(mn.OutcomeNotRun)
+}
+
 // ServeHTTP implements [http.Handler].
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Server: s, w: w, r: r, arrived: s.Clock.Now()}
@@ -129,9 +154,8 @@
 		// Aborting the connection shows the caller that the answer is truncated.
 		panic(http.ErrAbortHandler)
 	}
-	if r.Context().Err() != nil {
-		return
-	}
+	// A caller that has closed only its sending side gets the error. Without one, net/http
+	// would send a success.
 	q.sendError(err)
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -160,6 +160,7 @@
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       callerIdleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       front.ConnContext,
 	}
 	g.Go(func() error { return ignoreClosed(callers.Serve(ls[0])) })
 	serveHTTP(run, g, ls[1], http.HandlerFunc(f.serveReady))
