Close idle connections that can't be used again

Seen in the review: 24 more descriptors for each four endpoints that left without closing their connections. Cause: an idle connection was looked at only when a request wanted it. Change: connections that have been idle for too long are closed once a second; addresses without connections are forgotten.

--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -392,3 +392,18 @@
 	}
 	require.EqualValues(t, 3, e.conns.Load())
 }
+
+// Endpoints end without closing their connections, and others take their place. The
+// connections to those that have ended must not add up.
+func TestIdleConnectionsToEndedEndpointsAreClosed(t *testing.T) {
+	clock := mn.NewManualClock(1000)
+	c := New(clock, "", nil)
+	for range 5 {
+		e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
+		b, err := readBody(t, c, call(e, "1"))
+		require.NoError(t, err)
+		require.Equal(t, "own", b)
+		clock.Advance(defaultIdleTime)
+	}
+	require.Len(t, c.idle, 1, "addresses with idle connections")
+}
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -37,6 +37,9 @@
 	// maxCarried is how many requests a connection carries before it is replaced. It
 	// remembers their ids.
 	maxCarried = 256
+	// sweepInterval is the time between two searches for idle connections that may not be
+	// used again.
+	sweepInterval = 1 * mn.Second
 )
 
 // conn is a connection to an endpoint.
@@ -63,6 +66,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// sweptAt is when idle connections that may not be used again were last closed.
+	sweptAt mn.Millis
 }
 
 // Observer is told of every answer that belongs to a call.
@@ -182,6 +187,7 @@
 	conn.idleAt = c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sweep(conn.idleAt)
 	if len(c.idle[addr]) >= min(maxIdle, maxIdlePerAddr) {
 		conn.Close()
 		return
@@ -189,6 +195,27 @@
 	c.idle[addr] = append(c.idle[addr], conn)
 }
 
+// sweep closes the connections that have been idle for too long. Those to endpoints that are
+// gone would otherwise stay.
+func (c *Client) sweep(now mn.Millis) {
+	if now-c.sweptAt < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	for addr, cs := range c.idle {
+		cs = slices.DeleteFunc(cs, func(k *conn) bool {
+			if now-k.idleAt < k.maxIdleTime {
+				return false
+			}
+			k.Close()
+			return true
+		})
+		if c.idle[addr] = cs; len(cs) == 0 {
+			delete(c.idle, addr)
+		}
+	}
+}
+
 // isQuiet reports whether nothing has arrived on an idle connection: neither bytes,
 // which would belong to no request, nor the end of the connection.
 func isQuiet(conn *conn) bool {
