Assume that silent fronts are as busy as this one

Cause: a silent peer was assumed to spend at its last known rate, which was from before the customer became busy, and for the first 0.8 s nothing was assumed. Change: a peer is assumed to spend at least what this front does, the more the older its last update is, and for 30 s instead of 10. The next update puts it right.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -6,6 +6,10 @@
 // front is silent, it is assumed to go on spending at its recent rate, so that no
 // side of a network partition grants the full rate on its own.
 //
+// Load pattern: the customer becomes busy while fronts are cut off from one another, or
+// just before. The recent rate of a silent peer says nothing of that, so it is assumed to
+// spend at least what this front does, and what those that can be heard do on average.
+//
 // Load pattern: the same with so many fronts that updates are rare. What a bucket
 // gains between two updates would be spent by each front at the same time. So once
 // little is left, each front assumes that its peers spend whenever it does, in
@@ -25,6 +29,9 @@
 	// staleAfter is the age of a peer's last update from which on its spending is
 	// estimated from its rate, for customers whose buckets are above scarceShare.
 	staleAfter = 800 * mn.Millisecond
+	// doubtAfter is the age of a peer's last update from which on a customer may be as busy
+	// there as at the fronts that are heard.
+	doubtAfter = 200 * mn.Millisecond
 	// scarceShare is the share of a full bucket below which each front counts its
 	// peers' estimated spending with its own: at a quarter, 22 fronts exceed a
 	// window's limit by 3% (TestManyFrontsStayWithinTheWindow).
@@ -36,9 +43,9 @@
 	// the others average about 0.5 of an equal split. A front that assumes more than
 	// its real rate for itself underestimates what its peers spend.
 	minShare = 0.25
-	// forgetAfter is how long a silent peer is assumed to go on spending; by then
-	// it is off the list of fronts.
-	forgetAfter = 10 * mn.Second
+	// forgetAfter is how long a silent peer is assumed to go on spending. A front that is
+	// cut off from all others and the store rejects keys long before.
+	forgetAfter = 30 * mn.Second
 	// rateWindow is the time over which a front's spending rate is averaged.
 	rateWindow = 2 * mn.Second
 )
@@ -205,20 +212,22 @@
 	if sum := b.windowSpent.Total(); sum > 0 && sum+cost > b.windowLimit {
 		return b.windowSpent.BucketLength(), false
 	}
+	scarce := b.level-cost < scarceShare*b.burst
 	b.spend(cost)
 	l.ownSpent[c] += cost
-	if b.level < scarceShare*b.burst {
-		l.chargePeers(c, b, cost)
-	}
+	l.chargePeers(c, b, cost, scarce)
 	return 0, true
 }
 
 // chargePeers charges what the peer fronts are assumed to spend while this one spends
-// cost.
-func (l *Limiter) chargePeers(c mn.CustomerID, b *bucket, cost float64) {
-	if now := l.clock.Now(); now-l.ownRate.updatedAt >= rateWindow/windowBuckets {
+// cost. If the bucket isn't scarce, that is only what goes beyond their recent rates:
+// chargeStalePeers charges those of silent peers, and those of the others arrive in time.
+func (l *Limiter) chargePeers(c mn.CustomerID, b *bucket, cost float64, scarce bool) {
+	now := l.clock.Now()
+	if now-l.ownRate.updatedAt >= rateWindow/windowBuckets {
 		l.ownRate.update(maps.Clone(l.ownSpent), now)
 	}
+	audible := l.audibleRate(c, now)
 	total := l.ownRate.perSecond[c]
 	for _, p := range l.peers {
 		total += p.perSecond[c]
@@ -228,13 +237,36 @@
 		return
 	}
 	for _, p := range l.peers {
-		if estimate := cost * p.perSecond[c] / own; estimate > 0 {
+		rate := p.assumedRate(c, audible, now)
+		if !scarce {
+			rate -= p.perSecond[c]
+		}
+		if estimate := cost * rate / own; estimate > 0 {
 			b.spend(estimate)
 			p.estimated[c] += estimate
 		}
 	}
 }
 
+// audibleRate returns the average rate at which a customer spends at this front and at the
+// peers that are not silent, and at least the rate here: those of peers arrive later.
+func (l *Limiter) audibleRate(c mn.CustomerID, now mn.Millis) float64 {
+	sum, count := l.ownRate.perSecond[c], 1.0
+	for _, p := range l.peers {
+		if now-p.updatedAt < staleAfter {
+			sum, count = sum+p.perSecond[c], count+1
+		}
+	}
+	return max(l.ownRate.perSecond[c], sum/count)
+}
+
+// assumedRate returns the rate at which a customer is assumed to spend at a peer: its recent
+// rate, or that of the audible fronts if it is higher. The latter counts the more the longer
+// the peer has been silent.
+func (p *peer) assumedRate(c mn.CustomerID, audible float64, now mn.Millis) float64 {
+	return max(p.perSecond[c], audible*min(1, float64(now-p.updatedAt)/float64(doubtAfter)))
+}
+
 // Refund credits a customer with the cost of a request that did not run.
 func (l *Limiter) Refund(c mn.CustomerID, cost float64) {
 	l.mu.Lock()
