Don't take another endpoint's announcement for this one's

Cause: a misdirected request (421) has reached whoever has the address now; what that endpoint says of itself was kept for the one that was meant. Change: answers with 421 are no notice. Result: TestAnnouncementOfAnotherEndpointIsIgnored failed before, in the same form as TestEndpointThatAnnouncesItsEndGetsNoRequests passes.

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -92,7 +92,8 @@
 		conn.Close()
 		return nil, &Error{Sent: true, Err: errors.Join(err, context.Cause(ctx))}
 	}
-	if c.observer != nil {
+	// A misdirected request may have reached another endpoint, which speaks for itself.
+	if c.observer != nil && a.Status != http.StatusMisdirectedRequest {
 		c.observer.ObserveReply(call.To, a.ReplyInfo)
 	}
 	a.stop = stop
--- a/io/front/notice_test.go
+++ b/io/front/notice_test.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// The address of an endpoint belongs to another one by now, which leaves.
+func TestAnnouncementOfAnotherEndpointIsIgnored(t *testing.T) {
+	b := newFixture(t, map[string]script{"p1": func(r *http.Request, _ string, c net.Conn) bool {
+		return answer(c, r, 421, "", "Leaving", "1", "Pause", "60000")
+	}})
+	_, _, err := b.do("POST", "/book/", "")
+	require.NoError(t, err)
+	require.Nil(t, b.server.Balancer.CheckSend("p1"))
+}
+
 // A decode endpoint announces its end while a prompt for it is prefilled elsewhere.
 func TestEndpointThatAnnouncesItsEndDuringPrefill(t *testing.T) {
 	prefilling, announced := make(chan struct{}), make(chan struct{})
--- a/io/wire/peek.go
+++ b/io/wire/peek.go
@@ -40,8 +40,10 @@
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
-		case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
 			state = PeekQuiet
+		case errors.Is(err, unix.EINTR):
+			// It stays unknown.
 		case err != nil, n == 0:
 			state = PeekClosed
 		default:
--- a/node/front_lists.go
+++ b/node/front_lists.go
@@ -80,8 +80,9 @@
 }
 
 // maxStartAhead is how far in the future an endpoint may have started by this VM's time of
-// day. Times of day differ, and jump, by seconds.
-const maxStartAhead = mn.Hour
+// day. Times of day differ, and jump, by seconds; one that is set wrong, by the hours of a time
+// zone for example, must not hide all endpoints.
+const maxStartAhead = 24 * mn.Hour
 
 // decodeEndpoint decodes an item of the endpoint feed. An entry that no endpoint can have
 // written yet is an error, since later entries of the endpoint would count as stale beside
