Keep the header of leaving endpoints in platform/

Cause: the soak read a header of the users' platform by its name. Change: platform/stand says whether an answer announces the end of its endpoint.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -108,7 +108,7 @@
 	}
 	defer resp.Body.Close()
 	out.Status, out.Answered = resp.StatusCode, c.clock.Now()
-	out.Announced = resp.Header.Get("Server-Leaving") != ""
+	out.Announced = stand.Announced(resp.Header)
 	answer, err := io.ReadAll(resp.Body)
 	out.Answer, out.Complete = string(answer), err == nil
 	return err == nil
