Keep estimates of audible peers as plain sums

Cause: each update of a peer dropped the estimates of it and the next request allocated a sum over the window for each peer again, also where nothing is silent. Change: an estimate has a window only once its peer is silent; the map is kept; estimates below a thousandth of a request's cost are left out. The soak looks only at refusals that asked for a pause.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -46,6 +46,8 @@
 	// forgetAfter is how long a silent peer is assumed to go on spending. A front that is
 	// cut off from all others and the store rejects keys long before.
 	forgetAfter = 30 * mn.Second
+	// negligible is the estimate, as a share of a request's cost, below which it is left out.
+	negligible = 0.001
 	// rateWindow is the time over which a front's spending rate is averaged.
 	rateWindow = 2 * mn.Second
 )
@@ -130,7 +132,7 @@
 	incarnation mn.Incarnation
 	spendRate
 	// estimated is what was charged to buckets since the peer's last update.
-	estimated   map[mn.CustomerID]*estimate
+	estimated   map[mn.CustomerID]estimate
 	estimatedAt mn.Millis
 }
 
@@ -138,10 +140,21 @@
 // kept apart from the sum over the window: taking it off what is spent by then would count
 // less than was spent once the time of the estimate has left the window.
 type estimate struct {
-	total  float64
+	total float64
+	// window holds the estimate by time once the peer is silent, nil before: all of it is
+	// recent then.
 	window *slide.Sum
 }
 
+// inWindow returns the part of the estimate that lies in the window at now.
+func (e estimate) inWindow(now mn.Millis) float64 {
+	if e.window == nil {
+		return e.total
+	}
+	e.window.Advance(now)
+	return e.window.Total()
+}
+
 // New returns a Limiter without customers.
 func New(tolerance Tolerance, clock mn.Clock) *Limiter {
 	return &Limiter{
@@ -249,7 +262,7 @@
 		if !scarce {
 			rate -= p.perSecond[c]
 		}
-		if amount := cost * rate / own; amount > 0 {
+		if amount := cost * rate / own; amount > negligible*cost {
 			l.chargeEstimate(p, c, b, amount)
 		}
 	}
@@ -258,13 +271,16 @@
 // chargeEstimate charges what a peer is assumed to have spent just now.
 func (l *Limiter) chargeEstimate(p *peer, c mn.CustomerID, b *bucket, amount float64) {
 	e, now := p.estimated[c], l.clock.Now()
-	if e == nil {
-		e = &estimate{window: slide.New(windowBuckets, l.windowBucketLength(), now)}
-		p.estimated[c] = e
+	if e.window == nil && now-p.updatedAt >= staleAfter {
+		e.window = slide.New(windowBuckets, l.windowBucketLength(), now)
+		e.window.Add(e.total)
+	}
+	if e.window != nil {
+		e.window.Advance(now)
+		e.window.Add(amount)
 	}
-	e.window.Advance(now)
-	e.window.Add(amount)
 	e.total += amount
+	p.estimated[c] = e
 	b.level = min(b.burst, b.level-amount)
 }
 
@@ -272,9 +288,8 @@
 func (l *Limiter) windowSum(c mn.CustomerID, b *bucket) float64 {
 	sum, now := b.windowSpent.Total(), l.clock.Now()
 	for _, p := range l.peers {
-		if e := p.estimated[c]; e != nil {
-			e.window.Advance(now)
-			sum += e.window.Total()
+		if e, ok := p.estimated[c]; ok {
+			sum += e.inWindow(now)
 		}
 	}
 	return sum
@@ -332,7 +347,7 @@
 			return // Changes can't be applied without a full state.
 		}
 		l.peers[f.VM] = &peer{incarnation: f.Incarnation, spendRate: newSpendRate(f.Spent, now),
-			estimated: map[mn.CustomerID]*estimate{}, estimatedAt: now}
+			estimated: map[mn.CustomerID]estimate{}, estimatedAt: now}
 		if f.Uptime >= l.tolerance.Window {
 			return // It's unknown how much of it is recent.
 		}
@@ -350,12 +365,8 @@
 	for c, total := range totals {
 		added := total - p.spent[c]
 		if b := l.buckets[c]; b != nil {
-			estimated := 0.0
-			if e := p.estimated[c]; e != nil {
-				estimated = e.total
-			}
 			b.refill(now)
-			b.level = min(b.burst, b.level+estimated-added)
+			b.level = min(b.burst, b.level+p.estimated[c].total-added)
 			since := now
 			if now-p.updatedAt >= staleAfter {
 				// Most of it may have been spent in the later half.
@@ -365,7 +376,8 @@
 		}
 	}
 	p.update(totals, now)
-	p.estimated, p.estimatedAt = map[mn.CustomerID]*estimate{}, now
+	clear(p.estimated)
+	p.estimatedAt = now
 }
 
 // chargeStalePeers charges the estimated spending of silent peers and forgets those
--- a/soak/check.go
+++ b/soak/check.go
@@ -192,9 +192,12 @@
 	}
 	for at, all := range arrivals {
 		for _, p := range all {
+			if p.Pause == 0 {
+				continue
+			}
 			count := 0
 			for _, a := range all {
-				if p.Pause > 0 && a.At > p.At+pauseMargin && a.At < p.At+p.Pause {
+				if a.At > p.At+pauseMargin && a.At < p.At+p.Pause {
 					count++
 				}
 			}
