Doubt a peer's spending only when its update is overdue

Cause: from 0.2 s after an update on, a peer was assumed to be as busy as this front. 68 fronts hear of each other once a second, so that a customer within its rate was rejected. And once estimates were kept apart, the sum over the window came to bind while the bucket held plenty, where no estimate of audible peers was made. Change: doubt begins when an update is overdue by the peer's own usual interval. A customer counts as scarce also when the window is nearly full.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -29,9 +29,9 @@
 	// staleAfter is the age of a peer's last update from which on its spending is
 	// estimated from its rate, for customers whose buckets are above scarceShare.
 	staleAfter = 800 * mn.Millisecond
-	// doubtAfter is the age of a peer's last update from which on a customer may be as busy
-	// there as at the fronts that are heard.
-	doubtAfter = 200 * mn.Millisecond
+	// intervalWeight is the weight of one observation in the exponentially weighted moving
+	// average of the time between two updates of a peer.
+	intervalWeight = 0.2
 	// scarceShare is the share of a full bucket below which each front counts its
 	// peers' estimated spending with its own: at a quarter, 22 fronts exceed a
 	// window's limit by 3% (TestManyFrontsStayWithinTheWindow).
@@ -134,6 +134,14 @@
 	// estimated is what was charged to buckets since the peer's last update.
 	estimated   map[mn.CustomerID]estimate
 	estimatedAt mn.Millis
+	// interval is the usual time between two updates, in milliseconds.
+	interval float64
+}
+
+// overdue returns by how much the peer's next update is overdue: 0 up to the usual interval,
+// and 1 from twice that on.
+func (p *peer) overdue(now mn.Millis) float64 {
+	return min(1, max(0, (float64(now-p.updatedAt)-p.interval)/p.interval))
 }
 
 // estimate is what a peer is assumed to have spent. Its next update replaces it, so it is
@@ -230,10 +238,12 @@
 	if b.level < need {
 		return mn.Millis((need-b.level)/b.rate*1000) + 1, false
 	}
-	if sum := l.windowSum(c, b); sum > 0 && sum+cost > b.windowLimit {
+	sum := l.windowSum(c, b)
+	if sum > 0 && sum+cost > b.windowLimit {
 		return b.windowSpent.BucketLength(), false
 	}
-	scarce := b.level-cost < scarceShare*b.burst
+	// The window may bind while the bucket holds plenty.
+	scarce := b.level-cost < scarceShare*b.burst || sum+cost > b.windowLimit-scarceShare*b.burst
 	b.spend(cost)
 	l.ownSpent[c] += cost
 	l.chargePeers(c, b, cost, scarce)
@@ -245,6 +255,9 @@
 // chargeStalePeers charges those of silent peers, and those of the others arrive in time.
 func (l *Limiter) chargePeers(c mn.CustomerID, b *bucket, cost float64, scarce bool) {
 	now := l.clock.Now()
+	if !scarce && !l.anyOverdue(now) {
+		return
+	}
 	if now-l.ownRate.updatedAt >= rateWindow/windowBuckets {
 		l.ownRate.update(maps.Clone(l.ownSpent), now)
 	}
@@ -268,6 +281,16 @@
 	}
 }
 
+// anyOverdue reports whether the update of a peer is overdue.
+func (l *Limiter) anyOverdue(now mn.Millis) bool {
+	for _, p := range l.peers {
+		if p.overdue(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // chargeEstimate charges what a peer is assumed to have spent just now.
 func (l *Limiter) chargeEstimate(p *peer, c mn.CustomerID, b *bucket, amount float64) {
 	e, now := p.estimated[c], l.clock.Now()
@@ -314,7 +337,7 @@
 // rate, or that of the audible fronts if it is higher. The latter counts the more the longer
 // the peer has been silent.
 func (p *peer) assumedRate(c mn.CustomerID, audible float64, now mn.Millis) float64 {
-	return max(p.perSecond[c], audible*min(1, float64(now-p.updatedAt)/float64(doubtAfter)))
+	return max(p.perSecond[c], audible*p.overdue(now))
 }
 
 // Refund credits a customer with the cost of a request that did not run.
@@ -347,7 +370,7 @@
 			return // Changes can't be applied without a full state.
 		}
 		l.peers[f.VM] = &peer{incarnation: f.Incarnation, spendRate: newSpendRate(f.Spent, now),
-			estimated: map[mn.CustomerID]estimate{}, estimatedAt: now}
+			estimated: map[mn.CustomerID]estimate{}, estimatedAt: now, interval: float64(staleAfter)}
 		if f.Uptime >= l.tolerance.Window {
 			return // It's unknown how much of it is recent.
 		}
@@ -375,6 +398,9 @@
 			b.windowSpent.AddSince(since, added)
 		}
 	}
+	if age := float64(now - p.updatedAt); age > 0 && age < 2*p.interval {
+		p.interval += intervalWeight * (age - p.interval)
+	}
 	p.update(totals, now)
 	clear(p.estimated)
 	p.estimatedAt = now
