Test rates with irregular updates of peers

Cause: urgent updates make the time between two updates irregular, which the test left out. Change: TestCustomerWithinItsRateIsNotRejected has irregular updates too.

--- a/core/quota/share_test.go
+++ b/core/quota/share_test.go
@@ -17,11 +17,13 @@
 	const step = 50 * mn.Millisecond
 	for _, tt := range []struct {
 		fronts int
-		// interval is the time between two updates of a peer.
-		interval mn.Millis
-	}{{5, 150}, {22, 550}, {68, 1000}} {
+		// interval is the time between two updates of a peer, or the longest one if they are
+		// irregular, since urgent ones come in between.
+		interval  mn.Millis
+		irregular bool
+	}{{5, 150, false}, {22, 550, false}, {68, 1000, false}, {5, 150, true}, {22, 550, true}, {68, 1000, true}} {
 		for _, demand := range []float64{0.7, 0.95} {
-			t.Run(fmt.Sprintf("%d fronts, %.2f of the rate", tt.fronts, demand), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d fronts, irregular %t, %.2f of the rate", tt.fronts, tt.irregular, demand), func(t *testing.T) {
 				clock := mn.NewManualClock(1_000_000)
 				f := &fleet{clock: clock}
 				random := rand.New(rand.NewPCG(1, 2))
@@ -53,7 +55,7 @@
 					clock.Advance(step)
 					for from := range f.limiters {
 						for to := range f.limiters {
-							if from != to && (at+from)%every == 0 {
+							if from != to && ((at+from)%every == 0 || tt.irregular && random.IntN(every) == 0) {
 								f.limiters[to].ReceiveState(mn.FrontState{VM: f.vms[from], Scope: mn.ScopeAll, Spent: f.limiters[from].Spent()})
 							}
 						}
