Log where a stream breaks off and which answer goes on from there

A broken stream left one line for its request, which named neither how the end of the answer was marked, nor where it broke off, nor the answer that went on.

event=stream_broken and event=stream_resumed have the endpoint, the framing, the number of events and the last id; the counters streams_broken, streams_resumed and events_out_of_order go with them. The ids of streams that may not be resumed are now followed too, but nothing is decided by them yet.

TestBrokenStreamCanBeTracedInLog reads the whole story from the log.

--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -42,6 +42,9 @@
 	return n, err == nil
 }
 
+// Last returns the id of the last event that has one, empty if none has.
+func (p *Position) Last() string { return p.last }
+
 // Resumable reports whether another run can go on from here. It can't if the caller has
 // events that no id accounts for.
 func (p *Position) Resumable() bool { return !p.unnamed }
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -210,6 +210,18 @@
 	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
 }
 
+// Framing says how the end of the body is marked: by its length, by chunks, or by the end of
+// the connection.
+func (a *Answer) Framing() string {
+	switch {
+	case a.EndsWithConn():
+		return "connection"
+	case a.resp.ContentLength >= 0:
+		return "length"
+	}
+	return "chunks"
+}
+
 // ReadAll reads the complete body, which must not be longer than limit bytes.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -76,8 +76,12 @@
 	lastEventAt mn.Millis
 	// longestPause is the longest time between two events.
 	longestPause mn.Millis
-	// position is how far the caller has got in a stream that may be resumed.
+	// position is how far the caller has got in a stream.
 	position resume.Position
+	// events is how many events of the stream the caller has got, and framing how the end of
+	// the last answer is marked.
+	events  int
+	framing string
 	// cutInside reports whether the stream was broken off inside an event that has not
 	// arrived completely since.
 	cutInside bool
@@ -130,7 +134,9 @@
 		return mn.Errorf(NoRoute, "no route for host %q path %q", q.r.Host, q.r.URL.Path)
 	}
 	q.route = route
-	q.position = resume.After(q.info.LastEvent)
+	if route.Resumable {
+		q.position = resume.After(q.info.LastEvent)
+	}
 	if p := q.info.Prompt; p != nil && len(p.Segments) > 1 {
 		for _, s := range p.Segments[:len(p.Segments)-1] {
 			q.segments = append(q.segments, s.ID)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -227,6 +227,9 @@
 	if q.firstEventAt > 0 {
 		f["first_ms"] = q.firstEventAt - q.arrived
 	}
+	if q.framing != "" {
+		f["framing"], f["events"], f["last_event"] = q.framing, q.events, q.position.Last()
+	}
 	if q.longestPause > 0 {
 		f["pause_ms"] = q.longestPause
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -6,6 +6,8 @@
 	"math"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	mn "mustardnotch"
 	"mustardnotch/core/place"
 	"mustardnotch/io/back"
@@ -30,6 +32,7 @@
 		q.Balancer.ReportResult(id, true)
 		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
 	}
+	q.streamBegun(id, a)
 	buf := make([]byte, 0, eventBuffer)
 	for {
 		if len(buf) == cap(buf) && cap(buf) >= maxEvent {
@@ -66,6 +69,7 @@
 			return result{}
 		}
 		if err != nil {
+			q.streamBroken(id, err)
 			q.Balancer.ReportResult(id, true)
 			q.checkCrash(plan.Target, err)
 			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
@@ -73,6 +77,30 @@
 	}
 }
 
+// streamBegun logs that an answer goes on in a stream of which the caller has a part.
+func (q *request) streamBegun(id mn.EndpointID, a *back.Answer) {
+	q.framing = a.Framing()
+	if !q.headSent && q.info.LastEvent == "" {
+		return
+	}
+	q.Stats.Add("streams_resumed", 1)
+	q.Log.WithFields(q.streamFields(id)).WithField("event", "stream_resumed").Info()
+}
+
+// streamBroken logs the end of a stream that is not its whole rest.
+func (q *request) streamBroken(id mn.EndpointID, err error) {
+	q.Stats.Add("streams_broken", 1)
+	q.Log.WithFields(q.streamFields(id)).WithFields(logrus.Fields{"event": "stream_broken", "inside_event": q.cutInside}).Warn(err)
+}
+
+// streamFields returns the log fields that tell where a stream stands.
+func (q *request) streamFields(id mn.EndpointID) logrus.Fields {
+	return logrus.Fields{
+		"request": q.info.ID, "endpoint": id, "route": q.route.Name, "try": q.attempts, "framing": q.framing,
+		"events": q.events, "last_event": q.position.Last(),
+	}
+}
+
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
@@ -80,6 +108,7 @@
 func (q *request) forwardEvents(plan *place.Plan, a *back.Answer, events []byte, sent mn.Millis) *result {
 	events, broken := q.advance(events)
 	if broken != nil {
+		q.streamBroken(plan.Target.ID, broken)
 		q.Balancer.ReportResult(plan.Target.ID, true)
 		broken = mn.Errorf(mn.Truncated, "endpoint %s: %w", plan.Target.ID, broken)
 	}
@@ -98,6 +127,7 @@
 	if !q.headSent {
 		q.sendHead(a.Status, a.Header)
 	}
+	q.events += bytes.Count(events, eventEnd)
 	_, err := q.w.Write(events)
 	if err == nil {
 		err = http.NewResponseController(q.w).Flush()
@@ -114,13 +144,14 @@
 // advance returns the first of the events that may follow what the caller has, and an
 // error if the one after them may not.
 func (q *request) advance(events []byte) (passed []byte, broken *mn.Error) {
-	if !q.route.Resumable {
-		return events, nil
-	}
 	for sent := 0; sent < len(events); {
 		end := sent + bytes.Index(events[sent:], eventEnd) + len(eventEnd)
 		if e := events[sent:end]; !isComment(e) {
-			if err := q.position.Advance(q.Dialect.EventID(e)); err != nil {
+			err := q.position.Advance(q.Dialect.EventID(e))
+			if err != nil {
+				q.Stats.Add("events_out_of_order", 1)
+			}
+			if err != nil && q.route.Resumable {
 				return events[:sent], mn.Errorf(mn.Truncated, "%w", err)
 			}
 		}
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -7,8 +7,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
+
+	mn "mustardnotch"
 )
 
 // events answers with a stream of events with the given ids.
@@ -114,3 +118,36 @@
 	require.Equal(t, ": comment\n\ndata: x\n\n", body)
 	require.Len(t, b.requests(), 1)
 }
+
+// From the log alone it must be plain where a stream broke off, how its end was marked, and
+// which answer went on from there.
+func TestBrokenStreamCanBeTracedInLog(t *testing.T) {
+	var runs atomic.Int64
+	run := func(r *http.Request, body string, c net.Conn) bool {
+		if runs.Add(1) == 1 {
+			return stream(2)(r, body, c)
+		}
+		return stream(0)(r, body, c)
+	}
+	b := newFixture(t, map[string]script{"d1": run, "d2": run})
+	hook := logtest.NewLocal(b.server.Log.Logger)
+	_, body, err := b.do("POST", "/resumable/", "p", "Tokens", "100")
+	require.NoError(t, err)
+	require.Equal(t, completeStream, body)
+	lines := map[any]map[string]any{}
+	require.Eventually(t, func() bool { return hook.LastEntry() != nil && hook.LastEntry().Data["event"] == "request" }, time.Second, time.Millisecond)
+	for _, e := range hook.AllEntries() {
+		lines[e.Data["event"]] = e.Data
+	}
+	first, second := b.requests()[0].endpoint, b.requests()[1].endpoint
+	for event, want := range map[string]map[string]any{
+		"stream_broken":  {"endpoint": mn.EndpointID(first), "framing": "chunks", "events": 2, "last_event": "2", "inside_event": true, "try": 1},
+		"stream_resumed": {"endpoint": mn.EndpointID(second), "framing": "chunks", "events": 2, "last_event": "2", "try": 2},
+		"request":        {"endpoint": mn.EndpointID(second), "framing": "chunks", "events": 4, "last_event": "4"},
+	} {
+		for field, value := range want {
+			require.Equal(t, value, lines[event][field], "%s of event=%s", field, event)
+		}
+		require.Equal(t, mn.RequestID("id-1"), lines[event]["request"])
+	}
+}
