Pass on resets over links between processes

A link turned the reset of a connection into its orderly end, so that an answer that was reset looked like one that had ended, where nothing but the end of the connection marks it. The soak could not show a front that mixes them up.

--- a/procs/link.go
+++ b/procs/link.go
@@ -1,10 +1,12 @@
 package procs
 
 import (
+	"errors"
 	"io"
 	"maps"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // bufferSize is the maximum size of one read, in bytes.
@@ -164,6 +166,9 @@
 			}
 		}
 		if err != nil {
+			if tcp, ok := dst.(*net.TCPConn); ok && errors.Is(err, syscall.ECONNRESET) {
+				_ = tcp.SetLinger(0) // A reset is passed on as one, unless dst has ended already.
+			}
 			dst.Close()
 			src.Close()
 			return
