Reproduce streams out of order in the soak (red)

The soak's streams had five events a few milliseconds apart, always in chunks and an event a write, broke off at one place, and no caller went on with a broken one; only whole answers were compared. Callers go on with a broken stream at the same front or another. Each stream is compared event by event, broken ones too.

A cut between two events that ends the connection in order, where nothing else marks the end, can't be told by anybody (PROTOCOL, RULES); it alone is excused.

checkNotices took the endpoint where a request ran last for the one whose header the caller got, which was a false alarm for resumed streams; the signature now names the endpoint.

--- a/cmd/fakes/soak.go
+++ b/cmd/fakes/soak.go
@@ -22,6 +22,7 @@
 			&cli.IntFlag{Name: "fronts", Usage: "`N` fronts", Value: 4},
 			&cli.IntFlag{Name: "callers", Usage: "`N` concurrent callers", Value: 24},
 			&cli.Int64Flag{Name: "span_ms", Usage: "time in `MILLISECONDS` for which faults are injected", Value: 20_000},
+			&cli.StringSliceFlag{Name: "faults", Usage: "only faults with one of the comma-separated `TEXTS` in their names"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			failedSeeds := 0
@@ -31,7 +32,7 @@
 					return err
 				}
 				options := soak.Options{Bin: c.String("bin"), Dir: dir, Seed: c.Int64("seed") + int64(n), Fronts: c.Int("fronts"),
-					Callers: c.Int("callers"), FaultDuration: mn.Millis(c.Int64("span_ms"))}
+					Callers: c.Int("callers"), FaultDuration: mn.Millis(c.Int64("span_ms")), Faults: c.StringSlice("faults")}
 				violations, err := soak.Run(ctx, options, os.Stdout)
 				if err != nil {
 					return fmt.Errorf("seed %d, logs in %s: %w", options.Seed, dir, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -70,18 +70,49 @@
 			Target: k.path, Repeatable: k.repeatable, Stream: k.stream, Sent: c.clock.Now(), Front: f.name,
 		}
 		if k.method == http.MethodPost {
-			req.Body = fmt.Sprintf("body %d", i)
+			req.Body = fmt.Sprintf("body %d-%d", n, i)
 		}
-		if !c.sendRequest(ctx, transport, f, k, &req) {
-			f = c.fronts[r.IntN(len(c.fronts))]
+		for more := 0; !c.sendRequest(ctx, transport, f, k, &req); more++ {
+			if r.IntN(2) == 0 {
+				f = c.fronts[r.IntN(len(c.fronts))]
+			}
+			next, ok := req.resumption(more + 1)
+			if !ok || more >= maxResumptions {
+				break
+			}
+			c.record(req)
+			req = next
+			req.Sent, req.Front = c.clock.Now(), f.name
 		}
-		c.mu.Lock()
-		c.history.Requests = append(c.history.Requests, req)
-		c.mu.Unlock()
+		c.record(req)
 		_ = c.clock.Sleep(ctx, mn.Millis(r.IntN(60))) // The loop condition checks ctx.
 	}
 }
 
+// maxResumptions is how often a caller goes on with a stream that broke off.
+const maxResumptions = 2
+
+// resumption returns the request with which a caller goes on with a stream that broke off. It
+// reports false if there is nothing to go on with.
+func (r *Request) resumption(n int) (Request, bool) {
+	events := strings.Count(r.Answer, "\n\n")
+	if !r.Stream || !r.Repeatable || r.Status != http.StatusOK || r.Complete {
+		return Request{}, false
+	}
+	id, _, _ := strings.Cut(string(r.ID), "+")
+	return Request{
+		ID: mn.RequestID(fmt.Sprintf("%s+%d", id, n)), Customer: r.Customer, Key: r.Key, Method: r.Method, Target: r.Target,
+		Body: r.Body, Repeatable: true, Stream: true, After: r.After + events,
+	}, true
+}
+
+// record adds a request that has ended to the history.
+func (c *cluster) record(r Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.Requests = append(c.history.Requests, r)
+}
+
 // sendRequest sends one request and records the answer in out. It reports whether
 // a complete answer arrived.
 func (c *cluster) sendRequest(ctx context.Context, transport *http.Transport, f *front, k requestKind, out *Request) bool {
@@ -102,13 +133,16 @@
 			{ID: "ab", Tokens: k.promptTokens / 2}, {ID: string(out.ID), Tokens: k.promptTokens - k.promptTokens/2}}}
 	}
 	stand.SetCaller(req.Header, out.ID, out.Key, requestTimeout-100, prompt)
+	if out.After > 0 {
+		stand.SetLastEvent(req.Header, out.After)
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return false
 	}
 	defer resp.Body.Close()
 	out.Status, out.Answered = resp.StatusCode, c.clock.Now()
-	out.Announced = stand.Announced(resp.Header)
+	out.SignedBy, out.Announced = stand.SignedBy(resp.Header), stand.Announced(resp.Header)
 	answer, err := io.ReadAll(resp.Body)
 	out.Answer, out.Complete = string(answer), err == nil
 	return err == nil
--- a/soak/check.go
+++ b/soak/check.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 
 	mn "mustardnotch"
 	"mustardnotch/platform/stand"
@@ -43,6 +44,10 @@
 	Sent       mn.Millis
 	// Front is the front that the request was sent to.
 	Front string
+	// After is the last event that the caller had before it went on with a stream, 0 if none.
+	After int
+	// SignedBy is the endpoint that signed the answer.
+	SignedBy mn.EndpointID
 	// Announced reports whether the answer said that its endpoint leaves, and Answered is
 	// when its head arrived.
 	Announced bool
@@ -65,10 +70,12 @@
 // History records what callers and endpoints observed, and which faults and
 // changes were made.
 type History struct {
-	Requests     []Request
-	Runs         []stand.Run
-	Arrivals     []stand.Arrival
-	DutyCalls    []stand.DutyCall
+	Requests  []Request
+	Runs      []stand.Run
+	Arrivals  []stand.Arrival
+	DutyCalls []stand.DutyCall
+	// UntoldCuts holds the requests a stream of which was cut so that a front can't tell.
+	UntoldCuts   map[mn.RequestID]bool
 	Faults       []FaultWindow
 	LeavingSince map[mn.EndpointID]mn.Millis
 	RevokedAt    map[string]mn.Millis
@@ -119,9 +126,12 @@
 		if !req.Repeatable && n > 0 && (req.Status == 429 || req.Status == 503 || req.Status == 408 || req.Status == 421) {
 			report("REFUSED", "%s ran and was answered %d", req.ID, req.Status)
 		}
-		if req.Status == 200 && req.Complete && req.Answer != req.expectedAnswer() {
+		if !req.Stream && req.Status == 200 && req.Complete && req.Answer != stand.Answer(req.ID, req.Body) {
 			report("MIXED", "%s got the wrong answer %q", req.ID, req.Answer)
 		}
+		if fault := req.streamFault(); req.Stream && req.Status == 200 && fault != "" && !(fault == streamIsShort && h.UntoldCuts[req.ID]) {
+			report("ORDER", "%s %s through %s, after event %d: the stream %s", req.Target, req.ID, req.Front, req.After, fault)
+		}
 	}
 	h.checkNotices(report, requests)
 	h.checkQuota(report)
@@ -130,16 +140,35 @@
 	return out
 }
 
-// expectedAnswer returns the complete answer to a request.
-func (r *Request) expectedAnswer() string {
-	if !r.Stream {
-		return stand.Answer(r.ID, r.Body)
+// streamIsShort is the fault of a stream that ends as complete before its last event.
+const streamIsShort = "ends as complete before its last event"
+
+// maxQuoted bounds the bytes of an answer that are quoted in a violation.
+const maxQuoted = 120
+
+// streamFault returns what is wrong with the stream that the caller got, empty if nothing is.
+// A stream that was broken off must be the beginning of the whole.
+func (r *Request) streamFault() string {
+	rest := r.Answer
+	for n := r.After + 1; n <= stand.EventCount(r.Body); n++ {
+		want := stand.Event(r.Body, n)
+		after, ok := strings.CutPrefix(rest, want)
+		if ok {
+			rest = after
+			continue
+		}
+		if !strings.HasPrefix(want, rest) {
+			return fmt.Sprintf("has %.*q where event %d belongs", maxQuoted, rest, n)
+		}
+		if r.Complete {
+			return streamIsShort
+		}
+		return ""
 	}
-	answer := ""
-	for n := 1; n <= stand.EventCount; n++ {
-		answer += stand.Event(r.ID, n)
+	if rest != "" {
+		return fmt.Sprintf("has %.*q after its last event", maxQuoted, rest)
 	}
-	return answer
+	return ""
 }
 
 // faultFree reports whether no fault was active between from and to.
@@ -168,12 +197,9 @@
 // checkNotices checks that fronts heed what endpoints say in their answers: that they leave,
 // and that they want no requests for some time. A fault of the front excuses it.
 func (h *History) checkNotices(report func(string, string, ...any), requests map[mn.RequestID]*Request) {
-	announced, ranAt := map[frontAt]mn.Millis{}, map[mn.RequestID]mn.EndpointID{}
-	for _, r := range h.Runs {
-		ranAt[r.ID] = r.Endpoint
-	}
+	announced := map[frontAt]mn.Millis{}
 	for _, r := range h.Requests {
-		at := frontAt{r.Front, ranAt[r.ID]}
+		at := frontAt{r.Front, r.SignedBy}
 		if first, ok := announced[at]; r.Announced && (!ok || r.Answered < first) {
 			announced[at] = r.Answered
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,7 +25,7 @@
 	add := func(id mn.RequestID, status int, sent mn.Millis, runs int) {
 		a := Request{ID: id, Customer: "c", Key: "k", Method: "POST", Target: "/t", Body: "b", Sent: sent, Status: status, Complete: true}
 		if status == 200 {
-			a.Answer = a.expectedAnswer()
+			a.Answer, a.SignedBy = stand.Answer(id, "b"), "e"
 		}
 		h.Requests = append(h.Requests, a)
 		for range runs {
@@ -38,6 +39,36 @@
 	return h
 }
 
+// stream returns a mutation that gives the first request a stream with the given text.
+func stream(text func(events []string) string, complete bool) func(h *History) {
+	return func(h *History) {
+		r := &h.Requests[0]
+		r.Stream, r.Complete = true, complete
+		var events []string
+		for n := 1; n <= stand.EventCount(r.Body); n++ {
+			events = append(events, stand.Event(r.Body, n))
+		}
+		r.Answer = text(events)
+	}
+}
+
+// A stream that was broken off, or cut so that nobody can tell, is no violation.
+func TestBeginningOfStreamIsNoViolation(t *testing.T) {
+	for _, text := range []func([]string) string{
+		func([]string) string { return "" },
+		func(events []string) string { return events[0] + events[1][:5] },
+		func(events []string) string { return strings.Join(events, "") },
+	} {
+		h := validHistory()
+		stream(text, false)(h)
+		require.Empty(t, h.Check())
+	}
+	h := validHistory()
+	stream(func(events []string) string { return events[0] }, true)(h)
+	h.UntoldCuts = map[mn.RequestID]bool{h.Requests[0].ID: true}
+	require.Empty(t, h.Check())
+}
+
 // TestCheckReportsEachViolation checks that Check names the violated rule of a history
 // that violates one.
 func TestCheckReportsEachViolation(t *testing.T) {
@@ -52,7 +83,15 @@
 		"TWICE":   {func(h *History) { h.Runs = append(h.Runs, h.Runs[0]) }},
 		"REFUSED": {func(h *History) { h.Requests[2].Status = 503 }},
 		"MIXED":   {func(h *History) { h.Requests[0].Answer += "x" }, func(h *History) { h.Requests[0].Answer = h.Requests[0].Answer[1:] }},
-		"CONFIG":  {func(h *History) { h.Requests[0].Key, h.Requests[0].Sent = "old", 105_001 }},
+		"ORDER": {
+			stream(func(events []string) string { return strings.Join(events, "") + events[0] }, true),
+			stream(func(events []string) string { return events[0] + events[0] }, false),
+			stream(func(events []string) string { return events[1] }, false),
+			stream(func(events []string) string { return events[0] }, true),
+			stream(func(events []string) string { return events[0] + "internal error" }, false),
+			stream(func(events []string) string { return "HTTP/1.1 200 OK" }, false),
+		},
+		"CONFIG": {func(h *History) { h.Requests[0].Key, h.Requests[0].Sent = "old", 105_001 }},
 		"DRAIN": {
 			func(h *History) { h.Requests[0].Sent, h.Runs[0].At = 102_001, 102_002 },
 			func(h *History) {
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -82,7 +82,7 @@
 	c := &cluster{
 		options: o, clock: mn.NewSystemClock(), rand: rand.New(rand.NewPCG(uint64(o.Seed), 1)),
 		store: stand.NewStore(), duties: &stand.Duties{}, endpoints: map[mn.EndpointID]*endpoint{},
-		history: History{LeavingSince: map[mn.EndpointID]mn.Millis{}, RevokedAt: map[string]mn.Millis{}, Rates: map[mn.CustomerID]float64{}},
+		history: History{LeavingSince: map[mn.EndpointID]mn.Millis{}, RevokedAt: map[string]mn.Millis{}, Rates: map[mn.CustomerID]float64{}, UntoldCuts: map[mn.RequestID]bool{}},
 		keys:    map[mn.CustomerID][]string{},
 		// Concurrent soaks need separate subnets.
 		subnet: fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+int(o.Seed))%100, 1+(os.Getpid()/100+int(o.Seed))%250),
@@ -196,7 +196,7 @@
 	c.mu.Unlock()
 	id := mn.EndpointID(fmt.Sprintf("i-%d", n))
 	e := &endpoint{
-		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, ServiceTime: serviceTime, Clock: c.clock, OnRun: c.recordRun, OnArrival: c.recordArrival},
+		Endpoint: &stand.Endpoint{ID: id, Role: role, Capacity: capacity, ServiceTime: serviceTime, Clock: c.clock, OnRun: c.recordRun, OnArrival: c.recordArrival, OnUntoldCut: c.recordUntoldCut},
 		entry: mn.Endpoint{ID: id, StartedAt: c.clock.Wall(), Pool: pool, Addr: fmt.Sprintf("%s:%d", c.ip(100+n%150), endpointPort),
 			DataCentre: dataCentre, Capacity: capacity, State: mn.EndpointReady, Role: role},
 	}
@@ -227,6 +227,12 @@
 	c.history.Arrivals = append(c.history.Arrivals, a)
 }
 
+func (c *cluster) recordUntoldCut(id mn.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.UntoldCuts[id] = true
+}
+
 // writeHeartbeat writes the entry of e with the next heartbeat number.
 func (c *cluster) writeHeartbeat(e *endpoint) error {
 	c.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"syscall"
 
 	mn "mustardnotch"
@@ -88,6 +90,8 @@
 	{"endpoint loses answers", false, endpointFault(stand.LoseAnswer, 0.3)},
 	{"endpoint truncates answers", false, endpointFault(stand.TruncateAnswer, 0.3)},
 	{"endpoint sends extra data", false, endpointFault(stand.ExtraAnswer, 0.3)},
+	{"endpoint repeats events", false, endpointFault(stand.RepeatEvents, 0.3)},
+	{"endpoint restarts streams", false, endpointFault(stand.IgnoreLastEvent, 0.3)},
 	{"endpoint fails", false, endpointFault(stand.FailRun, 0.4)},
 	{"endpoint sheds load", false, endpointFault(stand.Shed, 0.4)},
 	{"write a configuration", false, func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
@@ -148,10 +152,11 @@
 func (c *cluster) injectFaults(ctx context.Context) error {
 	done := make(chan error, 64)
 	running := 0
+	allowed := c.options.allowedFaults()
 	busyFronts, busyEndpoints := map[*front]bool{}, map[*endpoint]bool{}
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		chosen := faults[c.rand.IntN(len(faults))]
+		chosen := allowed[c.rand.IntN(len(allowed))]
 		f := c.fronts[c.rand.IntN(len(c.fronts))]
 		duration := mn.Millis(300 + c.rand.IntN(4500))
 		gap := mn.Millis(100 + c.rand.IntN(1200))
@@ -192,6 +197,16 @@
 	return first
 }
 
+// allowedFaults returns the faults whose names contain one of o.Faults, all if there is none.
+func (o Options) allowedFaults() []fault {
+	if len(o.Faults) == 0 {
+		return faults
+	}
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+		return !slices.ContainsFunc(o.Faults, func(text string) bool { return strings.Contains(f.name, text) })
+	})
+}
+
 // pickEndpoint returns a random ready endpoint without a fault, or nil if there is
 // none. The caller must hold c.mu.
 func (c *cluster) pickEndpoint(busy map[*endpoint]bool) *endpoint {
--- a/soak/run.go
+++ b/soak/run.go
@@ -20,6 +20,8 @@
 	Callers  int
 	// FaultDuration is how long faults are injected.
 	FaultDuration mn.Millis
+	// Faults restricts the faults to those whose names contain one of these texts.
+	Faults []string
 }
 
 // recoveryDuration is how long callers continue after the last fault, to check
@@ -30,6 +32,9 @@
 // history. It prints a line for each violation and a summary of the run, and
 // returns the violations.
 func Run(ctx context.Context, o Options, w io.Writer) ([]Violation, error) {
+	if len(o.allowedFaults()) == 0 {
+		return nil, fmt.Errorf("no fault has one of %q in its name", o.Faults)
+	}
 	c, err := newCluster(o)
 	if err != nil {
 		return nil, err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// Guards against streams in which a number goes back: endpoints send a second copy of a stream,
+// or events once more, and only the end of the connection marks the end of the answer.
+func TestStreamsStayInOrder(t *testing.T) {
+	bin := t.TempDir()
+	require.NoError(t, procs.Build(bin))
+	var out testWriter = func(line string) { t.Log(line) }
+	violations, err := Run(t.Context(), Options{Bin: bin, Dir: t.TempDir(), Seed: 11, Fronts: 3, Callers: 16, FaultDuration: 8 * mn.Second,
+		Faults: []string{"truncates", "extra data", "repeats events", "restarts streams", "endpoint fails"}}, out)
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
+
 // testWriter writes to the log of a test.
 type testWriter func(string)
 
