Break off a stream whose event ids go back, on every route

Callers saw: a number went back, or events of a stream twice, at times with the head of an answer between them.

Cause: an endpoint sends a second copy of an answer whose end only the end of the connection marks, or events once more. The ids of events decided only whether a stream may go on in another run, and so were compared on routes that may be resumed only; the class is a check that guards one path where all paths need it. What may follow an event does not depend on whether a second run is allowed.

Related paths: frames of agents are numbered and compared at each entry; an engine's stream at an agent ends with its last chunk, and nothing after it is read.

--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -147,11 +147,8 @@
 	for sent := 0; sent < len(events); {
 		end := sent + bytes.Index(events[sent:], eventEnd) + len(eventEnd)
 		if e := events[sent:end]; !isComment(e) {
-			err := q.position.Advance(q.Dialect.EventID(e))
-			if err != nil {
+			if err := q.position.Advance(q.Dialect.EventID(e)); err != nil {
 				q.Stats.Add("events_out_of_order", 1)
-			}
-			if err != nil && q.route.Resumable {
 				return events[:sent], mn.Errorf(mn.Truncated, "%w", err)
 			}
 		}
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -83,6 +83,41 @@
 	}
 }
 
+// raw answers with the given bytes, which name the request, and closes the connection.
+func raw(text ...string) script {
+	return func(r *http.Request, _ string, c net.Conn) bool {
+		for _, t := range text {
+			fmt.Fprint(c, strings.ReplaceAll(t, "ID", r.Header.Get("Id")))
+		}
+		return false
+	}
+}
+
+// headToEnd is the head of a stream that ends with its connection.
+const headToEnd = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// Guards against events that an endpoint sends again, for example in a second copy of an
+// answer that ends with its connection, on routes that may be resumed and others.
+func TestEventsThatGoBackAreNotPassedOn(t *testing.T) {
+	const begin = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+	cases := map[string]script{
+		"second copy of the answer":      raw(headToEnd, begin, headToEnd, begin),
+		"second copy in one write":       raw(headToEnd + begin + headToEnd + begin),
+		"event again":                    events("1", "2", "2", "3"),
+		"earlier event":                  events("1", "2", "1"),
+		"earlier event in a later write": raw(headToEnd, begin, "id: 1\ndata: x\n\n"),
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, map[string]script{"d1": run})
+			_, body, err := b.do("POST", "/stream/", "p", "Tokens", "100")
+			require.Error(t, err, "the stream must not look complete")
+			require.Equal(t, begin, body)
+			require.Len(t, b.requests(), 1, "the request may run once")
+		})
+	}
+}
+
 // The caller of a resumed stream has events already, so the same holds for its first run.
 func TestCallersResumptionContinuesItsStream(t *testing.T) {
 	cases := map[string]struct {
