Break off a stream at text that is no event

Callers saw the head of a second copy of an answer, the text of a failure, or JSON in the middle of a stream: whatever stood before a blank line passed as an event if the stream's events have no ids. A blank line too many counted as an event without an id, after which a stream was not resumed.

core/event finds the events, one by one and however the text arrives, and asks for fields and comments in each line, whatever their names. Three of four forms of TestTextThatIsNoEventIsNotPassedOn failed before.

--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"io"
 	"math"
 	"net/http"
@@ -9,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	mn "mustardnotch"
+	"mustardnotch/core/event"
 	"mustardnotch/core/place"
 	"mustardnotch/io/back"
 )
@@ -44,7 +44,7 @@
 		}
 		n, err := a.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := bytes.LastIndex(buf, eventEnd) + len(eventEnd); end >= len(eventEnd) {
+		if end := event.Whole(buf); end > 0 {
 			now := q.Clock.Now()
 			q.Balancer.EventReceived(plan, now-q.lastEventAt)
 			q.longestPause = max(q.longestPause, now-q.lastEventAt)
@@ -101,9 +101,6 @@
 	}
 }
 
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
-
 // forwardEvents sends complete events to the caller.
 func (q *request) forwardEvents(plan *place.Plan, a *back.Answer, events []byte, sent mn.Millis) *result {
 	events, broken := q.advance(events)
@@ -127,7 +124,6 @@
 	if !q.headSent {
 		q.sendHead(a.Status, a.Header)
 	}
-	q.events += bytes.Count(events, eventEnd)
 	_, err := q.w.Write(events)
 	if err == nil {
 		err = http.NewResponseController(q.w).Flush()
@@ -145,27 +141,30 @@
 // error if the one after them may not.
 func (q *request) advance(events []byte) (passed []byte, broken *mn.Error) {
 	for sent := 0; sent < len(events); {
-		end := sent + bytes.Index(events[sent:], eventEnd) + len(eventEnd)
-		if e := events[sent:end]; !isComment(e) {
-			if err := q.position.Advance(q.Dialect.EventID(e)); err != nil {
-				q.Stats.Add("events_out_of_order", 1)
-				return events[:sent], mn.Errorf(mn.Truncated, "%w", err)
-			}
+		end := sent + event.First(events[sent:])
+		if err := q.checkEvent(events[sent:end]); err != nil {
+			return events[:sent], mn.Errorf(mn.Truncated, "%w", err)
 		}
 		sent = end
 	}
 	return events, nil
 }
 
-// isComment reports whether an event is only a comment, as endpoints send them to keep a
-// connection open.
-func isComment(event []byte) bool {
-	for _, line := range bytes.Split(bytes.TrimSuffix(event, eventEnd), []byte("\n")) {
-		if len(line) > 0 && line[0] != ':' {
-			return false
-		}
+// checkEvent moves past the next event, or returns an error if it can't be one of the stream.
+func (q *request) checkEvent(e []byte) error {
+	if err := event.Check(e); err != nil {
+		q.Stats.Add("events_malformed", 1)
+		return err
 	}
-	return true
+	if event.IsComment(e) {
+		return nil
+	}
+	if err := q.position.Advance(q.Dialect.EventID(e)); err != nil {
+		q.Stats.Add("events_out_of_order", 1)
+		return err
+	}
+	q.events++
+	return nil
 }
 
 // checkContinues returns an error unless an answer may go on in the one whose head the
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -186,3 +186,28 @@
 		require.Equal(t, mn.RequestID("id-1"), lines[event]["request"])
 	}
 }
+
+// Guards against text that is no event in a stream whose events have no ids.
+func TestTextThatIsNoEventIsNotPassedOn(t *testing.T) {
+	const begin = "data: x\n\n"
+	cases := map[string]struct {
+		run script
+		// want is what the caller gets, and complete whether its answer ends as complete.
+		want     string
+		complete bool
+	}{
+		"second copy of the answer": {raw(headToEnd, begin, headToEnd, begin), begin, false},
+		"text of a failure":         {raw(headToEnd, begin, "Internal Server Error\n\n"), begin, false},
+		"JSON":                      {raw(headToEnd, begin, `{"error": "x"}`+"\n\n"), begin, false},
+		"events of all forms":       {raw(headToEnd, ": c\n\nevent: e\nid: 1\ndata\nx-weight-versions: 7\nretry: 5\n\n"), ": c\n\nevent: e\nid: 1\ndata\nx-weight-versions: 7\nretry: 5\n\n", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, map[string]script{"d1": tc.run})
+			_, body, err := b.do("POST", "/stream/", "p", "Tokens", "100")
+			require.Equal(t, tc.want, body)
+			require.Equal(t, tc.complete, err == nil, "%v", err)
+		})
+	}
+}
+
