Find the ends of events whose lines end in CR LF

Callers saw a sound stream fail with MN309 if its lines end in CR LF: only two LF in a row were taken for the end of an event, so all of it was kept back, and its end seemed to lie inside an event. TestStreamWithCRLFIsPassedOn failed before.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -26,8 +26,11 @@
 
 // blankLine returns the length of the blank line at the beginning of text, 0 if there is none.
 func blankLine(text []byte) int {
-	if bytes.HasPrefix(text, []byte("\n")) {
+	switch {
+	case bytes.HasPrefix(text, []byte("\n")):
 		return 1
+	case bytes.HasPrefix(text, []byte("\r\n")):
+		return 2
 	}
 	return 0
 }
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -16,7 +16,13 @@
 		"no blank line":       {"id: 1\ndata: x\n", 0, 0},
 		"one":                 {"id: 1\n\n", 7, 7},
 		"two and a part":      {"a\n\nb\n\nc\n", 3, 6},
+		"CR LF":               {"a\r\n\r\nb\r\n\r\nc\r\n", 5, 10},
+		"LF, then CR LF":      {"a\n\r\nb", 4, 4},
+		"CR LF, then LF":      {"a\r\n\nb", 4, 4},
+		"CR LF and LF events": {"a\n\nb\r\n\r\nc", 3, 8},
+		"CR LF cut in two":    {"a\r\n\r", 0, 0},
 		"blank line too many": {"a\n\n\nb\n\n", 3, 7},
+		"blank line in front": {"\r\na\n\n", 2, 5},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -211,3 +211,11 @@
 	}
 }
 
+// Lines of a stream end in LF or CR LF.
+func TestStreamWithCRLFIsPassedOn(t *testing.T) {
+	const text = "data: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n"
+	b := newFixture(t, map[string]script{"d1": raw(headToEnd, text)})
+	_, body, err := b.do("POST", "/stream/", "p", "Tokens", "100")
+	require.NoError(t, err)
+	require.Equal(t, text, body)
+}
