Never read a reset as the orderly end of an answer

Callers could get a part of an answer as a complete success: an endpoint that answers before it has read a long request, without a length or chunks, and is reset.

Cause: the operating system reports the error of a connection once. If the writing of the request gets it, the reading of the answer sees an orderly end, which is how such an answer ends. The class is a loss that one party has noticed and another decides without.

Connections of wire.Dialer, through which all calls to endpoints and the platform go, remember a failed write, and an end that is read after it, or while a write doesn't return, is an error. TestPlatformCallsAreDroppedWhileUnacknowledged asked for the type of the connection; it asks for what it uses.

--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -407,3 +407,28 @@
 	}
 	require.Len(t, c.idle, 1, "addresses with idle connections")
 }
+
+// Guards against an answer that was reset and looks complete: the error of the reset goes to
+// the writing of a long request, and the reading of the answer then sees an orderly end.
+func TestAnswerResetDuringRequestIsNotComplete(t *testing.T) {
+	for range 20 {
+		e := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf of the answer")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		k := call(e, "1")
+		k.Method, k.Body = http.MethodPost, make([]byte, 32<<20)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		a, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, k)
+		require.NoError(t, err)
+		time.Sleep(40 * time.Millisecond) // The answer is read after the reset.
+		_, err = a.ReadAll(1 << 20)
+		require.Error(t, err)
+		a.Close()
+	}
+}
--- a/io/wire/dial.go
+++ b/io/wire/dial.go
@@ -20,7 +20,8 @@
 	probeCount    = 2
 )
 
-// Dialer opens TCP connections on which nothing is delivered late. Closing one of them
+// Dialer opens TCP connections on which nothing is delivered late, and no reset is read as
+// an orderly end. Closing one of them
 // resets it: the operating system drops what the peer has not acknowledged, instead of
 // sending it again until the network carries it.
 type Dialer struct {
@@ -59,10 +60,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			return nil, errors.Join(err, conn.Close())
-		}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		return nil, errors.Join(err, conn.Close())
 	}
-	return conn, nil
+	return newTCPConn(tcp), nil
 }
--- a/io/wire/http_test.go
+++ b/io/wire/http_test.go
@@ -64,7 +64,7 @@
 	conn, err := NewDialer(mn.Second, platformAckTimeout, "").DialContext(t.Context(), "tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	require.NoError(t, err)
 	require.NoError(t, raw.Control(func(fd uintptr) {
 		timeout, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
