Reset the connection of an HTTP/1.0 caller whose stream broke off

A caller that speaks HTTP/1.0 gets a stream up to the end of its connection, so one that broke off looked complete: the connection was closed in order. It is reset now. TestBrokenStreamToHTTP10CallerIsReset failed before.

--- a/io/front/server.go
+++ b/io/front/server.go
@@ -151,6 +151,7 @@
 		return
 	}
 	if q.headSent {
+		q.resetIfUnframed()
 		// Aborting the connection shows the caller that the answer is truncated.
 		panic(http.ErrAbortHandler)
 	}
@@ -159,6 +160,21 @@
 	q.sendError(err)
 }
 
+// resetIfUnframed makes the end of the connection a reset if the caller sees nothing else of a
+// truncated answer: HTTP/1.0 has no chunks.
+func (q *request) resetIfUnframed() {
+	if q.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	c, ok := q.r.Context().Value(connKey{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if err := c.SetLinger(0); err != nil {
+		q.Log.WithField("event", "reset_failed").WithField("request", q.info.ID).Warn(err)
+	}
+}
+
 // sendError sends an error of the front itself to the caller.
 func (q *request) sendError(e *mn.Error) {
 	h := q.w.Header()
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -219,3 +221,14 @@
 	require.NoError(t, err)
 	require.Equal(t, text, body)
 }
+
+// A caller that speaks HTTP/1.0 sees nothing but the end of its connection.
+func TestBrokenStreamToHTTP10CallerIsReset(t *testing.T) {
+	b := newFixture(t, map[string]script{"d1": stream(2)})
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "POST /stream/ HTTP/1.0\r\nHost: h\r\nId: 1\r\nKey: k\r\nTokens: 100\r\nContent-Length: 1\r\n\r\np")
+	answer, err := io.ReadAll(c)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "%q must not look complete", answer)
+}
