Bound the memory of all answers of endpoints together

Operators of a similar system: an endpoint sent bytes without end in its answers, and the machine that had called it ran out of memory, with it the requests of all other callers. Here each answer was bounded, their sum was not.

All answers share a budget, an eighth of the process's memory, of which one endpoint gets a quarter. An answer that may be passed on and finds no room is passed on as it arrives, so that sound large answers still pass (TestLargeAnswersPass); others end their request. What nobody wants is read up to 64 KB and not kept. Bodies are kept in pieces from a pool, since growing buffers left twice the budget to the garbage collector.

--- /dev/null
+++ b/core/alloc/alloc.go
@@ -0,0 +1,105 @@
+// Package alloc bounds the memory that is held for what others send.
+//
+// Load pattern: an endpoint in trouble sends bytes without end in each of its answers, as
+// many at once as it has slots. Each answer stays within a bound of its own, and their sum
+// exceeds the memory of the process, which ends with the requests of all other callers.
+package alloc
+
+import "sync"
+
+// Budget is a number of bytes that holders share. A holder is what the bytes are held for,
+// such as an endpoint. It is safe for concurrent use.
+type Budget struct {
+	total, perHolder int64
+
+	mu       sync.Mutex
+	used     int64
+	byHolder map[string]int64
+}
+
+// New returns a budget of total bytes, of which one holder gets at most perHolder.
+func New(total, perHolder int64) *Budget {
+	return &Budget{total: total, perHolder: perHolder, byHolder: map[string]int64{}}
+}
+
+// Reserve takes n bytes for a holder, and reports whether there was room for them.
+func (b *Budget) Reserve(holder string, n int64) bool {
+	if n <= 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > b.total || b.byHolder[holder]+n > b.perHolder {
+		return false
+	}
+	b.used += n
+	b.byHolder[holder] += n
+	return true
+}
+
+// Release gives n bytes of a holder back.
+func (b *Budget) Release(holder string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+	if b.byHolder[holder] -= n; b.byHolder[holder] <= 0 {
+		delete(b.byHolder, holder)
+	}
+}
+
+// Used returns the number of bytes that all holders have.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Lease is what one user of a budget has reserved. It is not safe for concurrent use.
+type Lease struct {
+	budget *Budget
+	holder string
+	held   int64
+}
+
+// Lease returns an empty lease for a holder.
+func (b *Budget) Lease(holder string) *Lease { return &Lease{budget: b, holder: holder} }
+
+// Add reserves n more bytes, and reports whether there was room for them.
+func (l *Lease) Add(n int64) bool {
+	if !l.budget.Reserve(l.holder, n) {
+		return false
+	}
+	l.held += n
+	return true
+}
+
+// Sub gives n bytes back.
+func (l *Lease) Sub(n int64) {
+	l.held -= n
+	l.budget.Release(l.holder, n)
+}
+
+// End gives all bytes back.
+func (l *Lease) End() {
+	if l.held > 0 {
+		l.Sub(l.held)
+	}
+}
+
+// Grow returns buf with room for at least one more byte, and false if the budget has none.
+// The capacity of buf beyond free bytes is reserved; buffers of up to free bytes need no
+// budget.
+func (l *Lease) Grow(buf []byte, free int) ([]byte, bool) {
+	if len(buf) < cap(buf) {
+		return buf, true
+	}
+	size := max(2*cap(buf), free)
+	if !l.Add(int64(size - free)) {
+		return buf, false
+	}
+	grown := append(make([]byte, 0, size), buf...)
+	if cap(buf) > free {
+		l.Sub(int64(cap(buf) - free))
+	}
+	return grown, true
+}
--- /dev/null
+++ b/core/alloc/alloc_test.go
@@ -0,0 +1,73 @@
+package alloc
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever leases do, the sums stay within the bounds, and nothing is left once they end.
+func TestSumsStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total, perHolder = 1000, 400
+		b := New(total, perHolder)
+		var leases []*Lease
+		held := map[*Lease]int64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(leases) == 0 || rapid.IntRange(0, 3).Draw(t, "begin") == 0 {
+				leases = append(leases, b.Lease(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "holder"))))
+			}
+			l := rapid.SampledFrom(leases).Draw(t, "lease")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				if n := rapid.Int64Range(0, 500).Draw(t, "add"); l.Add(n) {
+					held[l] += n
+				}
+			case 1:
+				n := rapid.Int64Range(0, held[l]).Draw(t, "sub")
+				l.Sub(n)
+				held[l] -= n
+			case 2:
+				l.End()
+				held[l] = 0
+			}
+			sum, byHolder := int64(0), map[string]int64{}
+			for l, n := range held {
+				sum += n
+				byHolder[l.holder] += n
+			}
+			require.Equal(t, sum, b.Used())
+			require.LessOrEqual(t, sum, int64(total))
+			for _, n := range byHolder {
+				require.LessOrEqual(t, n, int64(perHolder))
+			}
+		}
+		for _, l := range leases {
+			l.End()
+		}
+		require.Zero(t, b.Used())
+		require.Empty(t, b.byHolder)
+	})
+}
+
+func TestGrow(t *testing.T) {
+	b := New(100, 100)
+	l := b.Lease("a")
+	buf, ok := l.Grow(nil, 16)
+	require.True(t, ok)
+	require.Equal(t, 16, cap(buf))
+	require.Zero(t, b.Used(), "free bytes need no budget")
+	buf, ok = l.Grow(append(buf, make([]byte, 16)...), 16)
+	require.True(t, ok)
+	require.Equal(t, 32, cap(buf))
+	require.EqualValues(t, 16, b.Used())
+	buf, ok = l.Grow(append(buf, make([]byte, 16)...), 16)
+	require.True(t, ok)
+	require.EqualValues(t, 48, b.Used())
+	same, ok := l.Grow(append(buf, make([]byte, 32)...), 16)
+	require.False(t, ok)
+	require.Len(t, same, 64, "the buffer stays as it is if there is no room")
+	require.EqualValues(t, 48, b.Used())
+}
--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 )
 
 // dialect parses the headers that these tests use.
@@ -79,6 +80,8 @@
 		Header: http.Header{"Id": {id}}, MaxIdleTime: mn.Minute}
 }
 
+func newClient(clock mn.Clock) *Client { return New(clock, "", alloc.New(64<<20, 64<<20), nil) }
+
 func readBody(t *testing.T, c *Client, call *Call) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -94,7 +97,7 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), r.RequestURI) }))
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for i := range 5 {
 		b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -106,7 +109,7 @@
 // Guards against a target whose query is written twice.
 func TestTargetIsSentUnchanged(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), r.RequestURI) }))
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for _, target := range []string{"/", "/a?", "/a?b=c&d", "//x/y", "/a%2Fb/%20?x=%26", "/a;b=1/../c"} {
 		k := call(e, "1")
 		k.Target = target
@@ -137,7 +140,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, answerAll(tc.answer))
-			c := New(mn.NewSystemClock(), "", nil)
+			c := newClient(mn.NewSystemClock())
 			for i := range 3 {
 				b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 				require.NoError(t, err)
@@ -162,7 +165,7 @@
 		late <- struct{}{}
 		time.Sleep(time.Second)
 	})
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for i := range 2 {
 		b, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -187,7 +190,7 @@
 					fmt.Fprint(c, answer)
 				}
 			})
-			_, err := readBody(t, New(mn.NewSystemClock(), "", nil), call(e, "1"))
+			_, err := readBody(t, newClient(mn.NewSystemClock()), call(e, "1"))
 			require.Error(t, err)
 		})
 	}
@@ -198,13 +201,13 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	l.Close()
-	_, err = New(mn.NewSystemClock(), "", nil).Do(t.Context(), dialect{}, &Call{To: mn.Endpoint{Addr: addr}, Method: "GET", Target: "/", Header: http.Header{}})
+	_, err = newClient(mn.NewSystemClock()).Do(t.Context(), dialect{}, &Call{To: mn.Endpoint{Addr: addr}, Method: "GET", Target: "/", Header: http.Header{}})
 	var e *Error
 	require.ErrorAs(t, err, &e)
 	require.False(t, e.Sent)
 
 	silent := newEndpoint(t, func(_ int64, c net.Conn, br *bufio.Reader) { _, _ = http.ReadRequest(br) })
-	_, err = New(mn.NewSystemClock(), "", nil).Do(t.Context(), dialect{}, call(silent, "1"))
+	_, err = newClient(mn.NewSystemClock()).Do(t.Context(), dialect{}, call(silent, "1"))
 	require.ErrorAs(t, err, &e)
 	require.True(t, e.Sent, "the endpoint has read the request")
 }
@@ -221,7 +224,7 @@
 		seen.Add(1)
 		fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "own"))
 	})
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for i := range 4 {
 		_, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -242,7 +245,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	_, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, call(e, "1"))
+	_, err := newClient(mn.NewSystemClock()).Do(ctx, dialect{}, call(e, "1"))
 	require.True(t, errors.Is(err, context.Canceled), "%v", err)
 	select {
 	case <-gone:
@@ -262,7 +265,7 @@
 		fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "early"))
 		time.Sleep(300 * time.Millisecond)
 	})
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for i := range 2 {
 		k := call(e, fmt.Sprint(i))
 		k.Method, k.Body = http.MethodPost, make([]byte, 8<<20)
@@ -277,7 +280,7 @@
 // connections that an endpoint accepts.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	var open []*Answer
 	for i := range 6 {
 		k := call(e, fmt.Sprint(i))
@@ -308,7 +311,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, call(e, "1"))
+	_, err := newClient(mn.NewSystemClock()).Do(ctx, dialect{}, call(e, "1"))
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
 }
@@ -354,7 +357,7 @@
 					fmt.Fprint(c, okAnswer(r.Header.Get("Id"), "own"))
 				}
 			})
-			c := New(mn.NewSystemClock(), "", nil)
+			c := newClient(mn.NewSystemClock())
 			b, err := readBody(t, c, call(e, tc.first))
 			require.NoError(t, err)
 			require.Equal(t, "own", b)
@@ -374,7 +377,7 @@
 // A refusal that names no request can only be meant for the first one on a connection.
 func TestRefusalWithoutIDOnNewConnection(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(*http.Request) string { return "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" }))
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	a, err := c.Do(t.Context(), dialect{}, call(e, "1"))
 	require.NoError(t, err)
 	defer a.Close()
@@ -385,7 +388,7 @@
 // The ids that a connection remembers are bounded, and so is its use.
 func TestConnectionIsReplacedWhenItHasCarriedManyRequests(t *testing.T) {
 	e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
-	c := New(mn.NewSystemClock(), "", nil)
+	c := newClient(mn.NewSystemClock())
 	for i := range 2*maxCarried + 1 {
 		_, err := readBody(t, c, call(e, fmt.Sprint(i)))
 		require.NoError(t, err)
@@ -397,7 +400,7 @@
 // connections to those that have ended must not add up.
 func TestIdleConnectionsToEndedEndpointsAreClosed(t *testing.T) {
 	clock := mn.NewManualClock(1000)
-	c := New(clock, "", nil)
+	c := newClient(clock)
 	for range 5 {
 		e := newEndpoint(t, answerAll(func(r *http.Request) string { return okAnswer(r.Header.Get("Id"), "own") }))
 		b, err := readBody(t, c, call(e, "1"))
@@ -424,7 +427,7 @@
 		k.Method, k.Body = http.MethodPost, make([]byte, 32<<20)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		a, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, k)
+		a, err := newClient(mn.NewSystemClock()).Do(ctx, dialect{}, k)
 		require.NoError(t, err)
 		time.Sleep(40 * time.Millisecond) // The answer is read after the reset.
 		_, err = a.ReadAll(1 << 20)
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"time"
 
@@ -76,6 +75,7 @@
 	stop func() bool
 	// complete reports whether the complete body was read.
 	complete bool
+	memory   *Memory
 }
 
 // Do sends call and returns its answer as soon as the headers have arrived. Its
@@ -86,17 +86,20 @@
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	memory := c.newMemory(call.To.Addr)
+	conn.limiter.beginHeads(memory.Lease)
 	a, err := c.exchange(ctx, d, conn, call)
 	if err != nil {
 		stop()
 		conn.Close()
+		memory.End()
 		return nil, &Error{Sent: true, Err: errors.Join(err, context.Cause(ctx))}
 	}
 	// A misdirected request may have reached another endpoint, which speaks for itself.
 	if c.observer != nil && a.Status != http.StatusMisdirectedRequest {
 		c.observer.ObserveReply(call.To, a.ReplyInfo)
 	}
-	a.stop = stop
+	a.stop, a.memory = stop, memory
 	return a, nil
 }
 
@@ -125,7 +128,6 @@
 	} else {
 		go write()
 	}
-	conn.limiter.left = maxHeads
 	for skipped := 0; skipped <= maxForeignAnswers; skipped++ {
 		resp, err := readFinal(conn, req)
 		if err != nil {
@@ -137,7 +139,7 @@
 			return nil, err
 		}
 		if own {
-			conn.limiter.left = math.MaxInt64 // the body has limits of its own
+			conn.limiter.endHeads() // The body has limits of its own.
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, ReplyInfo: info, Skipped: skipped,
 				client: c, addr: call.To.Addr, maxIdle: call.MaxIdleConns, conn: conn, resp: resp, writeErr: writeErr}, nil
 		}
@@ -222,21 +224,51 @@
 	return "chunks"
 }
 
+// ErrNoMemory is the error for an answer for which there is no more memory, because the
+// endpoint's answers, or those of all endpoints, take as much as they may.
+var ErrNoMemory = errors.New("answers take too much memory")
+
+// ReadUpTo reads the body up to its end, up to limit bytes, or until there is no more memory.
+// It reports whether it has reached the end. The body, which is in pieces, may be used until
+// the answer is closed.
+func (a *Answer) ReadUpTo(limit int) (pieces [][]byte, whole bool, err error) {
+	for total := 0; total <= limit; {
+		piece, ok := a.memory.piece()
+		if !ok {
+			return pieces, false, nil
+		}
+		n, err := io.ReadFull(a, piece)
+		total += n
+		pieces = append(pieces, piece[:n])
+		switch {
+		case a.complete:
+			return pieces, total <= limit, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return pieces, false, nil
+}
+
 // ReadAll reads the complete body, which must not be longer than limit bytes.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+func (a *Answer) ReadAll(limit int) ([]byte, error) {
+	pieces, whole, err := a.ReadUpTo(limit)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
+	body := bytes.Join(pieces, nil)
+	if !whole && len(body) > limit {
 		return nil, fmt.Errorf("answer is longer than %d bytes", limit)
 	}
+	if !whole {
+		return nil, ErrNoMemory
+	}
 	return body, nil
 }
 
 // ReadResult is like [Answer.ReadAll], and returns an error unless the status is
 // 200.
-func (a *Answer) ReadResult(limit int64) ([]byte, error) {
+func (a *Answer) ReadResult(limit int) ([]byte, error) {
 	body, err := a.ReadAll(limit)
 	if err == nil && a.Status != http.StatusOK {
 		err = fmt.Errorf("status %d", a.Status)
@@ -244,9 +276,32 @@
 	return body, err
 }
 
+// maxDiscarded bounds a body that is read only so that the connection can be used again.
+const maxDiscarded = 64 << 10
+
+// Discard reads the body without keeping it. A long one is left.
+func (a *Answer) Discard() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscarded+1))
+	if err == nil && n > maxDiscarded {
+		err = fmt.Errorf("answer is longer than %d bytes", maxDiscarded)
+	}
+	return err
+}
+
+// Grow is like [alloc.Lease.Grow] for a buffer with parts of the body.
+func (a *Answer) Grow(buf []byte, free int) ([]byte, bool) { return a.memory.Grow(buf, free) }
+
+// TakeMemory returns the answer's memory, which then outlasts the answer.
+func (a *Answer) TakeMemory() *Memory {
+	m := a.memory
+	a.memory = a.client.newMemory(a.addr)
+	return m
+}
+
 // Close ends the answer. The connection is used again only if the complete answer
 // was read, nothing follows it, and the complete request was written.
 func (a *Answer) Close() {
+	a.memory.End()
 	if !a.stop() || !a.complete || a.resp.Close || a.Closing || a.Leaving || a.Skipped > 0 || a.conn.reader.Buffered() > 0 {
 		a.conn.Close()
 		return
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/io/wire"
 )
 
@@ -63,6 +63,9 @@
 	clock    mn.Clock
 	dialer   *wire.Dialer
 	observer Observer
+	// memory bounds what all answers together take.
+	memory *alloc.Budget
+	pool   *sync.Pool
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -77,9 +80,10 @@
 }
 
 // New returns a client that connects from the local IP address, or from any if it
-// is empty. The observer may be nil.
-func New(clock mn.Clock, local string, observer Observer) *Client {
-	return &Client{clock: clock, observer: observer, dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
+// is empty. Its answers share memory, where each endpoint's address is a holder. The observer
+// may be nil.
+func New(clock mn.Clock, local string, memory *alloc.Budget, observer Observer) *Client {
+	return &Client{clock: clock, observer: observer, memory: memory, pool: newPool(), dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections.
@@ -118,19 +122,40 @@
 // errHeadTooLong is the error for heads that exceed maxHeads.
 var errHeadTooLong = fmt.Errorf("heads of answers exceed %d bytes", maxHeads)
 
-// headLimiter reads from a connection, and fails beyond a limit that can be changed.
+// freeHeads is the number of bytes of heads that need no room in the client's budget, and
+// headFactor the memory that a longer head takes for each of its bytes: it is read into
+// buffers and copied into headers.
+const (
+	freeHeads  = 16 << 10
+	headFactor = 2
+)
+
+// headLimiter reads from a connection, and fails beyond the limits for heads while it reads
+// these.
 type headLimiter struct {
 	conn net.Conn
-	left int64
+	// lease is the memory of the present answer while its heads are read, nil otherwise.
+	lease *alloc.Lease
+	read  int64
 }
 
+func (l *headLimiter) beginHeads(lease *alloc.Lease) { l.lease, l.read = lease, 0 }
+
+func (l *headLimiter) endHeads() { l.lease = nil }
+
 // Read implements [io.Reader].
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.left <= 0 {
+	if l.lease == nil {
+		return l.conn.Read(p)
+	}
+	if l.read >= maxHeads {
 		return 0, errHeadTooLong
 	}
-	n, err := l.conn.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
+	n, err := l.conn.Read(p[:min(int64(len(p)), maxHeads-l.read)])
+	l.read += int64(n)
+	if over := min(int64(n), l.read-freeHeads); over > 0 && !l.lease.Add(headFactor*over) {
+		return 0, ErrNoMemory
+	}
 	return n, err
 }
 
@@ -154,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &headLimiter{conn: netConn, left: math.MaxInt64}
+	in := &headLimiter{conn: netConn}
 	return &conn{Conn: netConn, limiter: in, reader: bufio.NewReaderSize(in, readBuffer)}, nil
 }
 
--- a/io/back/endless_test.go
+++ b/io/back/endless_test.go
@@ -52,7 +52,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			begin := time.Now()
-			_, err := New(mn.NewSystemClock(), "", nil).Do(ctx, dialect{}, &Call{ID: "r", To: mn.Endpoint{Addr: e.addr}, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxIdleTime: mn.Second})
+			_, err := newClient(mn.NewSystemClock()).Do(ctx, dialect{}, &Call{ID: "r", To: mn.Endpoint{Addr: e.addr}, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxIdleTime: mn.Second})
 			require.Error(t, err)
 			require.Less(t, time.Since(begin), 5*time.Second)
 			<-closed
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	mn "mustardnotch"
 	"mustardnotch/core/place"
 	"mustardnotch/io/back"
@@ -21,6 +24,11 @@
 	maxIdleTimeOnce       = 5 * mn.Second
 	// maxAnswer bounds the size of an answer that is not a stream.
 	maxAnswer = 16 << 20
+	// maxHandle bounds the size of the answer to a prefill.
+	maxHandle = 64 << 10
+	// copyBuffer is the size of the buffer for a part of an answer that is passed on as it
+	// arrives.
+	copyBuffer = 16 << 10
 	// releaseTimeout bounds the request that frees a prompt's KV cache.
 	releaseTimeout = 1 * mn.Second
 	// attemptTimeoutFactor is the attempt timeout of an idempotent request as a
@@ -46,14 +54,16 @@
 type failure struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte
+	// memory is what the body takes.
+	memory *back.Memory
 }
 
 // sendTo sends the endpoint's failure to the caller.
 func (f *failure) sendTo(q *request) {
 	q.sendHead(f.status, f.header)
 	// The caller may have left. The request is logged in any case.
-	_, _ = q.w.Write(f.body)
+	_ = q.write(f.body)
 }
 
 // call returns the request as it is sent to an endpoint.
@@ -172,7 +182,7 @@
 
 // readHandle returns the KV cache handle in a prefill endpoint's answer.
 func (q *request) readHandle(a *back.Answer) (string, error) {
-	body, err := a.ReadResult(maxAnswer)
+	body, err := a.ReadResult(maxHandle)
 	if err != nil {
 		return "", err
 	}
@@ -197,7 +207,7 @@
 			return
 		}
 		defer a.Close()
-		if _, err := a.ReadAll(maxAnswer); err != nil {
+		if err := a.Discard(); err != nil {
 			q.Log.WithField("event", "release_failed").WithField("request", q.info.ID).Debug(err)
 		}
 	}()
@@ -233,7 +243,7 @@
 // notRun returns the result of an attempt whose answer states that the request has
 // not run.
 func (q *request) notRun(plan *place.Plan, a *back.Answer, d mn.Dispatch) result {
-	if _, err := a.ReadAll(maxAnswer); err != nil {
+	if err := a.Discard(); err != nil {
 		q.Log.WithField("event", "answer_broken").WithField("request", q.info.ID).Debug(err)
 	}
 	q.Balancer.ReportResult(plan.Target.ID, true)
@@ -292,32 +302,93 @@
 }
 
 // forwardComplete reads a complete answer that is not a stream, and then forwards
-// it.
+// it. One that may be forwarded but finds no memory is forwarded as it arrives.
 func (q *request) forwardComplete(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
-	body, err := a.ReadAll(maxAnswer)
+	body, whole, err := a.ReadUpTo(maxAnswer)
 	id := plan.Target.ID
 	if err != nil {
 		q.Balancer.ReportResult(id, true)
 		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
 	}
-	q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
 	success := a.Status < 300 && a.Signed && a.Header.Get("Content-Encoding") == ""
+	mayPass := success || a.Status < 500 && a.Status >= 300 && a.Signed
+	if !whole && mayPass {
+		return q.forwardAsItArrives(plan, a, body)
+	}
+	if !whole {
+		q.Balancer.ReportResult(id, true)
+		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s answered %d without an end", id, a.Status)}
+	}
+	q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
 	q.Balancer.ReportResult(id, !success)
 	q.clearCrashes()
-	if success || a.Status < 500 && a.Status >= 300 && a.Signed {
+	if mayPass {
 		q.firstEventAt = q.Clock.Now()
 		q.sendHead(a.Status, a.Header)
-		if _, err := q.w.Write(body); err != nil {
+		if err := q.write(body); err != nil {
 			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
 		}
 		return result{}
 	}
 	if a.Signed && a.Status >= 500 && a.Status != http.StatusServiceUnavailable {
-		q.fallback = &failure{a.Status, a.Header, body}
+		q.dropFallback()
+		q.fallback = &failure{a.Status, a.Header, body, a.TakeMemory()}
 	}
 	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
 }
 
+// write sends the pieces of a body to the caller.
+func (q *request) write(pieces [][]byte) error {
+	for _, p := range pieces {
+		if _, err := q.w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forwardAsItArrives forwards an answer of which the first pieces have been read.
+//
+// Load pattern: answers without end have taken the memory for answers, and sound ones still
+// have to pass.
+func (q *request) forwardAsItArrives(plan *place.Plan, a *back.Answer, first [][]byte) result {
+	id := plan.Target.ID
+	q.Stats.Add("answers_not_buffered", 1)
+	q.Log.WithFields(logrus.Fields{"event": "answer_not_buffered", "request": q.info.ID, "endpoint": id, "pieces": len(first)}).Info()
+	q.firstEventAt = q.Clock.Now()
+	q.sendHead(a.Status, a.Header)
+	if err := q.write(first); err != nil {
+		return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
+	}
+	a.TakeMemory().End()
+	for buf, total := make([]byte, copyBuffer), len(first)*copyBuffer; total <= maxAnswer; {
+		n, err := a.Read(buf)
+		total += n
+		if err := q.write([][]byte{buf[:n]}); err != nil {
+			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
+		}
+		if err == io.EOF {
+			q.Balancer.ReportResult(id, false)
+			q.clearCrashes()
+			return result{}
+		}
+		if err != nil {
+			q.Balancer.ReportResult(id, true)
+			return result{endpoint: id, final: true, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
+		}
+	}
+	q.Balancer.ReportResult(id, true)
+	return result{endpoint: id, final: true, err: mn.Errorf(mn.Truncated, "endpoint %s: the answer exceeds %d bytes", id, maxAnswer)}
+}
+
+// dropFallback gives the memory of an endpoint's own failure back.
+func (q *request) dropFallback() {
+	if q.fallback != nil {
+		q.fallback.memory.End()
+		q.fallback = nil
+	}
+}
+
 // requestTarget returns the request's target as the caller sent it. A target in
 // absolute form, which is meant for proxies, is reduced to its path and query.
 func requestTarget(r *http.Request) string {
--- /dev/null
+++ b/io/front/endless_test.go
@@ -0,0 +1,139 @@
+package front
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endless answers with a head and then with text until the front closes the connection.
+func endless(head, text string) script {
+	more := bytes.Repeat([]byte(text), 1+(64<<10)/len(text))
+	return func(r *http.Request, _ string, c net.Conn) bool {
+		fmt.Fprint(c, strings.ReplaceAll(head, "ID", r.Header.Get("Id")))
+		for {
+			if _, err := c.Write(more); err != nil {
+				return false
+			}
+		}
+	}
+}
+
+// Guards against a front that runs out of memory because an endpoint sends bytes without end
+// in all of its answers, each of which stays within its own bound.
+func TestBytesWithoutEndInAllAnswersTakeLittleMemory(t *testing.T) {
+	const (
+		requests = 24
+		maxHeap  = 40 << 20
+	)
+	signed := func(status string) string { return "HTTP/1.1 " + status + "\r\nId: ID\r\nSeal: s\r\n" }
+	chunks := fmt.Sprintf("%x\r\n%s\r\n", 1000, strings.Repeat("x", 1000))
+	cases := map[string]struct {
+		path string
+		run  script
+	}{
+		"success up to the end of the connection": {"/get/", endless(signed("200 OK")+"\r\n", "x")},
+		"success in chunks":                       {"/get/", endless(signed("200 OK")+"Transfer-Encoding: chunked\r\n\r\n", chunks)},
+		"success with a length":                   {"/get/", endless(signed("200 OK")+"Content-Length: 99999999999\r\n\r\n", "x")},
+		"booking":                                 {"/book/", endless(signed("200 OK")+"\r\n", "x")},
+		"failure":                                 {"/get/", endless(signed("500 Failed")+"\r\n", "x")},
+		"refusal":                                 {"/get/", endless("HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\n\r\n", "x")},
+		"unsigned":                                {"/get/", endless("HTTP/1.1 200 OK\r\nId: ID\r\n\r\n", "x")},
+		"head":                                    {"/get/", endless("HTTP/1.1 200 OK\r\nId: ID\r\n", "A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n")},
+		"line of a head":                          {"/get/", endless("HTTP/1.1 200 OK\r\nId: ID\r\nA: ", "a")},
+		"event":                                   {"/stream/", endless(signed("200 OK")+"Content-Type: text/event-stream\r\n\r\ndata: ", "x")},
+		"failed stream":                           {"/stream/", endless(signed("500 Failed")+"\r\n", "x")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			scripts := map[string]script{"e1": tc.run, "e2": tc.run, "d1": tc.run, "d2": tc.run}
+			b := newFixture(t, scripts)
+			peak := watchHeap(t)
+			var wg sync.WaitGroup
+			for n := range requests {
+				wg.Go(func() { discard(b, tc.path, n) })
+			}
+			wg.Wait()
+			require.Less(t, peak(), uint64(maxHeap))
+			require.Zero(t, b.memory.Used(), "all memory is given back")
+		})
+	}
+}
+
+// discard sends a request and reads its answer without keeping it.
+func discard(b *fixture, path string, n int) {
+	req, err := http.NewRequest("POST", b.url+path, bytes.NewReader([]byte("p")))
+	if err != nil {
+		return
+	}
+	req.Host = "h"
+	req.Header.Set("Id", fmt.Sprint("id-", n))
+	req.Header.Set("Key", "k")
+	if path == "/stream/" {
+		req.Header.Set("Tokens", "100")
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return // The front may close the connection; only its memory counts.
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // The answer may be broken off.
+}
+
+// watchHeap samples the bytes of the heap above the present ones until the function that it
+// returns is called, which returns the most.
+func watchHeap(t *testing.T) (peak func() uint64) {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	begin, most := m.HeapAlloc, uint64(0)
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc-min(begin, m.HeapAlloc))
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		<-done
+		t.Logf("peak: %.1f MB", float64(most)/(1<<20))
+		return most
+	}
+}
+
+// Guards against sound large answers that are refused, or broken off, since the budget for
+// answers is small or used up.
+func TestLargeAnswersPass(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 12<<20/16)
+	large := func(r *http.Request, _ string, c net.Conn) bool {
+		return answer(c, r, 200, body, "Seal", "s")
+	}
+	b := newFixture(t, map[string]script{"e1": large, "e2": large})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			resp, got, err := b.do("GET", "/get/x", "")
+			if err != nil || resp.StatusCode != 200 || got != body {
+				t.Errorf("status %v, %d bytes, %v", resp, len(got), err)
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, b.memory.Used())
+}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/core/duty"
 	"mustardnotch/core/paths"
 	"mustardnotch/core/place"
@@ -132,6 +133,7 @@
 	view     *view
 	server   *Server
 	clock    mn.SystemClock
+	memory   *alloc.Budget
 	mu       sync.Mutex
 	received []received
 	// endpoints is the list of endpoints at the start.
@@ -153,7 +155,7 @@
 func newFixture(t *testing.T, scripts map[string]script) *fixture {
 	t.Helper()
 	clock := mn.NewSystemClock()
-	b := &fixture{t: t, clock: clock, endpoints: map[string]mn.Endpoint{}, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
+	b := &fixture{t: t, clock: clock, memory: alloc.New(16<<20, 8<<20), endpoints: map[string]mn.Endpoint{}, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
 		Routes: []mn.Route{
 			{Name: "get", Host: "h", Prefix: "/get/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: mn.RouteAtMostOnce, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
@@ -187,7 +189,7 @@
 	b.server = New(Config{
 		Clock: clock, Dialect: testDialect{}, View: b.view, Queues: place.NewQueues(balancer, clock), Balancer: balancer, Limiter: limiter,
 		RetryBudgets: retry.NewPoolBudgets(retry.PoolBudgetsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second, Fronts: func() int { return 1 }}, clock),
-		CrashTracker: poison.New(poison.Config{CrashThreshold: 3, TTL: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRunCounter(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, "", observer{balancer}),
+		CrashTracker: poison.New(poison.Config{CrashThreshold: 3, TTL: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRunCounter(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, "", b.memory, observer{balancer}),
 		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Leaving: func() bool { return false },
 		Segments: poison.NewSegmentTracker(clock), SegmentRank: func(string) int { return 0 },
 		OnCrash: func(mn.CrashRecord) {}, MaxIdleConns: func(mn.PoolID) int { return 4 },
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -114,6 +114,7 @@
 	}
 	q.body = body
 	defer q.endTrial()
+	defer q.dropFallback()
 	if err := q.admit(); err != nil {
 		return err
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -33,14 +33,16 @@
 		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
 	}
 	q.streamBegun(id, a)
-	buf := make([]byte, 0, eventBuffer)
+	var buf []byte
 	for {
 		if len(buf) == cap(buf) && cap(buf) >= maxEvent {
 			q.Balancer.ReportResult(id, true)
 			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: an event is longer than %d bytes", id, maxEvent)}
 		}
-		if len(buf) == cap(buf) {
-			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
+		var ok bool
+		if buf, ok = a.Grow(buf, eventBuffer); !ok {
+			q.Balancer.ReportResult(id, true)
+			return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: an event of more than %d bytes: %w", id, len(buf), back.ErrNoMemory)}
 		}
 		n, err := a.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
--- a/node/front.go
+++ b/node/front.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/core/duty"
 	"mustardnotch/core/place"
 	"mustardnotch/core/poison"
@@ -64,6 +66,25 @@
 	retryBudgetShare = 0.5
 )
 
+const (
+	// answerMemoryShare is the share of the process's memory limit that endpoints' answers may
+	// take, and maxEndpointShare the share of this for one endpoint. The rest is for requests,
+	// connections and what the garbage collector has not freed yet.
+	answerMemoryShare = 0.125
+	maxEndpointShare  = 0.25
+	// defaultAnswerMemory applies if the process has no memory limit, in bytes.
+	defaultAnswerMemory = 128 << 20
+)
+
+// answerMemory returns the budget for the memory of endpoints' answers.
+func answerMemory(limitMB int64) *alloc.Budget {
+	total := int64(defaultAnswerMemory)
+	if limitMB > 0 {
+		total = int64(answerMemoryShare * float64(limitMB<<20))
+	}
+	return alloc.New(total, int64(maxEndpointShare*float64(total)))
+}
+
 // Platform holds the services of the users' platform that a front uses.
 type Platform struct {
 	Store   mn.Store
@@ -100,6 +121,8 @@
 	fetchingCatalog, fetchingList atomic.Bool
 
 	crashNotices *crashList
+	// decoding is held while an engine's list of cached prompts is decoded.
+	decoding sync.Mutex
 	// reload receives a value when the settings may have changed.
 	reload <-chan struct{}
 }
@@ -130,7 +153,7 @@
 		crashNotices: &crashList{clock: clock},
 	}
 	f.settings.Store(s)
-	f.back = back.New(clock, s.IP, f)
+	f.back = back.New(clock, s.IP, answerMemory(s.MemoryMB), f)
 	f.queues = place.NewQueues(f.balancer, clock)
 	f.view = newFrontView(f)
 	f.gossip = gossip.NewClient(f, clock, self.Addr)
--- a/node/front_cached.go
+++ b/node/front_cached.go
@@ -105,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// A decoded list takes several times its size, so one is decoded at a time.
+	f.decoding.Lock()
+	defer f.decoding.Unlock()
 	return d.ParseCached(body)
 }
 
