--- a/core/alloc/alloc.go
+++ b/core/alloc/alloc.go
@@ -5,7 +5,13 @@
 // exceeds the memory of the process, which ends with the requests of all other callers.
 package alloc
 
-import "sync"
+import (
+	"io"
+	"sync"
+)
+
+// pieceSize is the size of the pieces in which text is kept.
+const pieceSize = 16 << 10
 
 // Budget is a number of bytes that holders share. A holder is what the bytes are held for,
 // such as an endpoint. It is safe for concurrent use.
@@ -15,11 +21,16 @@
 	mu       sync.Mutex
 	used     int64
 	byHolder map[string]int64
+	// pieces are used again. Those of texts that end one after the other would otherwise leave
+	// more to the garbage collector than the budget has.
+	pieces sync.Pool
 }
 
 // New returns a budget of total bytes, of which one holder gets at most perHolder.
 func New(total, perHolder int64) *Budget {
-	return &Budget{total: total, perHolder: perHolder, byHolder: map[string]int64{}}
+	b := &Budget{total: total, perHolder: perHolder, byHolder: map[string]int64{}}
+	b.pieces.New = func() any { return new([pieceSize]byte) }
+	return b
 }
 
 // Reserve takes n bytes for a holder, and reports whether there was room for them.
@@ -59,6 +70,7 @@
 	budget *Budget
 	holder string
 	held   int64
+	pieces []*[pieceSize]byte
 }
 
 // Lease returns an empty lease for a holder.
@@ -79,11 +91,48 @@
 	l.budget.Release(l.holder, n)
 }
 
-// End gives all bytes back.
+// End gives all bytes back. No text that was read with the lease may be used any more.
 func (l *Lease) End() {
 	if l.held > 0 {
 		l.Sub(l.held)
 	}
+	for _, p := range l.pieces {
+		l.budget.pieces.Put(p)
+	}
+	l.pieces = nil
+}
+
+// ReadUpTo reads text up to its end, up to limit bytes, or until the budget has no more room,
+// and reports whether it has reached the end. The first piece needs no room. The text may be
+// used until the lease ends.
+func (l *Lease) ReadUpTo(in io.Reader, limit int) (pieces [][]byte, whole bool, err error) {
+	for total := 0; total <= limit; {
+		if len(l.pieces) > 0 && !l.Add(pieceSize) {
+			return pieces, false, nil
+		}
+		piece := l.budget.pieces.Get().(*[pieceSize]byte)
+		l.pieces = append(l.pieces, piece)
+		n, err := readFull(in, piece[:])
+		total += n
+		pieces = append(pieces, piece[:n])
+		if err == io.EOF {
+			return pieces, total <= limit, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return pieces, false, nil
+}
+
+// readFull is like [io.ReadFull], but returns io.EOF also after a part of p.
+func readFull(in io.Reader, p []byte) (int, error) {
+	for read := 0; ; {
+		n, err := in.Read(p[read:])
+		if read += n; err != nil || read == len(p) {
+			return read, err
+		}
+	}
 }
 
 // Grow returns buf with room for at least one more byte, and false if the budget has none.
--- a/core/alloc/alloc_test.go
+++ b/core/alloc/alloc_test.go
@@ -1,8 +1,13 @@
 package alloc
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -71,3 +76,36 @@
 	require.Len(t, same, 64, "the buffer stays as it is if there is no room")
 	require.EqualValues(t, 48, b.Used())
 }
+
+func TestReadUpTo(t *testing.T) {
+	truncated := errors.New("truncated")
+	tests := map[string]struct {
+		in    io.Reader
+		limit int
+		// read is the length of the text, and whole whether its end was reached.
+		read  int
+		whole bool
+		err   error
+	}{
+		"empty":                      {strings.NewReader(""), 100, 0, true, nil},
+		"one piece":                  {strings.NewReader(strings.Repeat("x", pieceSize)), 1 << 20, pieceSize, true, nil},
+		"byte by byte":               {iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 3*pieceSize+5))), 1 << 20, 3*pieceSize + 5, true, nil},
+		"end together with the rest": {iotest.DataErrReader(strings.NewReader("text")), 100, 4, true, nil},
+		"as long as the limit":       {strings.NewReader(strings.Repeat("x", 2*pieceSize)), 2 * pieceSize, 2 * pieceSize, true, nil},
+		"beyond the limit":           {strings.NewReader(strings.Repeat("x", 2*pieceSize+1)), 2 * pieceSize, 2*pieceSize + 1, false, nil},
+		"beyond the budget":          {strings.NewReader(strings.Repeat("x", 100*pieceSize)), 1 << 30, 11 * pieceSize, false, nil},
+		"cut":                        {io.MultiReader(strings.NewReader("text"), iotest.ErrReader(truncated)), 100, 0, false, truncated},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := New(10*pieceSize, 10*pieceSize)
+			l := b.Lease("a")
+			pieces, whole, err := l.ReadUpTo(tt.in, tt.limit)
+			require.Equal(t, tt.err, err)
+			require.Equal(t, tt.whole, whole)
+			require.Len(t, bytes.Join(pieces, nil), tt.read)
+			l.End()
+			require.Zero(t, b.Used())
+		})
+	}
+}
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 )
 
 // maxInlineRequest is the size in bytes up to which a request is written before its
@@ -75,7 +76,7 @@
 	stop func() bool
 	// complete reports whether the complete body was read.
 	complete bool
-	memory   *Memory
+	memory   *alloc.Lease
 }
 
 // Do sends call and returns its answer as soon as the headers have arrived. Its
@@ -86,8 +87,8 @@
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	memory := c.newMemory(call.To.Addr)
-	conn.limiter.beginHeads(memory.Lease)
+	memory := c.memory.Lease(call.To.Addr)
+	conn.limiter.beginHeads(memory)
 	a, err := c.exchange(ctx, d, conn, call)
 	if err != nil {
 		stop()
@@ -228,26 +229,10 @@
 // endpoint's answers, or those of all endpoints, take as much as they may.
 var ErrNoMemory = errors.New("answers take too much memory")
 
-// ReadUpTo reads the body up to its end, up to limit bytes, or until there is no more memory.
-// It reports whether it has reached the end. The body, which is in pieces, may be used until
-// the answer is closed.
+// ReadUpTo is like [alloc.Lease.ReadUpTo] for the body, which may be used until the answer is
+// closed.
 func (a *Answer) ReadUpTo(limit int) (pieces [][]byte, whole bool, err error) {
-	for total := 0; total <= limit; {
-		piece, ok := a.memory.piece()
-		if !ok {
-			return pieces, false, nil
-		}
-		n, err := io.ReadFull(a, piece)
-		total += n
-		pieces = append(pieces, piece[:n])
-		switch {
-		case a.complete:
-			return pieces, total <= limit, nil
-		case err != nil:
-			return nil, false, err
-		}
-	}
-	return pieces, false, nil
+	return a.memory.ReadUpTo(a, limit)
 }
 
 // ReadAll reads the complete body, which must not be longer than limit bytes.
@@ -256,14 +241,13 @@
 	if err != nil {
 		return nil, err
 	}
-	body := bytes.Join(pieces, nil)
-	if !whole && len(body) > limit {
+	if !whole && len(pieces)*len(pieces[0]) > limit {
 		return nil, fmt.Errorf("answer is longer than %d bytes", limit)
 	}
 	if !whole {
 		return nil, ErrNoMemory
 	}
-	return body, nil
+	return bytes.Join(pieces, nil), nil
 }
 
 // ReadResult is like [Answer.ReadAll], and returns an error unless the status is
@@ -292,9 +276,9 @@
 func (a *Answer) Grow(buf []byte, free int) ([]byte, bool) { return a.memory.Grow(buf, free) }
 
 // TakeMemory returns the answer's memory, which then outlasts the answer.
-func (a *Answer) TakeMemory() *Memory {
+func (a *Answer) TakeMemory() *alloc.Lease {
 	m := a.memory
-	a.memory = a.client.newMemory(a.addr)
+	a.memory = a.client.memory.Lease(a.addr)
 	return m
 }
 
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -65,7 +65,6 @@
 	observer Observer
 	// memory bounds what all answers together take.
 	memory *alloc.Budget
-	pool   *sync.Pool
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -83,7 +82,7 @@
 // is empty. Its answers share memory, where each endpoint's address is a holder. The observer
 // may be nil.
 func New(clock mn.Clock, local string, memory *alloc.Budget, observer Observer) *Client {
-	return &Client{clock: clock, observer: observer, memory: memory, pool: newPool(), dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
+	return &Client{clock: clock, observer: observer, memory: memory, dialer: wire.NewDialer(dialTimeout, ackTimeout, local), idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -48,15 +48,23 @@
 	if err := wire.CheckStatus(resp); err != nil {
 		return wire.WrapEndpointError(err)
 	}
-	return readChunks(json.NewDecoder(resp.Body), emit)
+	return readChunks(resp.Body, emit)
 }
 
+// maxChunkBytes bounds the size of a chunk. An engine in trouble may send one without end.
+const maxChunkBytes = 1 << 20
+
 // readChunks calls emit with each chunk up to and including the last one. A stream that
 // ends before it is truncated.
-func readChunks(d *json.Decoder, emit func(mn.OutputChunk) error) error {
-	for {
+func readChunks(body io.Reader, emit func(mn.OutputChunk) error) error {
+	in := &io.LimitedReader{R: body}
+	for d := json.NewDecoder(in); ; {
 		var p mn.OutputChunk
+		in.N = maxChunkBytes
 		err := d.Decode(&p)
+		if err != nil && in.N <= 0 {
+			return mn.Errorf(mn.EndpointFailed, "a chunk from the engine is longer than %d bytes", maxChunkBytes)
+		}
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			return mn.Errorf(mn.Truncated, "engine ended the stream before the last chunk")
 		}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/core/place"
 	"mustardnotch/io/back"
 )
@@ -56,7 +57,7 @@
 	header http.Header
 	body   [][]byte
 	// memory is what the body takes.
-	memory *back.Memory
+	memory *alloc.Lease
 }
 
 // sendTo sends the endpoint's failure to the caller.
--- a/io/plain/plain.go
+++ b/io/plain/plain.go
@@ -9,21 +9,28 @@
 	"strings"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/io/wire"
 )
 
-// maxAnswerBytes is the maximum size of an answer's body.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes is the maximum size of an answer's body.
+	maxAnswerBytes = 16 << 20
+	// readingBytes is the memory of all answers that are being read. Few services send large
+	// answers, and one in trouble may send answers without end.
+	readingBytes = 64 << 20
+)
 
 // Client calls a plain service over HTTP. It implements [mn.PlainService].
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	memory *alloc.Budget
 }
 
 // New returns a client of the service at base, a URL without a path.
 func New(base string) *Client {
-	return &Client{base: base, http: wire.NewHTTPClient()}
+	return &Client{base: base, http: wire.NewHTTPClient(), memory: alloc.New(readingBytes, readingBytes)}
 }
 
 // Call implements [mn.PlainService]. It sends the request's id and the customer's id but
@@ -50,12 +57,19 @@
 	if err := wire.CheckStatus(resp); err != nil {
 		return nil, wire.WrapEndpointError(err)
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	return c.readAnswer(resp.Body)
+}
+
+// readAnswer reads a complete answer. The service has run the call.
+func (c *Client) readAnswer(body io.Reader) ([]byte, error) {
+	memory := c.memory.Lease("")
+	defer memory.End()
+	pieces, whole, err := memory.ReadUpTo(body, maxAnswerBytes)
 	if err != nil {
 		return nil, mn.Errorf(mn.EndpointFailed, "read answer: %w", err)
 	}
-	if len(answer) > maxAnswerBytes {
-		return nil, mn.Errorf(mn.EndpointFailed, "answer is longer than %d bytes", maxAnswerBytes).WithOutcome(mn.OutcomeRan)
+	if !whole {
+		return nil, mn.Errorf(mn.EndpointFailed, "no end after %d bytes of the answer, at most %d of one and %d of all", len(pieces)*len(pieces[0]), maxAnswerBytes, readingBytes).WithOutcome(mn.OutcomeRan)
 	}
-	return answer, nil
+	return bytes.Join(pieces, nil), nil
 }
--- a/io/plain/plain_test.go
+++ b/io/plain/plain_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,9 +16,8 @@
 	mn "mustardnotch"
 )
 
-// Guards against an answer that was reset and looks complete, since the error of the reset
-// goes to the writing of a long request.
-func TestAnswerResetDuringRequestIsNotComplete(t *testing.T) {
+// serve accepts connections, and calls answer with each one whose first request has been read.
+func serve(t *testing.T, answer func(c net.Conn)) (url string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -27,17 +29,72 @@
 			}
 			go func() {
 				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c)
 				}
-				fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nhalf of the answer")
-				time.Sleep(20 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
 			}()
 		}
 	}()
+	return "http://" + l.Addr().String()
+}
+
+// Guards against an answer that was reset and looks complete, since the error of the reset
+// goes to the writing of a long request.
+func TestAnswerResetDuringRequestIsNotComplete(t *testing.T) {
+	url := serve(t, func(c net.Conn) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nhalf of the answer")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
 	for range 20 {
-		_, err := New("http://"+l.Addr().String()).Call(t.Context(), mn.PlainCall{ID: "1", Body: make([]byte, 32<<20)})
+		_, err := New(url).Call(t.Context(), mn.PlainCall{ID: "1", Body: make([]byte, 32<<20)})
 		require.Error(t, err)
 	}
 }
+
+// Guards against an agent that runs out of memory because its service sends bodies or heads
+// without end in all of its answers.
+func TestAnswersWithoutEndTakeBoundedMemory(t *testing.T) {
+	const (
+		calls   = 32
+		maxHeap = 108 << 20 // half of the memory of a machine beside an endpoint
+	)
+	more := bytes.Repeat([]byte("A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"), 2000)
+	for name, head := range map[string]string{"body": "HTTP/1.1 200 OK\r\n\r\n", "head": "HTTP/1.1 200 OK\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t, func(c net.Conn) {
+				fmt.Fprint(c, head)
+				for {
+					if _, err := c.Write(more); err != nil {
+						return
+					}
+				}
+			})
+			c := New(url)
+			runtime.GC()
+			var wg sync.WaitGroup
+			for range calls {
+				wg.Go(func() {
+					if _, err := c.Call(t.Context(), mn.PlainCall{ID: "1"}); err == nil {
+						t.Error("an answer without end is no success")
+					}
+				})
+			}
+			done := make(chan struct{})
+			go func() { wg.Wait(); close(done) }()
+			peak := uint64(0)
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				case <-time.After(2 * time.Millisecond):
+				}
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapAlloc)
+			}
+			t.Logf("peak: %.1f MB", float64(peak)/(1<<20))
+			require.Less(t, peak, uint64(maxHeap))
+		})
+	}
+}
--- a/io/wire/http.go
+++ b/io/wire/http.go
@@ -27,6 +27,8 @@
 	maxIdlePerHost   = 256
 	maxErrorBody     = 4 << 10
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the head of an answer. A peer in trouble may send one without end.
+	maxHeadBytes = 64 << 10
 )
 
 // NewHTTPClient returns a client for one peer. It follows no redirects and ignores
@@ -40,9 +42,10 @@
 
 func newHTTPClient(ackTimeout mn.Millis) *http.Client {
 	t := &http.Transport{
-		DialContext:         NewDialer(dialTimeout, ackTimeout, "").DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     90 * time.Second,
+		DialContext:            NewDialer(dialTimeout, ackTimeout, "").DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		IdleConnTimeout:        90 * time.Second,
 	}
 	return &http.Client{
 		Transport: t,
