Don't take the crash of an endpoint for the end of its answer

Callers saw a stream end as complete before its last event, or half an answer to a booking as a success.

Cause: an answer without a length or chunks ends with its connection, and so does that of a process that crashes. The class is silence taken for consent: the absence of an error counted as an end. A stream that ends inside an event was recognized, one that ends between two was not.

Where only the connection marks the end, the front now asks whether the endpoint still accepts connections, as it does after other broken answers, unless the endpoint is leaving. A stream that may be resumed goes on elsewhere, a query is sent again, others are broken off. Chunks and lengths, which mark the end, cost nothing.

Three of the four forms of TestAnswerOfCrashedEndpointIsNotComplete are not streams that may be resumed; all four failed before. What stays unknown: an endpoint that ends such an answer early and lives.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -307,6 +307,9 @@
 func (q *request) forwardComplete(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
 	body, whole, err := a.ReadUpTo(maxAnswer)
 	id := plan.Target.ID
+	if whole && q.endedByCrash(plan.Target, a) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		q.Balancer.ReportResult(id, true)
 		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
@@ -368,6 +371,9 @@
 		if err := q.write([][]byte{buf[:n]}); err != nil {
 			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
 		}
+		if err == io.EOF && q.endedByCrash(plan.Target, a) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			q.Balancer.ReportResult(id, false)
 			q.clearCrashes()
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -10,6 +10,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/core/poison"
+	"mustardnotch/io/back"
 )
 
 const (
@@ -119,6 +120,19 @@
 	c.log.WithFields(fields).Warn()
 }
 
+// endedByCrash reports whether an answer has ended because its endpoint crashed. Where only the
+// end of the connection marks the end of the answer, the two look alike. An endpoint that
+// leaves may end right after its last answer.
+func (q *request) endedByCrash(to mn.Endpoint, a *back.Answer) bool {
+	listed, ok := q.Balancer.Endpoint(to.ID)
+	if !a.EndsWithConn() || a.Leaving || !ok || listed.State != mn.EndpointReady {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(q.r.Context(), crashCheckTimeout.Duration())
+	defer cancel()
+	return q.Clock.Sleep(ctx, crashCheckDelay) == nil && q.Back.ConnRefused(ctx, to.Addr)
+}
+
 // clearCrashes deletes the crashes that were counted against the request's content and
 // the segments of its prompt, since the request has now run to its end.
 func (q *request) clearCrashes() {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -138,6 +138,8 @@
 	received []received
 	// endpoints is the list of endpoints at the start.
 	endpoints map[string]mn.Endpoint
+	// listeners are those of the endpoints by name.
+	listeners map[string]net.Listener
 }
 
 // observer tells a balancer what endpoints say of themselves.
@@ -155,7 +157,7 @@
 func newFixture(t *testing.T, scripts map[string]script) *fixture {
 	t.Helper()
 	clock := mn.NewSystemClock()
-	b := &fixture{t: t, clock: clock, memory: alloc.New(16<<20, 8<<20), endpoints: map[string]mn.Endpoint{}, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
+	b := &fixture{t: t, clock: clock, memory: alloc.New(16<<20, 8<<20), endpoints: map[string]mn.Endpoint{}, listeners: map[string]net.Listener{}, view: &view{keysFresh: true, table: paths.New(&mn.Catalog{
 		Routes: []mn.Route{
 			{Name: "get", Host: "h", Prefix: "/get/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
 			{Name: "book", Host: "h", Prefix: "/book/", Kind: mn.RouteAtMostOnce, Shares: []mn.PoolShare{{Pool: "plain"}}, Timeout: 800, LatencyGoal: 150, Attempts: 2},
@@ -206,6 +208,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
 	b.t.Cleanup(func() { l.Close() })
+	b.listeners[name] = l
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -59,7 +59,7 @@
 		if err != nil && len(buf) > 0 {
 			q.cutInside = true
 		}
-		if err == io.EOF && (q.cutInside || q.lastEventAt == math.MaxInt64 && a.EndsWithConn()) {
+		if err == io.EOF && (q.cutInside || q.lastEventAt == math.MaxInt64 && a.EndsWithConn() || q.endedByCrash(plan.Target, a)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -232,3 +232,56 @@
 	answer, err := io.ReadAll(c)
 	require.ErrorIs(t, err, syscall.ECONNRESET, "%q must not look complete", answer)
 }
+
+// Guards against an answer that looks complete because its endpoint crashed, where only the
+// end of the connection marks the end of the answer.
+func TestAnswerOfCrashedEndpointIsNotComplete(t *testing.T) {
+	const begin = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+	cases := map[string]struct {
+		path, text string
+		// want is what the caller gets if its answer is complete.
+		want string
+	}{
+		"stream that may be resumed": {"/resumable/", headToEnd + begin, completeStream},
+		"stream":                     {"/stream/", headToEnd + begin, ""},
+		"booking":                    {"/book/", "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\nhalf", ""},
+		"query":                      {"/get/", "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\nhalf", "whole"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b *fixture
+			var runs atomic.Int64
+			run := func(name string) script {
+				return func(r *http.Request, body string, c net.Conn) bool {
+					if runs.Add(1) == 1 {
+						b.listeners[name].Close()
+						return raw(tc.text)(r, body, c)
+					}
+					if tc.path == "/resumable/" {
+						return stream(0)(r, body, c)
+					}
+					return answer(c, r, 200, "whole", "Seal", "s")
+				}
+			}
+			b = newFixture(t, map[string]script{"d1": run("d1"), "d2": run("d2"), "e1": run("e1"), "e2": run("e2")})
+			resp, body, err := b.do("POST", tc.path, "p", "Tokens", "100")
+			if tc.want == "" {
+				require.False(t, err == nil && resp.StatusCode == 200, "%q must not look complete", body)
+				require.Len(t, b.requests(), 1)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tc.want, body)
+		})
+	}
+}
+
+// An endpoint that is alive has ended its answer itself.
+func TestAnswerUpToTheEndOfTheConnectionIsComplete(t *testing.T) {
+	b := newFixture(t, map[string]script{"d1": raw(headToEnd + "id: 1\ndata: x\n\n"), "e1": raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\nwhole")})
+	for path, want := range map[string]string{"/stream/": "id: 1\ndata: x\n\n", "/book/": "whole"} {
+		_, body, err := b.do("POST", path, "p", "Tokens", "100")
+		require.NoError(t, err)
+		require.Equal(t, want, body)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 var seeds = []int64{
 	1,
 	3004, // QUOTA: estimates of a stopped front's spending were taken off at the wrong time.
+	202,  // ORDER: the stream of an endpoint that crashed between two events ended as complete.
 }
 
 func TestShortSoak(t *testing.T) {
@@ -35,7 +36,7 @@
 	require.NoError(t, procs.Build(bin))
 	var out testWriter = func(line string) { t.Log(line) }
 	violations, err := Run(t.Context(), Options{Bin: bin, Dir: t.TempDir(), Seed: 11, Fronts: 3, Callers: 16, FaultDuration: 8 * mn.Second,
-		Faults: []string{"truncates", "extra data", "repeats events", "restarts streams", "endpoint fails"}}, out)
+		Faults: []string{"truncates", "extra data", "repeats events", "restarts streams", "endpoint fails", "crash an endpoint"}}, out)
 	require.NoError(t, err)
 	require.Empty(t, violations)
 }
