Don't cut an answer for another attempt once a part has been passed on

An idempotent request's attempt has a timeout after which another endpoint is asked, and it went on when the answer, for want of memory, was being passed on as it arrived: the caller got a broken answer for which no other could take its place. The timer ends there now.

TestSlowLargeAnswerPasses failed before; io/front passed 6 of 6 at once.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -111,9 +112,12 @@
 		return *failed
 	}
 	if q.route.Kind == mn.RouteIdempotent && q.attempts < q.route.Attempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, attemptTimeoutFactor*plan.ExpectedFirst).Duration())
-		defer cancel()
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		timeout := max(minAttemptTimeout, attemptTimeoutFactor*plan.ExpectedFirst)
+		q.attemptTimer = time.AfterFunc(timeout.Duration(), func() { cancel(context.DeadlineExceeded) })
+		defer q.attemptTimer.Stop()
 	}
 	q.listAge = q.View.ListAge()
 	q.Stats.Observe("list_age_ms", q.listAge)
@@ -357,6 +361,9 @@
 // have to pass.
 func (q *request) forwardAsItArrives(plan *place.Plan, a *back.Answer, first [][]byte) result {
 	id := plan.Target.ID
+	if q.attemptTimer != nil {
+		q.attemptTimer.Stop() // No other endpoint can be asked any more.
+	}
 	q.Stats.Add("answers_not_buffered", 1)
 	q.Log.WithFields(logrus.Fields{"event": "answer_not_buffered", "request": q.info.ID, "endpoint": id, "pieces": len(first)}).Info()
 	q.firstEventAt = q.Clock.Now()
--- a/io/front/endless_test.go
+++ b/io/front/endless_test.go
@@ -130,10 +130,34 @@
 		wg.Go(func() {
 			resp, got, err := b.do("GET", "/get/x", "")
 			if err != nil || resp.StatusCode != 200 || got != body {
-				t.Errorf("status %v, %d bytes, %v", resp, len(got), err)
+				t.Errorf("%d bytes, %v", len(got), err)
 			}
 		})
 	}
 	wg.Wait()
 	require.Zero(t, b.memory.Used())
 }
+
+// Guards against a large answer that is cut in favour of another attempt although a part of it
+// has been passed on.
+func TestSlowLargeAnswerPasses(t *testing.T) {
+	const size = 4 << 20
+	slow := func(r *http.Request, _ string, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), size)
+		for range 8 {
+			if _, err := c.Write(make([]byte, size/8)); err != nil {
+				return false
+			}
+			time.Sleep(2 * minAttemptTimeout.Duration() / 8)
+		}
+		return true
+	}
+	b := newFixture(t, map[string]script{"e1": slow, "e2": slow})
+	require.True(t, b.memory.Reserve("other", 8<<20))
+	require.True(t, b.memory.Reserve("another", 8<<20))
+	resp, body, err := b.do("GET", "/get/x", "")
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Len(t, body, size)
+	require.Len(t, b.requests(), 1)
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -65,10 +65,12 @@
 	// counted reports whether the run was counted for usage.
 	counted bool
 	// headSent reports whether the head of an answer was sent to the caller.
-	headSent  bool
-	attempts  int
-	plan      *place.Plan
-	queueTime mn.Millis
+	headSent bool
+	attempts int
+	// attemptTimer ends the present attempt in favour of another one, nil if it does not.
+	attemptTimer *time.Timer
+	plan         *place.Plan
+	queueTime    mn.Millis
 	// prefillTook is the time that a separate prefill endpoint took for the prompt.
 	prefillTook  mn.Millis
 	status       int
