--- a/io/plain/plain_test.go
+++ b/io/plain/plain_test.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// Guards against a success whose head was cut: it must not look like an empty or short answer.
+func TestHeadThatStopsIsNoAnswer(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 6\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "\r\n"
+		for n := range len(head) {
+			url := serve(t, func(c net.Conn) { fmt.Fprint(c, head[:n]) })
+			_, err := New(url).Call(t.Context(), mn.PlainCall{ID: "1"})
+			require.Error(t, err, "%q", head[:n])
+		}
+	}
+}
+
 // Guards against an agent that runs out of memory because its service sends bodies or heads
 // without end in all of its answers.
 func TestAnswersWithoutEndTakeBoundedMemory(t *testing.T) {
--- a/io/wire/http_test.go
+++ b/io/wire/http_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +97,35 @@
 		require.Equal(t, 7, out)
 	}
 }
+
+// Guards against an answer whose head was cut and that looks empty or short: answers of the
+// platform and of engines.
+func TestHeadThatStopsIsNoAnswer(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framing + "\r\n"
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			for n := range 2 * len(head) {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, head[:n/2]) // A failure shows as a short head.
+				}
+				c.Close()
+			}
+		}()
+		c := NewHTTPClient()
+		for n := range len(head) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), strings.NewReader("{}"))
+			require.NoError(t, err)
+			req.GetBody = nil
+			_, err = Fetch(c, req, 1000)
+			require.Error(t, err, "%q", head[:n])
+			require.Error(t, DoJSON(t.Context(), c, http.MethodPost, "http://"+l.Addr().String(), 1, nil), "%q", head[:n])
+		}
+	}
+}
