Don't begin an answer that is longer than may be passed on

With memory for more than 16 MB, an answer beyond this bound was begun and broken off, where it had been a 502 before the memory of answers was bounded. Found by reading; TestTooLongAnswerIsNotBegun failed before.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -320,12 +320,12 @@
 	}
 	success := a.Status < 300 && a.Signed && a.Header.Get("Content-Encoding") == ""
 	mayPass := success || a.Status < 500 && a.Status >= 300 && a.Signed
-	if !whole && mayPass {
+	if !whole && mayPass && size(body) <= maxAnswer {
 		return q.forwardAsItArrives(plan, a, body)
 	}
 	if !whole {
 		q.Balancer.ReportResult(id, true)
-		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s answered %d without an end", id, a.Status)}
+		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s answered %d without an end in %d bytes", id, a.Status, size(body))}
 	}
 	q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
 	q.Balancer.ReportResult(id, !success)
@@ -355,6 +355,15 @@
 	return nil
 }
 
+// size returns the number of bytes in the pieces of a body.
+func size(pieces [][]byte) int {
+	n := 0
+	for _, p := range pieces {
+		n += len(p)
+	}
+	return n
+}
+
 // forwardAsItArrives forwards an answer of which the first pieces have been read.
 //
 // Load pattern: answers without end have taken the memory for answers, and sound ones still
@@ -372,7 +381,7 @@
 		return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
 	}
 	a.TakeMemory().End()
-	for buf, total := make([]byte, copyBuffer), len(first)*copyBuffer; total <= maxAnswer; {
+	for buf, total := make([]byte, copyBuffer), size(first); total <= maxAnswer; {
 		n, err := a.Read(buf)
 		total += n
 		if err := q.write([][]byte{buf[:n]}); err != nil {
--- a/io/front/endless_test.go
+++ b/io/front/endless_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"mustardnotch/core/alloc"
+	"mustardnotch/io/back"
 )
 
 // endless answers with a head and then with text until the front closes the connection.
@@ -161,3 +164,15 @@
 	require.Len(t, body, size)
 	require.Len(t, b.requests(), 1)
 }
+
+// Guards against an answer beyond the bound that is begun although its end can't be passed on.
+func TestTooLongAnswerIsNotBegun(t *testing.T) {
+	long := func(r *http.Request, _ string, c net.Conn) bool {
+		return answer(c, r, 200, strings.Repeat("x", maxAnswer+1), "Seal", "s")
+	}
+	b := newFixture(t, map[string]script{"e1": long, "e2": long})
+	b.server.Back = back.New(b.clock, "", alloc.New(64<<20, 64<<20), nil)
+	resp, _, err := b.do("POST", "/book/x", "p")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+}
