Soak endpoints that send bytes without end

They send them in heads and bodies of six forms, and no front may take more memory than its machine has (284 MiB). A process without a memory limit has 32 MB for answers instead of 128.

HEAD: an answer without a length does not end with its connection, so that it is not checked for a crash of its endpoint (TestAnswerToHeadDoesNotEndWithConnection failed before).

--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -435,3 +435,21 @@
 		a.Close()
 	}
 }
+
+// An answer to a HEAD request has no body, and its connection goes on.
+func TestAnswerToHeadDoesNotEndWithConnection(t *testing.T) {
+	e := newEndpoint(t, answerAll(func(r *http.Request) string { return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\n\r\n" }))
+	c := newClient(mn.NewSystemClock())
+	for i := range 3 {
+		k := call(e, fmt.Sprint(i))
+		k.Method = http.MethodHead
+		a, err := c.Do(t.Context(), dialect{}, k)
+		require.NoError(t, err)
+		require.False(t, a.EndsWithConn())
+		body, err := a.ReadAll(10)
+		require.NoError(t, err)
+		require.Empty(t, body)
+		a.Close()
+	}
+	require.EqualValues(t, 1, e.conns.Load())
+}
--- a/io/back/call.go
+++ b/io/back/call.go
@@ -210,7 +210,7 @@
 // EndsWithConn reports whether the body has neither a length nor chunks, so that its end is
 // that of the connection.
 func (a *Answer) EndsWithConn() bool {
-	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+	return a.resp.ContentLength < 0 && len(a.resp.TransferEncoding) == 0 && a.resp.Request.Method != http.MethodHead
 }
 
 // Framing says how the end of the body is marked: by its length, by chunks, or by the end of
--- a/io/wire/dial.go
+++ b/io/wire/dial.go
@@ -21,9 +21,8 @@
 )
 
 // Dialer opens TCP connections on which nothing is delivered late, and no reset is read as
-// an orderly end. Closing one of them
-// resets it: the operating system drops what the peer has not acknowledged, instead of
-// sending it again until the network carries it.
+// an orderly end. Closing one of them resets it: the operating system drops what the peer
+// has not acknowledged, instead of sending it again until the network carries it.
 type Dialer struct {
 	dialer net.Dialer
 }
--- a/node/front.go
+++ b/node/front.go
@@ -77,7 +77,7 @@
 	answerMemoryShare = 0.125
 	maxEndpointShare  = 0.25
 	// defaultAnswerMemory applies if the process has no memory limit, in bytes.
-	defaultAnswerMemory = 128 << 20
+	defaultAnswerMemory = 32 << 20
 )
 
 // answerMemory returns the budget for the memory of endpoints' answers.
--- a/procs/proc.go
+++ b/procs/proc.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -65,6 +66,20 @@
 // PID returns the process ID.
 func (p *Proc) PID() int { return p.cmd.Process.Pid }
 
+// PeakMemory returns the most memory that the process has taken so far, in bytes.
+func (p *Proc) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscanf(rest, "%d kB", &kilobytes); err != nil {
+		return 0, fmt.Errorf("peak memory of %s: %w", p.Name, err)
+	}
+	return kilobytes << 10, nil
+}
+
 // Running reports whether the process has not exited yet.
 func (p *Proc) Running() bool {
 	select {
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,8 @@
 	quotaSlack = 33_000.0
 	// recoverBound is how long after the last fault service must have recovered.
 	recoverBound = 8 * mn.Second
+	// memoryMB is the memory of a front's machine on the users' deployments, in MiB.
+	memoryMB = 284
 	// minServed is the minimum share of requests served from then on.
 	minServed = 0.75
 )
@@ -81,6 +83,8 @@
 	RevokedAt    map[string]mn.Millis
 	Rates        map[mn.CustomerID]float64
 	LastFaultEnd mn.Millis
+	// PeakMemory is the most memory that each front has taken, in bytes.
+	PeakMemory map[string]int64
 }
 
 // Violation is a violated rule. Rule is the rule's name.
@@ -133,6 +137,11 @@
 			report("ORDER", "%s %s through %s, after event %d: the stream %s", req.Target, req.ID, req.Front, req.After, fault)
 		}
 	}
+	for front, peak := range h.PeakMemory {
+		if peak > memoryMB<<20 {
+			report("LOST", "%s took %d MiB, its machine has %d", front, peak>>20, memoryMB)
+		}
+	}
 	h.checkStops(report)
 	h.checkNotices(report, requests)
 	h.checkQuota(report)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -106,7 +106,7 @@
 				h.Arrivals = append(h.Arrivals, stand.Arrival{ID: "2", Endpoint: "e", At: 60_600 + mn.Millis(n)})
 			}
 		}},
-		"LOST": {func(h *History) {
+		"LOST": {func(h *History) { h.PeakMemory = map[string]int64{"f": 285 << 20} }, func(h *History) {
 			h.Requests[2].Status, h.Requests[2].Front = 0, "f"
 			h.Arrivals = []stand.Arrival{{ID: "3", Endpoint: "e", At: 70_005}}
 			h.Faults = []FaultWindow{{From: 66_000, To: 71_000, Fault: stopFault, Front: "f"}}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -36,7 +36,7 @@
 var platformBounds = stand.Bounds{
 	RevokeWithin: revokeBound, DrainWithin: drainBound, DutyLease: dutyLease, GracePeriod: 6 * mn.Second, QuotaWindow: quotaWindow,
 	UsageWindow: 2 * mn.Second, UsageReportWithin: 10 * mn.Second, QuotaTolerance: quotaTolerance, QuotaSlack: quotaSlack,
-	RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * mn.Second,
+	RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * mn.Second, MemoryMB: memoryMB,
 }
 
 // front is a front process with its link to the store.
@@ -82,7 +82,7 @@
 	c := &cluster{
 		options: o, clock: mn.NewSystemClock(), rand: rand.New(rand.NewPCG(uint64(o.Seed), 1)),
 		store: stand.NewStore(), duties: &stand.Duties{}, endpoints: map[mn.EndpointID]*endpoint{},
-		history: History{LeavingSince: map[mn.EndpointID]mn.Millis{}, RevokedAt: map[string]mn.Millis{}, Rates: map[mn.CustomerID]float64{}, UntoldCuts: map[mn.RequestID]bool{}},
+		history: History{LeavingSince: map[mn.EndpointID]mn.Millis{}, RevokedAt: map[string]mn.Millis{}, Rates: map[mn.CustomerID]float64{}, UntoldCuts: map[mn.RequestID]bool{}, PeakMemory: map[string]int64{}},
 		keys:    map[mn.CustomerID][]string{},
 		// Concurrent soaks need separate subnets.
 		subnet: fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+int(o.Seed))%100, 1+(os.Getpid()/100+int(o.Seed))%250),
@@ -166,6 +166,17 @@
 	return c.startFront(f)
 }
 
+// noteMemory adds the most memory that a front has taken to the history, if it still runs.
+func (c *cluster) noteMemory(f *front) {
+	peak, err := f.proc.PeakMemory()
+	if err != nil {
+		return // The process has ended.
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.PeakMemory[f.name] = max(peak, c.history.PeakMemory[f.name])
+}
+
 func (c *cluster) startFront(f *front) error {
 	p, err := procs.Start(c.options.Dir, f.name, filepath.Join(c.options.Bin, "mustardnotch"), "front", "--settings", f.settingsFile)
 	f.proc = p
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,6 +22,7 @@
 
 var faults = []fault{
 	{"kill a front", true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, duration mn.Millis) error {
+		c.noteMemory(f)
 		f.proc.Kill()
 		_ = c.clock.Sleep(ctx, duration/3) // If ctx ends the sleep, the front still has to be restarted.
 		return c.startFront(f)
@@ -29,6 +30,7 @@
 	{stopFault, true, func(c *cluster, ctx context.Context, f *front, _ *endpoint, _ mn.Millis) error {
 		// A signal ends a process that has just been started and does not handle it yet.
 		serving := c.serves(f)
+		c.noteMemory(f)
 		if err := f.proc.Terminate(); err != nil {
 			return err
 		}
@@ -94,6 +96,7 @@
 	{"endpoint sends extra data", false, endpointFault(stand.ExtraAnswer, 0.3)},
 	{"endpoint repeats events", false, endpointFault(stand.RepeatEvents, 0.3)},
 	{"endpoint restarts streams", false, endpointFault(stand.IgnoreLastEvent, 0.3)},
+	{"endpoint sends bytes without end", false, endpointFault(stand.Endless, 0.3)},
 	{"endpoint fails", false, endpointFault(stand.FailRun, 0.4)},
 	{"endpoint sheds load", false, endpointFault(stand.Shed, 0.4)},
 	{"write a configuration", false, func(c *cluster, _ context.Context, _ *front, _ *endpoint, _ mn.Millis) error {
--- a/soak/run.go
+++ b/soak/run.go
@@ -61,6 +61,9 @@
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
+	for _, f := range c.fronts {
+		c.noteMemory(f)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.history.DutyCalls = c.duties.Seen()
@@ -87,6 +90,10 @@
 	for _, s := range sorted {
 		text += fmt.Sprintf(" %d:%d", s, statuses[s])
 	}
-	return fmt.Sprintf("seed %d: %d broken, %d faults, %d requests, %d runs, %d reports, by status%s",
-		c.options.Seed, violations, len(c.history.Faults), len(c.history.Requests), len(c.history.Runs), len(c.history.DutyCalls), text)
+	peak := int64(0)
+	for _, bytes := range c.history.PeakMemory {
+		peak = max(peak, bytes)
+	}
+	return fmt.Sprintf("seed %d: %d broken, %d faults, %d requests, %d runs, %d reports, front with most memory %d MiB, by status%s",
+		c.options.Seed, violations, len(c.history.Faults), len(c.history.Requests), len(c.history.Runs), len(c.history.DutyCalls), peak>>20, text)
 }
