Bound the memory of the bodies of all requests together

They share an eighth of the process's memory, one customer gets half of it, and a request that finds no room is refused with 503, not run. Large bodies are no longer copied for each send.

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -111,23 +111,26 @@
 			return nil, err
 		}
 	}
-	var request bytes.Buffer
-	if err := call.head(&request); err != nil {
+	var head bytes.Buffer
+	if err := call.head(&head); err != nil {
 		return nil, err
 	}
-	request.Write(call.Body)
 	req := &http.Request{Method: call.Method}
 	first := len(conn.carried) == 0
 	conn.carried = append(conn.carried, call.ID)
 	writeErr := make(chan error, 1)
-	write := func() {
-		_, err := conn.Write(request.Bytes())
+	if head.Len()+len(call.Body) <= maxInlineRequest {
+		head.Write(call.Body)
+		_, err := conn.Write(head.Bytes())
 		writeErr <- err
-	}
-	if request.Len() <= maxInlineRequest {
-		write()
 	} else {
-		go write()
+		go func() {
+			_, err := conn.Write(head.Bytes())
+			if err == nil {
+				_, err = conn.Write(call.Body)
+			}
+			writeErr <- err
+		}()
 	}
 	for skipped := 0; skipped <= maxForeignAnswers; skipped++ {
 		resp, err := readFinal(conn, req)
--- a/io/front/endless_test.go
+++ b/io/front/endless_test.go
@@ -176,3 +176,42 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
 }
+
+// Guards against a front that runs out of memory because callers send large bodies at the same
+// time. Other customers' requests are still served.
+func TestBodiesOfOneCustomerTakeBoundedMemory(t *testing.T) {
+	const (
+		callers = 40
+		size    = 3 << 20
+		maxHeap = 40 << 20
+	)
+	b := newFixture(t, map[string]script{"e1": func(r *http.Request, _ string, c net.Conn) bool { return answer(c, r, 200, "own", "Seal", "s") }})
+	b.view.table.Catalog.Limits.MaxBodyBytes = 4 << 20
+	part := bytes.Repeat([]byte("x"), size)
+	watched := watchHeap(t)
+	var wg sync.WaitGroup
+	begun := make(chan struct{}, callers)
+	for range callers {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /book/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nContent-Length: %d\r\n\r\n", size+1)
+			_, _ = conn.Write(part) // The front may have refused the request.
+			begun <- struct{}{}
+			time.Sleep(300 * time.Millisecond)
+		})
+	}
+	for range callers / 2 {
+		<-begun
+	}
+	resp, body, err := b.do("POST", "/open/", "p")
+	wg.Wait()
+	require.Less(t, watched(), uint64(maxHeap))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "own", body)
+}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -193,7 +193,7 @@
 		Clock: clock, Dialect: testDialect{}, View: b.view, Queues: place.NewQueues(balancer, clock), Balancer: balancer, Limiter: limiter,
 		RetryBudgets: retry.NewPoolBudgets(retry.PoolBudgetsConfig{Ratio: 0.1, Slack: 10, Window: 10 * mn.Second, Fronts: func() int { return 1 }}, clock),
 		CrashTracker: poison.New(poison.Config{CrashThreshold: 3, TTL: mn.Minute, MaxSuspects: 100}, clock), Runs: duty.NewRunCounter(5*mn.Second, 10*mn.Second, clock), Back: back.New(clock, "", b.memory, observer{balancer}),
-		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Departure: leave.New(),
+		Stats: stats.New(), Log: logrus.NewEntry(log), ApplyWithin: 2 * mn.Second, Departure: leave.New(), RequestMemory: alloc.New(16<<20, 8<<20),
 		Segments: poison.NewSegmentTracker(clock), SegmentRank: func(string) int { return 0 },
 		OnCrash: func(mn.CrashRecord) {}, MaxIdleConns: func(mn.PoolID) int { return 4 },
 	})
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/core/leave"
 	"mustardnotch/core/paths"
 	"mustardnotch/core/place"
@@ -44,7 +45,9 @@
 	route    *mn.Route
 	customer mn.CustomerID
 	body     []byte
-	job      place.Job
+	// bodyMemory is what the body takes.
+	bodyMemory *alloc.Lease
+	job        place.Job
 	// cost is what the request takes from the customer's rate.
 	cost float64
 	// segments holds the ids of the prompt's segments that other prompts may share.
@@ -114,6 +117,8 @@
 	if err := q.admitTime(); err != nil {
 		return err
 	}
+	q.bodyMemory = q.RequestMemory.Lease(string(q.customer))
+	defer q.bodyMemory.End()
 	body, err := q.readBody(table.Catalog.Limits.MaxBodyBytes)
 	if err != nil {
 		return err
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	mn "mustardnotch"
+	"mustardnotch/core/alloc"
 	"mustardnotch/core/duty"
 	"mustardnotch/core/leave"
 	"mustardnotch/core/paths"
@@ -97,6 +99,8 @@
 	// Departure is the leaving of the process. Once it has begun, callers are asked to close
 	// their connections.
 	Departure *leave.Departure
+	// RequestMemory bounds what the bodies of all requests take, by customer.
+	RequestMemory *alloc.Budget
 	// MaxIdleConns returns the maximum number of idle connections to an endpoint of a
 	// pool.
 	MaxIdleConns func(mn.PoolID) int
@@ -283,9 +287,9 @@
 	if q.r.ContentLength > limit {
 		return nil, mn.Errorf(mn.TooLarge, "body of %d bytes, limit %d", q.r.ContentLength, limit)
 	}
-	stop := context.AfterFunc(q.Departure.Ended(), func() { q.endReads() })
+	stop := context.AfterFunc(q.Departure.Ended(), q.endReads)
 	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	pieces, whole, err := q.bodyMemory.ReadUpTo(http.MaxBytesReader(q.w, q.r.Body, limit), int(limit))
 	var large *http.MaxBytesError
 	switch {
 	case err != nil && q.Departure.Ended().Err() != nil:
@@ -294,8 +298,10 @@
 		return nil, mn.Errorf(mn.TooLarge, "body is longer than %d bytes", limit)
 	case err != nil:
 		return nil, mn.Errorf(mn.BadRequest, "read body: %w", err)
+	case !whole:
+		return nil, mn.Errorf(mn.Overloaded, "bodies of requests take too much memory").WithRetryAfter(defaultRetryAfter)
 	}
-	return body, nil
+	return bytes.Join(pieces, nil), nil
 }
 
 // endReads ends the reading of the request's body.
--- a/node/front.go
+++ b/node/front.go
@@ -71,22 +71,24 @@
 )
 
 const (
-	// answerMemoryShare is the share of the process's memory limit that endpoints' answers may
-	// take, and maxEndpointShare the share of this for one endpoint. The rest is for requests,
-	// connections and what the garbage collector has not freed yet.
-	answerMemoryShare = 0.125
-	maxEndpointShare  = 0.25
-	// defaultAnswerMemory applies if the process has no memory limit, in bytes.
-	defaultAnswerMemory = 32 << 20
+	// textShare is the share of the process's memory limit that endpoints' answers may take, and
+	// likewise the bodies of callers' requests. One endpoint gets endpointShare of it, one
+	// customer customerShare. The rest is for state, connections and what the garbage collector
+	// has not freed yet.
+	textShare     = 0.125
+	endpointShare = 0.25
+	customerShare = 0.5
+	// defaultTextMemory applies if the process has no memory limit, in bytes.
+	defaultTextMemory = 32 << 20
 )
 
-// answerMemory returns the budget for the memory of endpoints' answers.
-func answerMemory(limitMB int64) *alloc.Budget {
-	total := int64(defaultAnswerMemory)
+// textMemory returns a budget for what others send, of which one holder gets the given share.
+func textMemory(limitMB int64, holderShare float64) *alloc.Budget {
+	total := int64(defaultTextMemory)
 	if limitMB > 0 {
-		total = int64(answerMemoryShare * float64(limitMB<<20))
+		total = int64(textShare * float64(limitMB<<20))
 	}
-	return alloc.New(total, int64(maxEndpointShare*float64(total)))
+	return alloc.New(total, int64(holderShare*float64(total)))
 }
 
 // Platform holds the services of the users' platform that a front uses.
@@ -158,7 +160,7 @@
 		departure:    leave.New(),
 	}
 	f.settings.Store(s)
-	f.back = back.New(clock, s.IP, answerMemory(s.MemoryMB), f)
+	f.back = back.New(clock, s.IP, textMemory(s.MemoryMB, endpointShare), f)
 	f.queues = place.NewQueues(f.balancer, clock)
 	f.view = newFrontView(f)
 	f.gossip = gossip.NewClient(f, clock, self.Addr)
@@ -271,7 +273,7 @@
 	return front.New(front.Config{
 		Clock: f.clock, Dialect: f.platform.Dialect, View: f.view, Queues: f.queues, Balancer: f.balancer,
 		Limiter: f.limiter, RetryBudgets: retry.NewPoolBudgets(c, f.clock), CrashTracker: f.crashTracker, Runs: f.runs, Back: f.back,
-		Stats: f.stats, Log: f.log, ApplyWithin: f.conf().ApplyWithin, Departure: f.departure,
+		Stats: f.stats, Log: f.log, ApplyWithin: f.conf().ApplyWithin, Departure: f.departure, RequestMemory: textMemory(f.conf().MemoryMB, customerShare),
 		OnCrash: f.crashNotices.add, MaxIdleConns: f.maxIdleConns,
 		Segments: f.segments, SegmentRank: f.segmentRank,
 	})
