Keep what each run of an endpoint has said, whatever run a list names

Requests reached endpoints that had said that they leave, or within their pause, if a list, or a late answer, named another run of the endpoint meanwhile: one notice was kept for each endpoint, and the other run replaced it, also an earlier one.

A notice is kept for each run.

--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -57,7 +57,7 @@
 	byPool            map[mn.PoolID][]*endpointState
 	engines           map[mn.PoolID]*enginePool
 	peers             map[mn.VMID]peerState
-	notices           map[mn.EndpointID]*notice
+	notices           map[runKey]*notice
 	prefillReports    []prefillReport
 	lastPrefillReport int64
 	// urgentUpdates counts changes that should be sent to peer fronts at once;
@@ -124,7 +124,7 @@
 		byPool:           map[mn.PoolID][]*endpointState{},
 		engines:          map[mn.PoolID]*enginePool{},
 		peers:            map[mn.VMID]peerState{},
-		notices:          map[mn.EndpointID]*notice{},
+		notices:          map[runKey]*notice{},
 		changed:          make(chan struct{}),
 	}
 }
--- a/core/place/notice.go
+++ b/core/place/notice.go
@@ -2,14 +2,19 @@
 
 import mn "mustardnotch"
 
-// noticeTTL is how long a notice of an endpoint that is not listed is kept. Its entry may
-// be lost for a while, and endpoints that leave have ended by then.
+// noticeTTL is how long a notice of a run that is not listed is kept. Its entry may be lost
+// for a while, and endpoints that leave have ended by then.
 const noticeTTL = 10 * mn.Minute
 
+// runKey identifies a run of an endpoint.
+type runKey struct {
+	id        mn.EndpointID
+	startedAt mn.Millis
+}
+
 // notice is what an endpoint has said of itself in its answers to this front. It holds for
-// one run of the endpoint, whatever the list says of it.
+// one run of the endpoint, whatever the list says of it: lists may go back to an earlier run.
 type notice struct {
-	startedAt mn.Millis
 	// leaving is set once the endpoint has announced that it leaves.
 	leaving bool
 	// pausedUntil is the end of the time for which the endpoint wants no requests.
@@ -19,7 +24,8 @@
 }
 
 // ObserveReply records what an endpoint says of itself in an answer: that it leaves, or
-// that it wants no requests for some time. It reports whether that is new.
+// that it wants no requests for some time. It reports whether that is new and concerns the
+// run that is listed.
 //
 // Load pattern: endpoints leave, or are overloaded, and the front learns of it from their
 // answers long before the list tells it, or while it has no new list at all.
@@ -29,15 +35,15 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, n, now := b.endpoints[e.ID], b.notices[e.ID], b.clock.Now()
-	if s != nil && s.StartedAt != e.StartedAt {
-		return false // The answer came from an earlier run.
-	}
-	if n == nil || n.startedAt != e.StartedAt {
-		n = &notice{startedAt: e.StartedAt, listedAt: now}
-		b.notices[e.ID] = n
+	key, now := runKey{e.ID, e.StartedAt}, b.clock.Now()
+	n := b.notices[key]
+	if n == nil {
+		n = &notice{listedAt: now}
+		b.notices[key] = n
 	}
-	if s != nil {
+	s := b.endpoints[e.ID]
+	otherRun := s != nil && s.StartedAt != e.StartedAt
+	if s != nil && !otherRun {
 		s.notice = n
 	}
 	changed := r.Leaving && !n.leaving || r.Pause > 0 && now+r.Pause > n.pausedUntil
@@ -45,19 +51,19 @@
 	if r.Pause > 0 {
 		n.pausedUntil = max(n.pausedUntil, now+r.Pause)
 	}
-	return changed
+	return changed && !otherRun
 }
 
 // updateNotices attaches the notices to the endpoints of a new list, and drops those of
-// other runs and of endpoints that have not been listed for long.
+// runs that have not been listed for long.
 func (b *Balancer) updateNotices(now mn.Millis) {
-	for id, n := range b.notices {
-		s := b.endpoints[id]
+	for key, n := range b.notices {
+		s := b.endpoints[key.id]
 		switch {
-		case s == nil && now-n.listedAt > noticeTTL, s != nil && s.StartedAt != n.startedAt:
-			delete(b.notices, id)
-		case s != nil:
+		case s != nil && s.StartedAt == key.startedAt:
 			n.listedAt, s.notice = now, n
+		case now-n.listedAt > noticeTTL:
+			delete(b.notices, key)
 		}
 	}
 }
