Leave more time between the steps of the test of stopping fronts

Its shortest steps were 50 and 100 ms apart from a bound of the front, which a busy machine can miss.

--- a/node/stopping_test.go
+++ b/node/stopping_test.go
@@ -43,12 +43,12 @@
 		"body that never ends":                    {-100, []step{{600, request("/slow/", length) + "b"}}, 503},
 		"request that runs longer than the grace": {-100, []step{{1300, request("/slow/", length) + "body"}}, 502},
 		"booking that runs longer than the grace": {-100, []step{{-50, request("/book/", length) + "body"}}, 502},
-		"short request in the time left":          {-100, []step{{1600, request("/quick/", length) + "body"}}, 200},
-		"request before the listener closes":      {1400, []step{{1450, request("/a/", length) + "body"}}, 200},
+		"short request in the time left":          {-100, []step{{1550, request("/quick/", length) + "body"}}, 200},
+		"request before the listener closes":      {1200, []step{{1250, request("/a/", length) + "body"}}, 200},
 	}
 	c := newTestCluster(t)
 	c.catalog.Routes = append(c.catalog.Routes,
-		mn.Route{Name: "quick", Host: "h", Prefix: "/quick/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 300, Attempts: 1},
+		mn.Route{Name: "quick", Host: "h", Prefix: "/quick/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 200, Attempts: 1},
 		mn.Route{Name: "slow", Host: "h", Prefix: "/slow/", Kind: mn.RouteIdempotent, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 5000, Attempts: 1},
 		mn.Route{Name: "book", Host: "h", Prefix: "/book/", Kind: mn.RouteAtMostOnce, Shares: []mn.PoolShare{{Pool: "p"}}, Timeout: 5000, Attempts: 1})
 	c.write()
