Refuse a late body by the request's own deadline

A request whose head came to a stopping front while it took new connections, and whose body came later, was taken with whatever time was left: the first decision had cut its deadline to the end of the process, and the second one compared that. It got a 502 of unknown outcome where a true refusal was possible.

Each decision now compares the request's own deadline.

--- a/io/front/request.go
+++ b/io/front/request.go
@@ -48,6 +48,8 @@
 	// bodyMemory is what the body takes.
 	bodyMemory *alloc.Lease
 	job        place.Job
+	// ownDeadline is the deadline of the request if the front does not leave.
+	ownDeadline mn.Millis
 	// cost is what the request takes from the customer's rate.
 	cost float64
 	// segments holds the ids of the prompt's segments that other prompts may share.
@@ -167,6 +169,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	q.job.Deadline = q.arrived + timeout
+	q.ownDeadline = q.job.Deadline
 	q.job.FirstEventDeadline = q.job.Deadline
 	if route.LatencyGoal > 0 {
 		q.job.FirstEventDeadline = min(q.job.Deadline, q.arrived+route.LatencyGoal-returnMargin)
@@ -199,7 +202,7 @@
 
 // admitTime returns an error if the front leaves before the request is sure to be answered.
 func (q *request) admitTime() *mn.Error {
-	deadline, err := q.Departure.Admit(q.Clock.Now(), q.job.Deadline)
+	deadline, err := q.Departure.Admit(q.Clock.Now(), q.ownDeadline)
 	if err != nil {
 		return err
 	}
