Let requests of a stopping front run for five sixths of the grace period

The second that a leaving front keeps for last answers and its exit was a fixed time: with a grace period under 6 s it ended requests before the last sixth, in which alone the platform excuses it. TestLeaveTimes.

--- a/node/front.go
+++ b/node/front.go
@@ -42,11 +42,14 @@
 	// two failed checks.
 	frontLameDuckPeriod = 2600 * mn.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit after
-	// requests were drained.
-	exitMargin = 700 * mn.Millisecond
+	// requests were drained, at most a ninth of the period.
+	exitMargin       = 700 * mn.Millisecond
+	exitMarginShares = 9
 	// answerMargin is the part of the grace period before exitMargin in which nothing runs any
-	// more and the last answers reach their callers.
-	answerMargin = 300 * mn.Millisecond
+	// more and the last answers reach their callers, at most an eighteenth. The platform excuses
+	// what is cut in the last sixth.
+	answerMargin       = 300 * mn.Millisecond
+	answerMarginShares = 18
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time in which a request's headers must arrive.
@@ -219,19 +222,26 @@
 	return g.Wait()
 }
 
+// leaveTimes returns when the last requests end and when the process exits, if it begins to
+// leave at start. Requests run for most of the grace period, however short it is.
+func leaveTimes(start, grace mn.Millis) (endAt, exitAt mn.Millis) {
+	exitAt = start + grace - min(exitMargin, grace/exitMarginShares)
+	return exitAt - min(answerMargin, grace/answerMarginShares), exitAt
+}
+
 // leave takes the front out of service. It lets running requests finish as long as
 // the grace period allows, and answers those that can't.
 func (f *Front) leave(ctx context.Context, callers *drainServer) {
 	start := f.clock.Now()
 	lameDuckEnd := start + min(frontLameDuckPeriod, f.conf().GracePeriod/2)
-	exitAt := start + f.conf().GracePeriod - exitMargin
-	f.departure.Begin(lameDuckEnd, exitAt-answerMargin)
+	endAt, exitAt := leaveTimes(start, f.conf().GracePeriod)
+	f.departure.Begin(lameDuckEnd, endAt)
 	f.holder.Resign()
 	f.log.WithField("event", "leaving").Info()
 	_ = f.clock.Sleep(ctx, lameDuckEnd-start)
 	drain, cancel := context.WithTimeout(ctx, (exitAt - f.clock.Now()).Duration())
 	defer cancel()
-	defer time.AfterFunc((exitAt - answerMargin - f.clock.Now()).Duration(), f.departure.End).Stop()
+	defer time.AfterFunc((endAt - f.clock.Now()).Duration(), f.departure.End).Stop()
 	if err := callers.drain(drain); err != nil {
 		f.log.WithField("event", "drain_incomplete").Warn(err)
 	}
--- a/node/stopping_test.go
+++ b/node/stopping_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+func TestLeaveTimes(t *testing.T) {
+	for grace, want := range map[mn.Millis][2]mn.Millis{
+		30_000: {29_000, 29_300},
+		8000:   {7000, 7300},
+		3600:   {3000, 3200},
+		900:    {750, 800},
+	} {
+		endAt, exitAt := leaveTimes(100, grace)
+		require.Equal(t, want, [2]mn.Millis{endAt - 100, exitAt - 100}, "grace period of %d ms", grace)
+		require.GreaterOrEqual(t, endAt-100, grace*5/6)
+	}
+}
+
 // result is what a caller got.
 type result struct {
 	status     int
