--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -58,7 +58,7 @@
 
 func TestCheck(t *testing.T) {
 	for _, sound := range []string{
-		"data: x\n\n", "id:1\ndata:{\"a b\": 1}\n\n", ": comment with spaces\n\n", "data\n\n", "x-weight-versions: 7\r\nid: 1\r\n\r\n",
+		"data: x\n\n", "id:1\ndata:{\"a b\": 1}\n\n", ": comment with spaces\n\n", "data\n\n", "x-version: 7\r\nid: 1\r\n\r\n",
 		"\ufeffdata: x\n\n", "data: HTTP/1.1 200 OK\n\n", "\n\n",
 	} {
 		require.NoError(t, Check([]byte(sound)), "%q", sound)
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -201,7 +201,7 @@
 		"second copy of the answer": {raw(headToEnd, begin, headToEnd, begin), begin, false},
 		"text of a failure":         {raw(headToEnd, begin, "Internal Server Error\n\n"), begin, false},
 		"JSON":                      {raw(headToEnd, begin, `{"error": "x"}`+"\n\n"), begin, false},
-		"events of all forms":       {raw(headToEnd, ": c\n\nevent: e\nid: 1\ndata\nx-weight-versions: 7\nretry: 5\n\n"), ": c\n\nevent: e\nid: 1\ndata\nx-weight-versions: 7\nretry: 5\n\n", true},
+		"events of all forms":       {raw(headToEnd, ": c\n\nevent: e\nid: 1\ndata\nx-version: 7\nretry: 5\n\n"), ": c\n\nevent: e\nid: 1\ndata\nx-version: 7\nretry: 5\n\n", true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/plain/plain_test.go
+++ b/io/plain/plain_test.go
@@ -69,7 +69,7 @@
 func TestAnswersWithoutEndTakeBoundedMemory(t *testing.T) {
 	const (
 		calls   = 32
-		maxHeap = 108 << 20 // half of the memory of a machine beside an endpoint
+		maxHeap = 108 << 20 // half of the memory of a VM beside an endpoint
 	)
 	more := bytes.Repeat([]byte("A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"), 2000)
 	for name, head := range map[string]string{"body": "HTTP/1.1 200 OK\r\n\r\n", "head": "HTTP/1.1 200 OK\r\n"} {
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,7 +27,7 @@
 	quotaSlack = 33_000.0
 	// recoverBound is how long after the last fault service must have recovered.
 	recoverBound = 8 * mn.Second
-	// memoryMB is the memory of a front's machine on the users' deployments, in MiB.
+	// memoryMB is the memory of a front's VM on the users' deployments, in MiB.
 	memoryMB = 284
 	// minServed is the minimum share of requests served from then on.
 	minServed = 0.75
@@ -139,7 +139,7 @@
 	}
 	for front, peak := range h.PeakMemory {
 		if peak > memoryMB<<20 {
-			report("LOST", "%s took %d MiB, its machine has %d", front, peak>>20, memoryMB)
+			report("LOST", "%s took %d MiB, its VM has %d", front, peak>>20, memoryMB)
 		}
 	}
 	h.checkStops(report)
