Bound what the kernel holds for callers of a front

Cause: the buffers of a connection were set once it had been accepted. Until then the kernel took what callers sent into buffers of its own choice, for up to 4,096 connections, and what it held was no part of any sum.

Change: buffers of 32 KiB each way are set on the listening socket, and the backlog is bounded. shed.Limits adds up what the kernel may hold for all connections, counts it in their number, and the soft limit of the garbage collector makes room for it.

--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -41,8 +41,11 @@
 	// Progress is the number of bytes that count as progress. A connection that carries less
 	// than Progress in MinStall is slower than any link in use.
 	Progress = 4 << 10
-	// connCost is what a connection takes in any phase, in bytes.
+	// connCost is what a connection takes in any phase, in bytes, of the process's own memory.
 	connCost = 40 << 10
+	// SocketBuffer is the size of the kernel's buffers of a connection, each way, in bytes. A
+	// window of 32 KiB carries 5 MB a second over the 6 ms to callers and back.
+	SocketBuffer = 32 << 10
 )
 
 // Conn is a connection as far as the decision needs it.
@@ -93,28 +96,45 @@
 	return rank{1, float64(stalled) * float64(connCost+c.Held)}
 }
 
-// MaxConns returns how many connections of callers a process holds, given its limits of
-// memory in MiB and of descriptors, each 0 for none.
-func MaxConns(memoryMB, maxFDs int64) int {
+// Limits are what a process takes for connections of callers.
+type Limits struct {
+	// Conns is the maximum number of connections.
+	Conns int
+	// Backlog is the maximum number of connections that have not been accepted.
+	Backlog int
+}
+
+// KernelMemory returns the most that the kernel holds for the connections, in bytes.
+func (l Limits) KernelMemory() int64 {
+	return int64(l.Conns)*2*SocketBuffer + int64(l.Backlog)*SocketBuffer
+}
+
+// NewLimits returns the limits of a process that may use the given memory in MiB and the given
+// number of descriptors, each 0 for no limit.
+func NewLimits(memoryMB, maxFDs int64) Limits {
 	const (
 		// reservedFDs is the number of descriptors that the platform keeps for files.
 		reservedFDs = 200
 		// callerShare is the share of the other descriptors that callers get. The rest is for
 		// endpoints, peers and the platform.
 		callerShare = 0.5
-		// memoryShare is the share of the memory that connections of callers may take.
-		memoryShare = 0.25
-		// unlimited applies if neither limit is set.
-		unlimited = 10_000
+		// memoryShare is the share of the memory that connections of callers may take, with what
+		// the kernel holds for them both ways, and backlogShare that of those in the backlog.
+		memoryShare  = 0.4
+		backlogShare = 1.0 / 16
+		// unlimited and unlimitedBacklog apply if neither limit is set.
+		unlimited, unlimitedBacklog = 10_000, 4096
 		// minConns is the smallest number of connections with which a process is of use.
 		minConns = 16
 	)
-	n := int64(unlimited)
+	conns, backlog := int64(unlimited), int64(unlimitedBacklog)
 	if memoryMB > 0 {
-		n = min(n, int64(memoryShare*float64(memoryMB<<20))/connCost)
+		memory := float64(memoryMB << 20)
+		conns = min(conns, int64(memoryShare*memory)/(connCost+2*SocketBuffer))
+		backlog = min(backlog, int64(backlogShare*memory)/SocketBuffer)
 	}
 	if maxFDs > 0 {
-		n = min(n, int64(callerShare*float64(maxFDs-reservedFDs)))
+		conns = min(conns, int64(callerShare*float64(maxFDs-reservedFDs)))
 	}
-	return int(max(n, minConns))
+	return Limits{Conns: int(max(conns, minConns)), Backlog: int(max(backlog, minConns))}
 }
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -57,9 +57,18 @@
 	})
 }
 
-func TestMaxConns(t *testing.T) {
-	require.Equal(t, 921, MaxConns(144, 3075), "memory binds")
-	require.Equal(t, 200, MaxConns(64, 600), "descriptors bind")
-	require.Equal(t, 10_000, MaxConns(0, 0))
-	require.Equal(t, 16, MaxConns(0, 10))
+func TestLimits(t *testing.T) {
+	require.Equal(t, Limits{Conns: 567, Backlog: 288}, NewLimits(144, 3075), "memory binds")
+	require.Equal(t, Limits{Conns: 200, Backlog: 128}, NewLimits(64, 600), "descriptors bind")
+	require.Equal(t, Limits{Conns: 10_000, Backlog: 4096}, NewLimits(0, 0))
+	require.Equal(t, Limits{Conns: 16, Backlog: 4096}, NewLimits(0, 10))
+}
+
+// What the kernel holds and what the process takes for connections stay within their shares on
+// every machine.
+func TestLimitsFitIntoMemory(t *testing.T) {
+	for _, memoryMB := range []int64{64, 144, 184, 284, 536, 4096} {
+		l := NewLimits(memoryMB, 0)
+		require.LessOrEqual(t, l.KernelMemory()+int64(l.Conns)*connCost, (memoryMB<<20)*15/32, "memory of %d MB", memoryMB)
+	}
 }
--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -3,13 +3,16 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"iter"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	mn "mustardnotch"
 	"mustardnotch/core/alloc"
@@ -23,9 +26,9 @@
 	lineCost = 160
 	// freeHead is what a head may take without a share of the memory for heads.
 	freeHead = 8 << 10
-	// socketBuffer is the size of the kernel's buffers of a connection. Those that the kernel
-	// chooses by itself grow to several MB.
-	socketBuffer = 64 << 10
+	// socketBuffer is the size of the kernel's buffers of a connection, each way. Those that the
+	// kernel chooses by itself grow to several MB.
+	socketBuffer = shed.SocketBuffer
 )
 
 // errNoRoom is the error of reading from a connection whose head finds no memory.
@@ -67,6 +70,40 @@
 	return n
 }
 
+// Listen listens at addr, with up to backlog connections that have not been accepted. What the
+// kernel holds for them counts toward the memory of the process, so they have small buffers from
+// their first byte on.
+func Listen(addr string, backlog int) (*net.TCPListener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return control(c, func(fd int) error {
+			return errors.Join(
+				unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer),
+				unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer))
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp := l.(*net.TCPListener)
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		// The package net knows no other backlog than the system's.
+		err = control(raw, func(fd int) error { return unix.Listen(fd, backlog) })
+	}
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return tcp, nil
+}
+
+// control calls f with the descriptor of c.
+func control(c syscall.RawConn, f func(fd int) error) error {
+	var failed error
+	err := c.Control(func(fd uintptr) { failed = f(int(fd)) })
+	return errors.Join(err, failed)
+}
+
 // Accept implements [net.Listener]. It closes new connections that find no room.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -82,9 +119,6 @@
 			_ = t.Close()
 			continue
 		}
-		// Without them, the kernel chooses the sizes.
-		_ = t.SetReadBuffer(socketBuffer)
-		_ = t.SetWriteBuffer(socketBuffer)
 		return c, nil
 	}
 }
--- a/node/base.go
+++ b/node/base.go
@@ -198,12 +198,16 @@
 	for _, a := range addrs {
 		l, err := listen(a)
 		if err != nil {
-			for _, o := range all {
-				o.Close()
-			}
+			closeAll(all)
 			return nil, err
 		}
 		all = append(all, l)
 	}
 	return all, nil
 }
+
+func closeAll(ls []net.Listener) {
+	for _, l := range ls {
+		l.Close()
+	}
+}
--- a/node/front.go
+++ b/node/front.go
@@ -37,7 +37,8 @@
 
 const (
 	// memoryShare is the share of the process's memory limit that is set as the Go
-	// runtime's soft memory limit, near which the garbage collector runs more often.
+	// runtime's soft memory limit, less what the kernel may hold for callers. Near that limit
+	// the garbage collector runs more often.
 	memoryShare = 0.7
 	// frontLameDuckPeriod is how long a leaving front still accepts connections. The
 	// platform checks readiness once a second and takes a front out of service after
@@ -188,10 +189,11 @@
 // Run serves until ctx is done, then leaves gracefully.
 func (f *Front) Run(ctx context.Context) error {
 	s := f.conf()
+	limits := shed.NewLimits(s.MemoryMB, s.MaxFDs)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
+		debug.SetMemoryLimit(int64(memoryShare*float64(s.MemoryMB<<20)) - limits.KernelMemory())
 	}
-	ls, err := listenAll(s.CallerAddr, s.ReadinessAddr, f.self.Addr, net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)))
+	ls, err := f.listen(limits.Backlog)
 	if err != nil {
 		return err
 	}
@@ -203,7 +205,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	callerListener := f.newListener(ls[0], "conns", shed.MaxConns(s.MemoryMB, s.MaxFDs))
+	callerListener := f.newListener(ls.callers, "conns", limits.Conns)
 	callers := newDrainServer(f.clock, callerListener, &http.Server{
 		Handler:           f.callerHandler(callerListener),
 		ConnState:         callerListener.ConnState,
@@ -213,9 +215,9 @@
 		ConnContext:       front.ConnContext,
 	})
 	g.Go(callers.serve)
-	serveHTTP(run, g, f.newListener(ls[1], "ready_conns", maxServiceConns), http.HandlerFunc(f.serveReady))
-	g.Go(func() error { return wire.Serve(run, ls[2], peers) })
-	serveHTTP(run, g, f.newListener(ls[3], "metrics_conns", maxServiceConns), f.stats)
+	serveHTTP(run, g, f.newListener(ls.readiness, "ready_conns", maxServiceConns), http.HandlerFunc(f.serveReady))
+	g.Go(func() error { return wire.Serve(run, ls.peers, peers) })
+	serveHTTP(run, g, f.newListener(ls.metrics, "metrics_conns", maxServiceConns), f.stats)
 	g.Go(func() error { return f.view.followCatalog(run) })
 	g.Go(func() error { return f.view.followEndpoints(run) })
 	g.Go(func() error { return f.followFronts(run) })
@@ -239,6 +241,41 @@
 	return g.Wait()
 }
 
+// frontListeners are the listeners of a front.
+type frontListeners struct {
+	callers, readiness, metrics *net.TCPListener
+	peers                       net.Listener
+}
+
+// listen opens the front's listeners, that of the callers with the given backlog.
+func (f *Front) listen(backlog int) (*frontListeners, error) {
+	s := f.conf()
+	ls := &frontListeners{}
+	var opened []net.Listener
+	for _, bounded := range []struct {
+		l       **net.TCPListener
+		addr    string
+		backlog int
+	}{
+		{&ls.callers, s.CallerAddr, backlog},
+		{&ls.readiness, s.ReadinessAddr, maxServiceConns},
+		{&ls.metrics, net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), maxServiceConns},
+	} {
+		l, err := accept.Listen(bounded.addr, bounded.backlog)
+		if err != nil {
+			closeAll(opened)
+			return nil, mn.Errorf(mn.BadSetting, "listen on %s: %w", bounded.addr, err)
+		}
+		*bounded.l, opened = l, append(opened, l)
+	}
+	var err error
+	if ls.peers, err = listen(f.self.Addr); err != nil {
+		closeAll(opened)
+		return nil, err
+	}
+	return ls, nil
+}
+
 // leaveTimes returns when the last requests end and when the process exits, if it begins to
 // leave at start. Requests run for most of the grace period, however short it is.
 func leaveTimes(start, grace mn.Millis) (endAt, exitAt mn.Millis) {
@@ -309,8 +346,8 @@
 }
 
 // newListener returns a listener that bounds what the callers at l take.
-func (f *Front) newListener(l net.Listener, name string, maxConns int) *accept.Listener {
-	return accept.New(l.(*net.TCPListener), accept.Config{
+func (f *Front) newListener(l *net.TCPListener, name string, maxConns int) *accept.Listener {
+	return accept.New(l, accept.Config{
 		Clock: f.clock, Stats: f.stats, Log: f.log, Name: name, MaxConns: maxConns, HeadMemory: memoryBudget(headShare, f.conf().MemoryMB, 1),
 	})
 }
