Store run counts by window

Cause: two fronts store the run counts of all fronts every 400 ms.

Change: a part has the counts of one window, in a form of a quarter of the size; parts of windows that have ended aren't written again. A write without an answer may take effect seconds later, so its key is written again for ten seconds. Records of the earlier form are not read: counts that were stored within ten seconds before an update of all fronts at once would be lost.

Measured: TestOnlyTheCurrentWindowIsWritten.

--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -188,7 +188,10 @@
 	stopped := mn.FrontState{VM: "x", Incarnation: "1", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 4}}}
 	r.ReceiveState(stopped)
 	r.ReceiveState(mn.FrontState{VM: "x", Incarnation: "2", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 1}}})
-	r.Restore(mn.FrontState{VM: "x", Incarnation: "1", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 3}}})
+	r.Restore(StoredRuns{Window: window, Fronts: []FrontRuns{
+		{VM: "x", Incarnation: "1", Counts: map[mn.CustomerID]int64{"c": 3}},
+		{VM: "me", Incarnation: "1", Counts: map[mn.CustomerID]int64{"c": 1}},
+	}}, "me", "1")
 	counts, silent := r.Total(window, []mn.VMID{"x"})
 	require.Equal(t, map[mn.CustomerID]int64{"c": 6}, counts)
 	require.Equal(t, 1, silent, "no state of x was received since the window ended")
@@ -198,8 +201,8 @@
 	require.Zero(t, silent)
 
 	other := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
-	for _, f := range r.Snapshot("me", "1") {
-		other.Restore(f)
+	for _, part := range r.Parts("me", "1") {
+		other.Restore(part, "other", "1")
 	}
 	restored, _ := other.Total(window, nil)
 	require.Equal(t, counts, restored)
@@ -218,13 +221,13 @@
 			r := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
 			window := int64(r.Wall() / (5 * mn.Second))
 			for f := range fronts {
-				state := mn.FrontState{VM: mn.VMID(fmt.Sprintf("front-geldermalsen-%d", f)), Incarnation: "01a23f60-c93b-7c5e"}
+				counts := FrontRuns{VM: mn.VMID(fmt.Sprintf("front-geldermalsen-%d", f)), Incarnation: "01a23f60-c93b-7c5e", Counts: map[mn.CustomerID]int64{}}
 				for c := range customers {
-					for w := range int64(6) {
-						state.Runs = append(state.Runs, mn.RunCount{Window: window - w, Customer: mn.CustomerID(fmt.Sprintf("customer-%d", c)), Count: int64(1 + f + c)})
-					}
+					counts.Counts[mn.CustomerID(fmt.Sprintf("customer-%d", c))] = int64(1 + f + c)
+				}
+				for w := range int64(6) {
+					r.Restore(StoredRuns{Window: window - w, Fronts: []FrontRuns{counts}}, "me", "1")
 				}
-				r.Restore(state)
 			}
 			want, _ := r.Total(window, nil)
 			other := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
@@ -232,9 +235,7 @@
 				value, err := json.Marshal(part)
 				require.NoError(t, err)
 				require.Less(t, len(value), maxRecord, "%d fronts, %d customers", fronts, customers)
-				for _, f := range part {
-					other.Restore(f)
-				}
+				other.Restore(part, "other", "1")
 			}
 			got, _ := other.Total(window, nil)
 			require.Equal(t, want, got)
@@ -281,3 +282,60 @@
 	}
 	require.Positive(t, UntilTurn(800, 0, 2, 400), "a writer whose turn is now waits for the next one")
 }
+
+// Guards against records that are written again and again though their windows have ended: with
+// 30 fronts and 86 customers, all parts but those of the current window stay as they are.
+func TestOnlyTheCurrentWindowIsWritten(t *testing.T) {
+	clock := mn.NewManualClock(1_000_000_000)
+	r := NewRunCounter(5*mn.Second, 10*mn.Second, clock)
+	count := func(n int64) {
+		window := int64(r.Wall() / (5 * mn.Second))
+		for f := range 30 {
+			state := mn.FrontState{VM: mn.VMID(fmt.Sprint("front-", f)), Incarnation: "1"}
+			for c := range 86 {
+				state.Runs = append(state.Runs, mn.RunCount{Window: window, Customer: mn.CustomerID(fmt.Sprint("customer-", c)), Count: n})
+			}
+			r.ReceiveState(state)
+		}
+	}
+	var log WriteLog
+	write := func() (writes int) {
+		for key, part := range r.Parts("me", "1") {
+			value, err := json.Marshal(part)
+			require.NoError(t, err)
+			if log.Due(key, value, clock.Now()) {
+				writes++
+				log.Record(key, value, true, false, clock.Now())
+			}
+		}
+		return writes
+	}
+	for range 5 {
+		count(1)
+		clock.Advance(5 * mn.Second)
+	}
+	require.Equal(t, 5, write())
+	for n := range int64(4) {
+		count(1 + n)
+		require.Equal(t, 1, write())
+		require.Zero(t, write(), "nothing has changed")
+		clock.Advance(400)
+	}
+}
+
+// Guards against a write whose answer was lost and that takes effect after newer ones.
+func TestUnansweredWriteIsRepeated(t *testing.T) {
+	var l WriteLog
+	old, newer := []byte("1"), []byte("2")
+	require.True(t, l.Due("k", old, 0))
+	l.Record("k", old, false, true, 0)
+	require.True(t, l.Due("k", old, 0), "a refused write is due again")
+	l.Record("k", old, true, false, 0)
+	require.False(t, l.Due("k", old, 100))
+	l.Record("k", newer, false, false, 100)
+	require.True(t, l.Due("k", old, 200), "the store may hold either")
+	l.Record("k", newer, true, false, 200)
+	require.True(t, l.Due("k", newer, 5000), "the write without an answer may come now")
+	l.Record("k", newer, true, false, 100+lateWriteTime)
+	require.False(t, l.Due("k", newer, 100+lateWriteTime))
+}
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -1,8 +1,6 @@
 package duty
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 
 	mn "mustardnotch"
@@ -122,78 +120,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.receivedAt[f.VM] = r.wall()
-	r.merge(f)
+	r.merge(f.VM, f.Incarnation, f.Runs)
 }
 
-// Restore merges counts that a front stored. The front need not run any more.
-func (r *RunCounter) Restore(f mn.FrontState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.merge(f)
-}
-
-func (r *RunCounter) merge(f mn.FrontState) {
-	byIncarnation := r.peers[f.VM]
+// merge merges counts of an incarnation of a front.
+func (r *RunCounter) merge(vm mn.VMID, incarnation mn.Incarnation, runs []mn.RunCount) {
+	byIncarnation := r.peers[vm]
 	if byIncarnation == nil {
 		byIncarnation = map[mn.Incarnation]map[countKey]int64{}
-		r.peers[f.VM] = byIncarnation
+		r.peers[vm] = byIncarnation
 	}
-	counts := byIncarnation[f.Incarnation]
+	counts := byIncarnation[incarnation]
 	if counts == nil {
 		counts = map[countKey]int64{}
-		byIncarnation[f.Incarnation] = counts
+		byIncarnation[incarnation] = counts
 	}
-	for _, n := range f.Runs {
+	for _, n := range runs {
 		k := countKey{n.Window, n.Customer}
 		counts[k] = max(counts[k], n.Count)
 	}
 	prune(counts, int64(r.wall()/r.window)-r.retainedWindows)
 }
 
-// maxStoredCounts bounds the run counts in one part of a snapshot.
-const maxStoredCounts = 1000
-
-// Parts returns the snapshot in parts, each small enough for one record of the store
-// whatever the number of fronts, customers and windows.
-func (r *RunCounter) Parts(self mn.VMID, incarnation mn.Incarnation) [][]mn.FrontState {
-	var parts [][]mn.FrontState
-	var part []mn.FrontState
-	room := maxStoredCounts
-	for _, f := range r.Snapshot(self, incarnation) {
-		for runs := f.Runs; len(runs) > 0; {
-			n := min(len(runs), maxStoredCounts)
-			if n > room {
-				parts, part, room = append(parts, part), nil, maxStoredCounts
-			}
-			part, room = append(part, mn.FrontState{VM: f.VM, Incarnation: f.Incarnation, Runs: runs[:n]}), room-n
-			runs = runs[n:]
-		}
-	}
-	if len(part) > 0 {
-		parts = append(parts, part)
-	}
-	return parts
-}
-
-// Snapshot returns the counts of all incarnations of all fronts that this front knows.
-// Its own counts are listed under self and incarnation.
-func (r *RunCounter) Snapshot(self mn.VMID, incarnation mn.Incarnation) []mn.FrontState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := []mn.FrontState{{VM: self, Incarnation: incarnation, Runs: toSortedRunCounts(r.own)}}
-	for vm, byIncarnation := range r.peers {
-		for i, counts := range byIncarnation {
-			if len(counts) > 0 {
-				out = append(out, mn.FrontState{VM: vm, Incarnation: i, Runs: toSortedRunCounts(counts)})
-			}
-		}
-	}
-	slices.SortFunc(out, func(a, b mn.FrontState) int {
-		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	return out
-}
-
 func toRunCounts(counts map[countKey]int64) []mn.RunCount {
 	out := make([]mn.RunCount, 0, len(counts))
 	for k, n := range counts {
@@ -202,14 +150,6 @@
 	return out
 }
 
-func toSortedRunCounts(counts map[countKey]int64) []mn.RunCount {
-	out := toRunCounts(counts)
-	slices.SortFunc(out, func(a, b mn.RunCount) int {
-		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Customer, b.Customer))
-	})
-	return out
-}
-
 // Total returns the counts of a window over all fronts, and the number of the given
 // fronts from which no state was received since the window ended.
 func (r *RunCounter) Total(window int64, fronts []mn.VMID) (counts map[mn.CustomerID]int64, silent int) {
--- a/front_state.go
+++ b/front_state.go
@@ -72,52 +72,51 @@
 	ScopeAll
 )
 
-// FrontState is the state that a front sends to its peer fronts. The fields with
-// a JSON name are also written to the store, to [RunFeed].
+// FrontState is the state that a front sends to its peer fronts.
 type FrontState struct {
-	VM          VMID        `json:"vm"`
-	Incarnation Incarnation `json:"incarnation"`
+	VM          VMID
+	Incarnation Incarnation
 	// Uptime is how long this incarnation had been running when it sent the state.
-	Uptime Millis `json:"-"`
+	Uptime Millis
 	// Addr and DataCentre are those of the front's [Front] record.
-	Addr       string     `json:"-"`
-	DataCentre DataCentre `json:"-"`
+	Addr       string
+	DataCentre DataCentre
 	// ListFingerprint is a fingerprint of the front's endpoint list. ListAge is the
 	// time since the list was known to be current, negative if it never was.
-	ListFingerprint uint64 `json:"-"`
-	ListAge         Millis `json:"-"`
+	ListFingerprint uint64
+	ListAge         Millis
 	// DutyNext is the end of [DutyFeed] as far as the front knows it.
-	DutyNext Offset `json:"-"`
+	DutyNext Offset
 	// CatalogOffset is the offset of the front's catalog in [CatalogFeed].
 	// CatalogAge is the time since that catalog was known to be the newest,
 	// negative if the front has no catalog.
-	CatalogOffset Offset `json:"-"`
-	CatalogAge    Millis `json:"-"`
+	CatalogOffset Offset
+	CatalogAge    Millis
 	// Evacuated lists the evacuated data centres as of offset EvacuatedNext of
 	// [CatalogFeed], 0 if the front has not read it.
-	Evacuated     []DataCentre `json:"-"`
-	EvacuatedNext Offset       `json:"-"`
+	Evacuated     []DataCentre
+	EvacuatedNext Offset
 	// Loads holds the load that the front places on endpoints.
-	Loads []EndpointLoad `json:"-"`
+	Loads []EndpointLoad
 	// Scope determines how much of Loads, Spent, Runs, Crashes, EngineCrashes,
 	// ClearedSegments and PrefilledPrompts is set.
-	Scope StateScope `json:"-"`
+	Scope StateScope
 	// Spent is each customer's spending at this incarnation, in the unit of its
 	// rate.
-	Spent map[CustomerID]float64 `json:"-"`
+	Spent map[CustomerID]float64
 	// Runs holds the run counts of this incarnation for recent windows.
-	Runs []RunCount `json:"runs"`
+	Runs []RunCount
 	// Crashes lists the recent endpoint crashes that this incarnation observed, or with
 	// ScopeAll, those of requests that it rejects because of them.
-	Crashes []CrashRecord `json:"-"`
+	Crashes []CrashRecord
 	// EngineCrashes and ClearedSegments are what the front observed of prompt segments
 	// that may crash engines, or with ScopeAll, what it knows of those that do.
-	EngineCrashes   []EngineCrash    `json:"-"`
-	ClearedSegments []ClearedSegment `json:"-"`
+	EngineCrashes   []EngineCrash
+	ClearedSegments []ClearedSegment
 	// PrefilledPrompts lists the prompt segments that endpoints recently prefilled,
 	// fetched or listed as cached, including those that no other prompt shares.
-	PrefilledPrompts []PrefilledPrompt `json:"-"`
+	PrefilledPrompts []PrefilledPrompt
 	// Timings is what this incarnation has observed of engines. It replaces what the
 	// incarnation sent before, and is left out of most states.
-	Timings []EngineTimings `json:"-"`
+	Timings []EngineTimings
 }
--- a/node/front_duties.go
+++ b/node/front_duties.go
@@ -1,11 +1,9 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"strconv"
 
 	"github.com/sirupsen/logrus"
 
@@ -191,7 +189,7 @@
 		return nil
 	}
 	store := newDependency(f, "store", "runs")
-	last := map[string][]byte{}
+	var written duty.WriteLog
 	restored := false
 	for ctx.Err() == nil {
 		_ = f.clock.Sleep(ctx, duty.UntilTurn(f.runs.Wall(), f.rank(), relay.ReaderCount, storeRunsInterval))
@@ -208,8 +206,8 @@
 		if f.rank() >= relay.ReaderCount {
 			continue
 		}
-		for i, part := range f.runs.Parts(f.self.VM, f.self.Incarnation) {
-			err := f.storeRunsPart(ctx, i, part, last)
+		for key, part := range f.runs.Parts(f.self.VM, f.self.Incarnation) {
+			err := f.storeRunsPart(ctx, string(f.self.VM)+"/"+key, part, &written)
 			store.record(err)
 		}
 	}
@@ -217,25 +215,19 @@
 }
 
 // storeRunsPart writes a part of the run counts under a key of its own, unless it was
-// written already. It keeps what was written in last. A part that isn't written any more
-// stays in the store; its windows are too old to matter soon.
-func (f *Front) storeRunsPart(ctx context.Context, number int, part []mn.FrontState, last map[string][]byte) error {
+// written already. A part that isn't written any more stays in the store; its window is
+// too old to matter soon.
+func (f *Front) storeRunsPart(ctx context.Context, key string, part duty.StoredRuns, written *duty.WriteLog) error {
 	value, err := json.Marshal(part)
 	if err != nil {
 		return err
 	}
-	key := string(f.self.VM)
-	if number > 0 {
-		key += "/" + strconv.Itoa(number)
-	}
-	if bytes.Equal(value, last[key]) {
+	if !written.Due(key, value, f.clock.Now()) {
 		return nil
 	}
-	if _, err := f.platform.Store.Put(ctx, mn.RunFeed, key, value, -1); err != nil {
-		return err
-	}
-	last[key] = value
-	return nil
+	_, err = f.platform.Store.Put(ctx, mn.RunFeed, key, value, -1)
+	written.Record(key, value, err == nil, isRefusal(err), f.clock.Now())
+	return err
 }
 
 // restoreRuns merges the counts that fronts wrote to the store.
@@ -245,16 +237,12 @@
 		return err
 	}
 	for _, i := range items {
-		var all []mn.FrontState
-		if err := json.Unmarshal(i.Value, &all); err != nil {
+		var stored duty.StoredRuns
+		if err := json.Unmarshal(i.Value, &stored); err != nil {
 			f.log.WithFields(logrus.Fields{"event": "runs_unreadable", "key": i.Key}).Warn(err)
 			continue
 		}
-		for _, state := range all {
-			if state.VM != f.self.VM || state.Incarnation != f.self.Incarnation {
-				f.runs.Restore(state)
-			}
-		}
+		f.runs.Restore(stored, f.self.VM, f.self.Incarnation)
 	}
 	return nil
 }
