Send run counts only to fronts that need them

Cause: each front sent its run counts to all others, though only those that store or report them use them.

A state without them doesn't make a front count as heard for a report. The address is left out where the recipient knows it, and an incarnation takes 16 bytes.

--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -185,9 +185,9 @@
 	r.CountStart("c")
 	r.CountStart("")
 	window := int64(clock.Wall() / (5 * mn.Second))
-	stopped := mn.FrontState{VM: "x", Incarnation: "1", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 4}}}
+	stopped := mn.FrontState{VM: "x", Incarnation: "1", HasRuns: true, Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 4}}}
 	r.ReceiveState(stopped)
-	r.ReceiveState(mn.FrontState{VM: "x", Incarnation: "2", Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 1}}})
+	r.ReceiveState(mn.FrontState{VM: "x", Incarnation: "2", HasRuns: true, Runs: []mn.RunCount{{Window: window, Customer: "c", Count: 1}}})
 	r.Restore(StoredRuns{Window: window, Fronts: []FrontRuns{
 		{VM: "x", Incarnation: "1", Counts: map[mn.CustomerID]int64{"c": 3}},
 		{VM: "me", Incarnation: "1", Counts: map[mn.CustomerID]int64{"c": 1}},
@@ -196,6 +196,9 @@
 	require.Equal(t, map[mn.CustomerID]int64{"c": 6}, counts)
 	require.Equal(t, 1, silent, "no state of x was received since the window ended")
 	clock.Advance(5 * mn.Second)
+	r.ReceiveState(mn.FrontState{VM: "x", Incarnation: "2"})
+	_, silent = r.Total(window, []mn.VMID{"x"})
+	require.Equal(t, 1, silent, "a state without counts says nothing of them")
 	r.ReceiveState(stopped)
 	_, silent = r.Total(window, []mn.VMID{"x"})
 	require.Zero(t, silent)
@@ -291,7 +294,7 @@
 	count := func(n int64) {
 		window := int64(r.Wall() / (5 * mn.Second))
 		for f := range 30 {
-			state := mn.FrontState{VM: mn.VMID(fmt.Sprint("front-", f)), Incarnation: "1"}
+			state := mn.FrontState{VM: mn.VMID(fmt.Sprint("front-", f)), Incarnation: "1", HasRuns: true}
 			for c := range 86 {
 				state.Runs = append(state.Runs, mn.RunCount{Window: window, Customer: mn.CustomerID(fmt.Sprint("customer-", c)), Count: n})
 			}
--- a/core/duty/runs.go
+++ b/core/duty/runs.go
@@ -115,8 +115,12 @@
 	return toRunCounts(r.own)
 }
 
-// ReceiveState merges a peer front's counts. Those of its earlier incarnations stay.
+// ReceiveState merges a peer front's counts, if the state has them. Those of its earlier
+// incarnations stay.
 func (r *RunCounter) ReceiveState(f mn.FrontState) {
+	if !f.HasRuns {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.receivedAt[f.VM] = r.wall()
--- a/front_state.go
+++ b/front_state.go
@@ -78,7 +78,8 @@
 	Incarnation Incarnation
 	// Uptime is how long this incarnation had been running when it sent the state.
 	Uptime Millis
-	// Addr and DataCentre are those of the front's [Front] record.
+	// Addr and DataCentre are those of the front's [Front] record, as far as the recipient
+	// knows them.
 	Addr       string
 	DataCentre DataCentre
 	// ListFingerprint is a fingerprint of the front's endpoint list. ListAge is the
@@ -104,8 +105,11 @@
 	// Spent is each customer's spending at this incarnation, in the unit of its
 	// rate.
 	Spent map[CustomerID]float64
-	// Runs holds the run counts of this incarnation for recent windows.
-	Runs []RunCount
+	// Runs holds the run counts of this incarnation for recent windows, if HasRuns is set.
+	Runs    []RunCount
+	HasRuns bool
+	// WantsRuns means that the front needs the run counts of its peers.
+	WantsRuns bool
 	// Crashes lists the recent endpoint crashes that this incarnation observed, or with
 	// ScopeAll, those of requests that it rejects because of them.
 	Crashes []CrashRecord
--- a/io/gossip/cursor.go
+++ b/io/gossip/cursor.go
@@ -9,6 +9,8 @@
 // Cursor records what a peer front was sent. The zero Cursor means that nothing was
 // sent.
 type Cursor struct {
+	// Peer is the peer front.
+	Peer mn.VMID
 	// Balancer records what was sent of the loads and the prefilled prompts.
 	Balancer place.Cursor
 	// Segments records what was sent of crashes and cleared prompt segments.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"github.com/google/uuid"
 	"storj.io/drpc"
 
 	mn "mustardnotch"
@@ -55,7 +56,15 @@
 	if mn.StateScope(in.Scope) == mn.ScopeAll {
 		scope = mn.ScopeAll
 	}
-	return encode(s.host.State(&Cursor{}, scope)), nil
+	state := s.host.State(&Cursor{Peer: mn.VMID(in.Vm)}, scope)
+	return encode(withoutAddr(state)), nil
+}
+
+// withoutAddr leaves out of a state what a recipient knows that has called the front, or got its
+// full state before.
+func withoutAddr(f mn.FrontState) mn.FrontState {
+	f.Addr, f.DataCentre = "", ""
+	return f
 }
 
 // Catalog implements the Fronts service.
@@ -97,40 +106,52 @@
 	return &Client{host: host, clock: clock, conns: wire.NewProbePool(local)}
 }
 
-// Exchange sends what has changed since cursor to the peer at addr, and applies the
-// state that the peer returns. It sends the full state if the peer may have lost
-// what was sent before.
-func (c *Client) Exchange(ctx context.Context, addr string, cursor *Cursor) error {
+// Exchange sends what has changed since cursor to the peer, and applies the state that
+// the peer returns. It sends the full state if the peer may have lost what was sent
+// before.
+func (c *Client) Exchange(ctx context.Context, p mn.Front, cursor *Cursor) error {
 	sent, scope := c.clock.Now(), mn.ScopeChanges
 	if !cursor.synced || sent-cursor.fullExchangeAt >= fullExchangeInterval {
 		*cursor = Cursor{fullExchangeAt: sent, peerIncarnation: cursor.peerIncarnation}
 		scope = mn.ScopeAll
 	}
-	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.State(cursor, scope)))
+	cursor.Peer = p.VM
+	out := c.host.State(cursor, scope)
+	if scope == mn.ScopeChanges {
+		out = withoutAddr(out)
+	}
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, p.Addr)).Exchange(ctx, encode(out))
 	if err != nil {
 		cursor.synced = false
-		c.conns.Drop(addr)
+		c.conns.Drop(p.Addr)
 		return err
 	}
-	state := decode(reply)
+	state := decodeAnswer(reply, p)
 	cursor.synced = scope == mn.ScopeAll || state.Incarnation == cursor.peerIncarnation
 	cursor.peerIncarnation = state.Incarnation
 	c.host.ReceiveState(state, sent)
 	return nil
 }
 
-// Ask applies the state of the peer at addr, without its work. It sends nothing of this
-// front's work.
-func (c *Client) Ask(ctx context.Context, addr string) error {
+// Ask applies the state of the peer, without its work. It sends nothing of this front's
+// work.
+func (c *Client) Ask(ctx context.Context, p mn.Front) error {
 	sent := c.clock.Now()
-	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, addr)).Exchange(ctx, encode(c.host.State(&Cursor{}, mn.ScopeNone)))
+	reply, err := meshpb.NewDRPCFrontsClient(c.conns.Get(ctx, p.Addr)).Exchange(ctx, encode(c.host.State(&Cursor{Peer: p.VM}, mn.ScopeNone)))
 	if err != nil {
 		return err
 	}
-	c.host.ReceiveState(decode(reply), sent)
+	c.host.ReceiveState(decodeAnswer(reply, p), sent)
 	return nil
 }
 
+// decodeAnswer decodes the answer of a peer.
+func decodeAnswer(reply *meshpb.FrontFacts, p mn.Front) mn.FrontState {
+	state := decode(reply)
+	state.Addr, state.DataCentre = p.Addr, p.DataCentre
+	return state
+}
+
 // Catalog returns the newest catalog item of the peer at addr. Its value is empty if it
 // is longer than maxBytes, unless maxBytes is 0.
 func (c *Client) Catalog(ctx context.Context, addr string, maxBytes int64) (mn.Item, error) {
@@ -175,10 +196,11 @@
 
 func encode(f mn.FrontState) *meshpb.FrontFacts {
 	out := &meshpb.FrontFacts{
-		Vm: string(f.VM), Incarnation: string(f.Incarnation), UpMs: int64(f.Uptime),
+		Vm: string(f.VM), Incarnation: encodeIncarnation(f.Incarnation), UpMs: int64(f.Uptime),
 		CatalogOffset: int64(f.CatalogOffset), CatalogAgeMs: int64(f.CatalogAge),
 		Scope: int64(f.Scope), Addr: f.Addr, DataCentre: string(f.DataCentre),
 		List: f.ListFingerprint, ListAgeMs: int64(f.ListAge), DutyNext: int64(f.DutyNext), EvacuatedNext: int64(f.EvacuatedNext),
+		HasRuns: f.HasRuns, WantsRuns: f.WantsRuns,
 	}
 	for _, dc := range f.Evacuated {
 		out.Evacuated = append(out.Evacuated, string(dc))
@@ -213,6 +235,21 @@
 	return out
 }
 
+// encodeIncarnation returns an incarnation in as few bytes as it takes.
+func encodeIncarnation(i mn.Incarnation) []byte {
+	if id, err := uuid.Parse(string(i)); err == nil && id.String() == string(i) {
+		return id[:]
+	}
+	return []byte(i)
+}
+
+func decodeIncarnation(b []byte) mn.Incarnation {
+	if id, err := uuid.FromBytes(b); err == nil {
+		return mn.Incarnation(id.String())
+	}
+	return mn.Incarnation(b)
+}
+
 func encodePrompts(prompts []mn.PrefilledPrompt) []*meshpb.PromptRead {
 	var out []*meshpb.PromptRead
 	for _, r := range prompts {
@@ -239,12 +276,14 @@
 
 func decode(in *meshpb.FrontFacts) mn.FrontState {
 	f := mn.FrontState{
-		VM: mn.VMID(in.Vm), Incarnation: mn.Incarnation(in.Incarnation), Uptime: mn.Millis(in.UpMs),
+		VM: mn.VMID(in.Vm), Incarnation: decodeIncarnation(in.Incarnation), Uptime: mn.Millis(in.UpMs),
 		CatalogOffset: mn.Offset(in.CatalogOffset), CatalogAge: mn.Millis(in.CatalogAgeMs), Scope: mn.StateScope(in.Scope),
 		Addr: in.Addr, DataCentre: mn.DataCentre(in.DataCentre), ListFingerprint: in.List, ListAge: mn.Millis(in.ListAgeMs),
 		DutyNext:      mn.Offset(in.DutyNext),
 		Spent:         make(map[mn.CustomerID]float64, len(in.Spent)),
 		EvacuatedNext: mn.Offset(in.EvacuatedNext),
+		HasRuns:       in.HasRuns,
+		WantsRuns:     in.WantsRuns,
 	}
 	for _, dc := range in.Evacuated {
 		f.Evacuated = append(f.Evacuated, mn.DataCentre(dc))
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -70,7 +70,7 @@
 func TestOnlyChangesAreSent(t *testing.T) {
 	clock := mn.NewManualClock(1_000_000)
 	self, peer := newHost("1"), newHost("a")
-	addr := serve(t, peer)
+	addr := mn.Front{VM: "peer", Addr: serve(t, peer), DataCentre: "kutahya"}
 	c := NewClient(self, clock, "127.0.0.1:0")
 	defer c.Close()
 	var cursor Cursor
@@ -106,3 +106,26 @@
 	require.NoError(t, c.Exchange(t.Context(), addr, &cursor))
 	require.Equal(t, mn.ScopeAll, peer.received[len(peer.received)-1].Scope, "a failed exchange is followed by the full state")
 }
+
+// Guards against states that lose what the recipient can't do without: an incarnation comes back
+// as it was, and an answer has the address at which it was asked for.
+func TestIncarnationsAndAddressesOfAnswers(t *testing.T) {
+	for _, i := range []mn.Incarnation{mn.NewIncarnation(), "a", "", "F094B932-150F-4DBC-86E0-12366F6BA4F7"} {
+		require.Equal(t, i, decodeIncarnation(encodeIncarnation(i)))
+	}
+	self, peer := newHost("1"), newHost(mn.NewIncarnation())
+	p := mn.Front{VM: "front-kutahya-1", Addr: serve(t, peer), DataCentre: "afyon"}
+	c := NewClient(self, mn.NewManualClock(1_000_000), "127.0.0.1:0")
+	defer c.Close()
+	var cursor Cursor
+	require.NoError(t, c.Exchange(t.Context(), p, &cursor))
+	require.NoError(t, c.Exchange(t.Context(), p, &cursor))
+	require.Equal(t, p.VM, cursor.Peer)
+	for _, answer := range self.received {
+		require.Equal(t, p.Addr, answer.Addr)
+		require.Equal(t, p.DataCentre, answer.DataCentre)
+		require.Equal(t, peer.incarnation, answer.Incarnation)
+	}
+	require.NotEmpty(t, peer.received[0].Addr, "a full state tells the address")
+	require.Empty(t, peer.received[1].Addr)
+}
--- a/node/front.go
+++ b/node/front.go
@@ -145,6 +145,8 @@
 	fetchingCatalog, fetchingList atomic.Bool
 
 	crashNotices *crashList
+	// wantsRuns is the last result of needsRuns.
+	wantsRuns atomic.Bool
 	// decoding is held while an engine's list of cached prompts is decoded.
 	decoding sync.Mutex
 	// reload receives a value when the settings may have changed.
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -74,10 +74,12 @@
 	// listedAt is when a front's list of endpoints was known to be current, as far as
 	// it has told.
 	listedAt map[mn.VMID]mn.Millis
+	// needsNoRuns holds the fronts that have told that they need no run counts.
+	needsNoRuns map[mn.VMID]bool
 }
 
 func newPeerSet(self mn.Front) *peerSet {
-	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, lastReceived: map[mn.VMID]mn.Millis{}, startedAt: map[mn.VMID]mn.Millis{}, listedAt: map[mn.VMID]mn.Millis{}}
+	return &peerSet{self: self, fronts: map[mn.VMID]mn.Front{}, lastReceived: map[mn.VMID]mn.Millis{}, startedAt: map[mn.VMID]mn.Millis{}, listedAt: map[mn.VMID]mn.Millis{}, needsNoRuns: map[mn.VMID]bool{}}
 }
 
 // apply applies an item of the feed of fronts.
@@ -99,6 +101,7 @@
 	defer p.mu.Unlock()
 	p.lastReceived[state.VM] = now
 	p.startedAt[state.VM] = now - state.Uptime
+	p.needsNoRuns[state.VM] = !state.WantsRuns
 	if state.ListAge >= 0 {
 		p.listedAt[state.VM] = max(p.listedAt[state.VM], now-state.ListAge)
 	}
@@ -107,6 +110,20 @@
 	}
 }
 
+// wantsRuns reports whether a peer needs run counts, as far as it has told.
+func (p *peerSet) wantsRuns(vm mn.VMID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.needsNoRuns[vm]
+}
+
+// addr returns the address of a peer, empty if it is unknown.
+func (p *peerSet) addr(vm mn.VMID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fronts[vm].Addr
+}
+
 // list returns the peer fronts sorted by VM.
 func (p *peerSet) list() []mn.Front {
 	p.mu.Lock()
@@ -277,6 +294,7 @@
 				delete(addrs, vm)
 			}
 		}
+		f.wantsRuns.Store(f.needsRuns())
 		_ = f.clock.Sleep(ctx, minExchangeInterval)
 	}
 	for _, stop := range exchanging {
@@ -285,6 +303,16 @@
 	return g.Wait()
 }
 
+// needsRuns reports whether this front needs the run counts of all fronts: it stores or reports
+// them, or may soon.
+func (f *Front) needsRuns() bool {
+	if f.conf().DutiesAddr == "" {
+		return false
+	}
+	_, held := f.holder.Held()
+	return held || f.rank() < max(relay.ReaderCount, maxClaimants)
+}
+
 // exchangeWith exchanges state with one peer until ctx is done.
 func (f *Front) exchangeWith(ctx context.Context, p mn.Front) error {
 	peer := newDependency(f, "front "+string(p.VM), "facts")
@@ -293,7 +321,7 @@
 	for ctx.Err() == nil {
 		interval := f.exchangeInterval(p.VM)
 		call, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
-		err := f.gossip.Exchange(call, p.Addr, &cursor)
+		err := f.gossip.Exchange(call, p, &cursor)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
@@ -351,12 +379,15 @@
 	state := mn.FrontState{
 		VM: f.self.VM, Incarnation: f.self.Incarnation, Uptime: now - f.startedAt, CatalogOffset: offset, CatalogAge: age,
 		Scope: scope, Addr: f.self.Addr, DataCentre: f.self.DataCentre, ListFingerprint: list, ListAge: listAge, DutyNext: f.holder.Next(),
-		Evacuated: evacuated, EvacuatedNext: evacuatedNext,
+		Evacuated: evacuated, EvacuatedNext: evacuatedNext, WantsRuns: f.wantsRuns.Load(),
 	}
 	if scope >= mn.ScopeChanges {
 		state.Loads, state.PrefilledPrompts, state.Timings = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
 		state.EngineCrashes, state.ClearedSegments = f.segments.Since(&c.Segments, scope == mn.ScopeAll)
-		state.Spent, state.Runs, state.Crashes = c.SpentChanges(f.limiter.Spent()), c.RunChanges(f.runs.Own()), f.crashNotices.list()
+		state.Spent, state.Crashes = c.SpentChanges(f.limiter.Spent()), f.crashNotices.list()
+		if state.HasRuns = f.peers.wantsRuns(c.Peer); state.HasRuns {
+			state.Runs = c.RunChanges(f.runs.Own())
+		}
 		if scope == mn.ScopeAll {
 			state.Crashes = f.crashTracker.Records(maxCrashRecords)
 		}
@@ -367,6 +398,9 @@
 // ReceiveState implements [gossip.Host].
 func (f *Front) ReceiveState(state mn.FrontState, sent mn.Millis) {
 	f.peers.receive(state, f.clock.Now())
+	if state.Addr == "" {
+		state.Addr = f.peers.addr(state.VM)
+	}
 	if state.Scope >= mn.ScopeChanges {
 		f.balancer.ReceiveState(state)
 		f.limiter.ReceiveState(state)
@@ -403,7 +437,7 @@
 		call, cancel := context.WithTimeout(call, askTimeout.Duration())
 		for _, p := range f.peers.bestInformed(now, aliveWindow, askedPeers) {
 			g.Go(func() error {
-				if err := f.gossip.Ask(call, p.Addr); err != nil {
+				if err := f.gossip.Ask(call, p); err != nil {
 					f.log.WithFields(logrus.Fields{"event": "ask_failed", "front": p.VM}).Debug(err)
 				}
 				return nil // The other peers may answer.
@@ -489,8 +523,8 @@
 // fetchFromPeer runs call in the background, unless another fetch of the same data is
 // still running.
 func (f *Front) fetchFromPeer(state mn.FrontState, fetching *atomic.Bool, timeout mn.Millis, call func(context.Context) error) {
-	if !fetching.CompareAndSwap(false, true) {
-		return
+	if state.Addr == "" || !fetching.CompareAndSwap(false, true) {
+		return // A front that is unknown tells its address with its next full state.
 	}
 	go func() {
 		defer fetching.Store(false)
--- a/node/front_lists.go
+++ b/node/front_lists.go
@@ -271,7 +271,7 @@
 	results := make(chan error, 1+len(peers))
 	go func() { results <- v.feed.read(ctx) }()
 	for _, p := range peers {
-		go func() { results <- v.gossip.Ask(ctx, p.Addr) }()
+		go func() { results <- v.gossip.Ask(ctx, p) }()
 	}
 	pending := cap(results)
 	for v.ListAge() > v.maxSendAge() && ctx.Err() == nil && (pending > 0 || v.fetchingList.Load()) {
