Count endpoints' own speeds, and learn those of prefill engines together

Cause: the pace that endpoints tell was taken in terms of what each usually says, so that one whose VM is slower than others counted as typical; what a single front learned of 55 engines, each of which it sees less than once a second, never made up for it.

Change: the lowest figure that an endpoint has said lately to any front is its speed; learned slowdowns and the model of the pool are what remains beyond it. Prefills tell nothing, so fronts exchange counts of their slowdowns by size, and the median of all of them counts beyond a factor of 1.3: waits behind requests that nobody knew of are below it. Nothing is asked of endpoints, and those that don't tell a pace are served as before. Feature shared_speeds switches the exchange off.

--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -54,6 +54,7 @@
 	config           Config
 	clock            mn.Clock
 	startedAt        mn.Millis
+	startedWall      mn.Millis
 	disabledFeatures map[Feature]bool
 
 	mu                sync.Mutex
@@ -77,8 +78,10 @@
 	incarnation mn.Incarnation
 	receivedAt  mn.Millis
 	loads       map[mn.EndpointID]mn.EndpointLoad
-	// timings is what the front has observed of each pool's engines.
+	// timings is what the front has observed of each pool's engines, and speeds what it has
+	// observed of single ones.
 	timings map[mn.PoolID]perf.Timings
+	speeds  map[mn.EndpointID][]uint32
 	// stale means that loads and timings are not counted, since the last update is
 	// older than peerStateTTL.
 	stale bool
@@ -96,7 +99,8 @@
 	// prefillingSince is when the engine began to prefill without a break, 0 if it
 	// never did. idleSince is when it last ended its prefill work, 0 if it has some.
 	prefillingSince, idleSince mn.Millis
-	// slowdown is the learned ratio of observed to expected time.
+	// slowdown is the learned ratio of observed to expected time, beyond the pace that the
+	// endpoint tells.
 	slowdown float64
 	// responseTime is the learned response time of a plain endpoint, in
 	// milliseconds.
@@ -111,10 +115,14 @@
 	pause       mn.Millis
 	probing     bool
 	cache       *segmentCache
+	// cacheListed means that the cached prompts of the endpoint's run were listed.
+	cacheListed bool
 	// notice is what the endpoint has said of itself, nil if nothing.
 	notice *notice
 	// evacuated reports whether nothing may be sent to the endpoint's data centre.
 	evacuated bool
+	// speed is what fronts have observed of an engine that prefills.
+	speed speed
 	// pace is what the endpoint says of how fast its VM is at present, and presentSlowdown the
 	// slowdown with it, as of the last choice in the endpoint's pool.
 	pace            pace
@@ -134,6 +142,7 @@
 		disabledFeatures: disabled,
 		clock:            clock,
 		startedAt:        clock.Now(),
+		startedWall:      clock.Wall(),
 		endpoints:        map[mn.EndpointID]*endpointState{},
 		byPool:           map[mn.PoolID][]*endpointState{},
 		engines:          map[mn.PoolID]*enginePool{},
@@ -286,11 +295,11 @@
 		if !p.stale {
 			b.addPeer(p, -1)
 		}
-		timings := p.timings
+		timings, speeds := p.timings, p.speeds
 		if timings == nil || p.incarnation != f.Incarnation {
-			timings = map[mn.PoolID]perf.Timings{}
+			timings, speeds = map[mn.PoolID]perf.Timings{}, map[mn.EndpointID][]uint32{}
 		}
-		p = peerState{incarnation: f.Incarnation, loads: make(map[mn.EndpointID]mn.EndpointLoad, len(f.Loads)), timings: timings}
+		p = peerState{incarnation: f.Incarnation, loads: make(map[mn.EndpointID]mn.EndpointLoad, len(f.Loads)), timings: timings, speeds: speeds}
 		b.addPeer(p, 1)
 	case p.stale:
 		b.addPeer(p, 1)
@@ -306,6 +315,7 @@
 		p.loads[l.Endpoint] = l
 	}
 	b.receiveTimings(p, f)
+	b.receiveSpeeds(p, f, now)
 	b.peers[f.VM] = p
 	b.addCachedPrompts(f.PrefilledPrompts)
 }
@@ -332,22 +342,22 @@
 	youngPeriod          = 15 * mn.Second
 )
 
-// timingsSince returns this front's timings of pools' engines if it is time to
-// report it again, and advances c.
-func (b *Balancer) timingsSince(c *Cursor, now mn.Millis) []mn.EngineTimings {
+// timingsSince returns this front's timings of pools' engines and the speeds that it has observed
+// if it is time to report them again, and advances c.
+func (b *Balancer) timingsSince(c *Cursor, now mn.Millis) ([]mn.EngineTimings, []mn.EngineSpeed) {
 	interval := timingsInterval
 	if now-b.startedAt < youngPeriod {
 		interval = youngTimingsInterval
 	}
 	if c.timingsAt > 0 && now-c.timingsAt < interval {
-		return nil
+		return nil, nil
 	}
 	c.timingsAt = now
 	var out []mn.EngineTimings
 	for id, e := range b.engines {
 		out = append(out, mn.EngineTimings{Pool: id, Sums: e.model.Timings()})
 	}
-	return out
+	return out, b.speedsSince(c)
 }
 
 // EngineValues returns the fitted durations of each pool of engines, for logs and
@@ -368,13 +378,14 @@
 	loads         map[mn.EndpointID]mn.EndpointLoad
 	prefillReport int64
 	timingsAt     mn.Millis
+	speeds        map[mn.EndpointID]mn.EngineSpeed
 }
 
-// StateSince returns this front's loads that have changed since c and the prompts
-// that were prefilled since, and advances c. If all is set, it returns the loads of all
-// endpoints that have requests, changed or not. From time to time it also returns what
-// the front has observed of engines.
-func (b *Balancer) StateSince(c *Cursor, all bool) ([]mn.EndpointLoad, []mn.PrefilledPrompt, []mn.EngineTimings) {
+// AddState adds to a state this front's loads that have changed since c and the prompts
+// that were prefilled since, and advances c. If all is set, it adds the loads of all
+// endpoints that have requests, changed or not. From time to time it also adds what the
+// front has observed of engines.
+func (b *Balancer) AddState(state *mn.FrontState, c *Cursor, all bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -389,7 +400,8 @@
 			c.loads[id] = l
 		}
 	}
-	return loads, b.prefillsSince(c, now), b.timingsSince(c, now)
+	state.Loads, state.PrefilledPrompts = loads, b.prefillsSince(c, now)
+	state.Timings, state.Speeds = b.timingsSince(c, now)
 }
 
 // UrgentUpdates returns how many changes there were that peer fronts should
@@ -450,7 +462,7 @@
 	case work > 0 && s.prefillingSince == 0:
 		s.prefillingSince, s.idleSince = now, 0
 	case work > 0 && s.idleSince > 0:
-		if e := b.engines[s.Pool]; e == nil || float64(now-s.idleSince) >= s.slowdown*e.model.EventInterval(running) {
+		if e := b.engines[s.Pool]; e == nil || float64(now-s.idleSince) >= s.usualSlowdown()*e.model.EventInterval(running) {
 			s.prefillingSince = now
 		}
 		s.idleSince = 0
@@ -461,7 +473,7 @@
 // for two events, in milliseconds.
 func (e *enginePool) prefillingFor(s *endpointState, now mn.Millis) float64 {
 	running, _ := s.totalLoad()
-	if s.prefillingSince == 0 || s.idleSince > 0 && float64(now-s.idleSince) >= s.slowdown*e.model.EventInterval(running) {
+	if s.prefillingSince == 0 || s.idleSince > 0 && float64(now-s.idleSince) >= s.usualSlowdown()*e.model.EventInterval(running) {
 		return 0
 	}
 	return float64(now - s.prefillingSince)
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -175,9 +175,13 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.expirePeers(now)
+	e := b.engines[j.Pool]
+	if e != nil {
+		b.updateSpeeds(j.Pool, e, now)
+	}
 	var usable []*endpointState
 	for _, s := range b.byPool[j.Pool] {
-		s.presentSlowdown = s.slowdown * s.pace.factor(now)
+		s.presentSlowdown = s.slowdown * s.toldSlowdown(now)
 		if s.usable(now, j.Avoid) && b.warmEnough(s, now) {
 			usable = append(usable, s)
 		}
@@ -188,7 +192,6 @@
 		}
 		return nil, NoEndpoint
 	}
-	e := b.engines[j.Pool]
 	if e == nil || j.Prompt == nil {
 		return b.choosePlain(usable, now)
 	}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -57,6 +57,8 @@
 	pauseGoal float64
 	use       segmentUse
 	paces     paces
+	// speedsAt is when the engines' speeds were last estimated.
+	speedsAt mn.Millis
 }
 
 // estimatePrefill returns how long s takes to prefill the prompt, in milliseconds,
--- a/core/place/feature.go
+++ b/core/place/feature.go
@@ -36,10 +36,12 @@
 	LearnedSpeeds Feature = "speeds"
 	// Paces counts what endpoints say of their present speed.
 	Paces Feature = "paces"
+	// SharedSpeeds estimates the speeds of prefill engines from what all fronts observe.
+	SharedSpeeds Feature = "shared_speeds"
 )
 
 // Features lists all features.
-var Features = []Feature{CacheAffinity, SeparatePrefill, CacheFetch, Queueing, LateSends, EngineRanks, UrgentUpdates, PeerLoad, LearnedSpeeds, Paces}
+var Features = []Feature{CacheAffinity, SeparatePrefill, CacheFetch, Queueing, LateSends, EngineRanks, UrgentUpdates, PeerLoad, LearnedSpeeds, Paces, SharedSpeeds}
 
 // ParseFeatures parses a comma-separated list of features.
 func ParseFeatures(text string) ([]Feature, error) {
--- a/core/place/feature_test.go
+++ b/core/place/feature_test.go
@@ -96,6 +96,18 @@
 			b.ObserveReply(p.Target, mn.ReplyInfo{Pace: 400})
 			return b.endpoints[p.Target.ID].pace.factor(clock.Now()) == 1
 		},
+		SharedSpeeds: func(b *Balancer, clock *mn.ManualClock) bool {
+			var prefill mn.EndpointID
+			for id, s := range b.endpoints {
+				if s.Role == mn.EnginePrefill {
+					prefill = id
+				}
+			}
+			b.ReceiveState(mn.FrontState{VM: "peer", Incarnation: "1", Speeds: []mn.EngineSpeed{{Endpoint: prefill, Counts: append(make([]uint32, speedBuckets-1), 9)}}})
+			clock.Advance(speedUpdateInterval)
+			b.Choose(job(clock, long(1, 1)), true)
+			return b.endpoints[prefill].speed.factor() == 1
+		},
 	}
 	require.Len(t, tests, len(Features))
 	for f, hasNoEffect := range tests {
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -8,6 +8,11 @@
 	paceMemory = 500 * mn.Millisecond
 	// paceWeight is the weight of one report in the moving averages of paces.
 	paceWeight = 0.02
+	// usualMemory is a time in which an endpoint is at its usual pace at least once.
+	usualMemory = 10 * mn.Second
+	// minUsualPace and maxUsualPace bound what is believed of an endpoint's usual pace. Its
+	// learned slowdown corrects what it says falsely.
+	minUsualPace, maxUsualPace = 0.25, 4.0
 	// minPace and maxPace bound what is believed of an endpoint, in terms of its usual pace.
 	minPace, maxPace = 0.5, 4.0
 	// slowPace is the pace from which on an endpoint counts as slowed down.
@@ -16,27 +21,60 @@
 	minPaceReports = 50
 )
 
-// pace is what an endpoint says of how long work takes there at present. Its VM has other work
-// too, so this changes many times a second.
+// pace is what an endpoint says of how long work takes there at present. Its VM may be faster or
+// slower than others, and has other work too, so this changes many times a second.
 type pace struct {
-	// usual is the moving average of what it says, in percent, 0 before the first report. An
-	// endpoint that always says the same is as fast as was learned of it.
-	usual float64
-	// ratio is what it said last, in terms of the usual, at the time at.
+	// said and heard are the lowest figures, in percent, that the endpoint has said to this
+	// front, and to others.
+	said, heard lowest
+	// ratio is what the endpoint said last, in terms of the usual, at the time at.
 	ratio float64
 	at    mn.Millis
 }
 
 // observe notes what the endpoint says in an answer, and returns it in terms of the usual.
 func (p *pace) observe(percent int64, now mn.Millis) float64 {
-	if p.usual == 0 {
-		p.usual = float64(percent)
-	}
-	p.usual += paceWeight * (float64(percent) - p.usual)
-	p.ratio, p.at = min(maxPace, max(minPace, float64(percent)/p.usual)), now
+	p.said.add(percent, now)
+	p.ratio, p.at = min(maxPace, max(minPace, float64(percent)/(100*p.usual()))), now
 	return p.ratio
 }
 
+// usual returns by how much longer than at a typical endpoint work takes there while nothing
+// slows its VM down: the lowest figure that it has said to any front lately. It is 1 if it says nothing.
+func (p *pace) usual() float64 {
+	low := lower(p.said.value(), p.heard.value())
+	if low == 0 {
+		return 1
+	}
+	return min(maxUsualPace, max(minUsualPace, float64(low)/100))
+}
+
+// lowest is the lowest of the figures of the last usualMemory to twice that.
+type lowest struct {
+	// spans holds the lowest figure in the present span of usualMemory and in the one before,
+	// 0 for none. since is when the present one began.
+	spans [2]int64
+	since mn.Millis
+}
+
+func (l *lowest) add(n int64, now mn.Millis) {
+	if now-l.since >= usualMemory {
+		l.spans, l.since = [2]int64{0, l.spans[0]}, now
+	}
+	l.spans[0] = lower(l.spans[0], n)
+}
+
+// value returns the lowest figure, 0 for none.
+func (l *lowest) value() int64 { return lower(l.spans[0], l.spans[1]) }
+
+// lower returns the lower of two figures, of which 0 means none.
+func lower(a, b int64) int64 {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // factor returns by how much longer than usual work takes at now. It is 1 without a recent
 // report.
 func (p *pace) factor(now mn.Millis) float64 {
@@ -81,6 +119,12 @@
 	return p.slowShare
 }
 
+// usualSlowdown returns by how much longer than at a typical endpoint work takes at s while
+// nothing slows its VM down: what it says of itself, and what was learned beyond that.
+func (s *endpointState) usualSlowdown() float64 {
+	return s.slowdown * s.speed.factor() * s.pace.usual()
+}
+
 // SlowPhases returns the share of the time in which the endpoints of each pool of engines say
 // that their VMs are slowed down, for those that say so.
 func (b *Balancer) SlowPhases() map[mn.PoolID]float64 {
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -85,12 +85,18 @@
 	if local {
 		prefill.Running = p.running
 	}
-	overhead, work := e.model.PrefillOverhead(local), s.slowdown*e.model.PrefillWork(prefill)
+	now := b.clock.Now()
+	told := s.toldSlowdown(now)
+	overhead, work := e.model.PrefillOverhead(local), told*s.slowdown*e.model.PrefillWork(prefill)
 	if e.model.Trained(local) && work >= max(overhead, p.knownWait) {
 		s.learn(took, overhead+work+p.knownWait, 1)
+		if !local {
+			// Without what was learned of the engine before.
+			s.speed.observe((took-overhead-p.knownWait)*s.slowdown*s.speed.factor()/work, now)
+		}
 	}
 	if b.isTypical(s) {
-		e.model.ObservePrefill(prefill, took, p.knownWait, b.clock.Now())
+		e.model.ObservePrefill(prefill, took/told, p.knownWait/told, now)
 	}
 }
 
@@ -103,11 +109,18 @@
 	if s == nil || p.Prefiller == nil || b.disabled(LearnedSpeeds) {
 		return
 	}
+	now := b.clock.Now()
 	if e := b.engines[s.Pool]; e != nil && b.isTypical(s) {
-		e.model.ObserveStart(float64(took)-p.transfer, b.clock.Now())
+		e.model.ObserveStart((float64(took)-p.transfer)/s.toldSlowdown(now), now)
 	}
 }
 
+// toldSlowdown returns by how much longer than at a typical endpoint work takes at s at now, as
+// far as the endpoint tells and all fronts have observed.
+func (s *endpointState) toldSlowdown(now mn.Millis) float64 {
+	return s.pace.usual() * s.pace.factor(now) * s.speed.factor()
+}
+
 // maxDeviation is the factor by which an engine's slowdown may differ from the median of
 // its role for the engine to be an observation of the pool.
 const maxDeviation = 1.5
@@ -148,11 +161,13 @@
 	if since < 0 {
 		return
 	}
+	now := b.clock.Now()
+	told := s.toldSlowdown(now)
 	if before == 0 && work == 0 {
-		s.learn(float64(since), s.slowdown*e.model.EventInterval(running), intervalWeight)
+		s.learn(float64(since), told*s.slowdown*e.model.EventInterval(running), intervalWeight)
 	}
 	if b.isTypical(s) {
-		e.model.ObserveInterval(float64(since), running, before, work, b.clock.Now())
+		e.model.ObserveInterval(float64(since)/told, running, before/told, work/told, now)
 	}
 }
 
--- a/front_state.go
+++ b/front_state.go
@@ -32,6 +32,17 @@
 	Sums []float64
 }
 
+// EngineSpeed is what a front has observed of how much longer than at a typical engine prefills
+// take at an engine.
+type EngineSpeed struct {
+	Endpoint EndpointID
+	// Counts holds the number of observations by the class of the slowdown.
+	Counts []uint32
+	// Pace is the lowest figure, in percent, that the engine has lately said of its pace to the
+	// front, 0 for none.
+	Pace int64
+}
+
 // RunCount is the number of a customer's requests that started to run in a
 // window.
 type RunCount struct {
@@ -123,4 +134,7 @@
 	// Timings is what this incarnation has observed of engines. It replaces what the
 	// incarnation sent before, and is left out of most states.
 	Timings []EngineTimings
+	// Speeds holds what this incarnation has observed lately of engines' speeds, for those of
+	// which it has changed. It is sent together with Timings.
+	Speeds []EngineSpeed
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -232,6 +232,9 @@
 		}
 		out.Timings = append(out.Timings, m)
 	}
+	for _, s := range f.Speeds {
+		out.Speeds = append(out.Speeds, &meshpb.EngineSpeed{Endpoint: string(s.Endpoint), Counts: s.Counts, Pace: s.Pace})
+	}
 	return out
 }
 
@@ -315,5 +318,8 @@
 		}
 		f.Timings = append(f.Timings, e)
 	}
+	for _, s := range in.Speeds {
+		f.Speeds = append(f.Speeds, mn.EngineSpeed{Endpoint: mn.EndpointID(s.Endpoint), Counts: s.Counts, Pace: s.Pace})
+	}
 	return f
 }
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -382,7 +382,7 @@
 		Evacuated: evacuated, EvacuatedNext: evacuatedNext, WantsRuns: f.wantsRuns.Load(),
 	}
 	if scope >= mn.ScopeChanges {
-		state.Loads, state.PrefilledPrompts, state.Timings = f.balancer.StateSince(&c.Balancer, scope == mn.ScopeAll)
+		f.balancer.AddState(&state, &c.Balancer, scope == mn.ScopeAll)
 		state.EngineCrashes, state.ClearedSegments = f.segments.Since(&c.Segments, scope == mn.ScopeAll)
 		state.Spent, state.Crashes = c.SpentChanges(f.limiter.Spent()), f.crashNotices.list()
 		if state.HasRuns = f.peers.wantsRuns(c.Peer); state.HasRuns {
