Learn from prefills only where the cached prompts are known

Cause: fronts that have all been killed don't know what engines have cached. Prompts that are cached take next to no time whatever their length, others meet queues that no front knows of, and the model of both takes each prefill for a fixed time without work.

Change: durations of prefills count once the front has the engine's list, has run for five seconds, or if the engine started after it.

The emulator's engines start with the fronts, as they always did, and now say so.

--- a/core/place/emulator_test.go
+++ b/core/place/emulator_test.go
@@ -21,12 +21,16 @@
 	{name: "very fast readers", prefillPerMs: 300, attention: 0.05, firstDelay: 50, step: 2, stepPerRequest: 0.05, chunk: 8192, tokensPerEvent: 16, slots: 96, kvTokens: 900_000},
 }
 
-// emulator plays requests on engines of one type that a balancer chooses. Times are in
+// emulator plays requests on engines of one type that balancers choose. Times are in
 // milliseconds.
 type emulator struct {
-	kind    engineType
-	clock   *mn.ManualClock
+	kind  engineType
+	clock *mn.ManualClock
+	// b is the first of the fronts' balancers, and cursors what each was sent of the others.
 	b       *Balancer
+	fronts  []*Balancer
+	cursors [][]Cursor
+	next    int
 	engines map[mn.EndpointID]*emulatedEngine
 	waiting []*emulatedRequest
 	results map[string]int
@@ -46,6 +50,7 @@
 }
 
 type emulatedRequest struct {
+	b        *Balancer
 	job      *Job
 	plan     *Plan
 	arrived  float64
@@ -63,37 +68,68 @@
 const pauseGoal = 400
 
 func newEmulator(kind engineType, taught *engineType) *emulator {
+	return newFleetEmulator(kind, taught, 1, afterFronts)
+}
+
+// afterFronts and beforeFronts are when engines start, in terms of the start of the fronts. Those
+// that start after the fronts have nothing cached of which these don't know.
+const afterFronts, beforeFronts mn.Millis = 1, -60_000
+
+// newFleetEmulator returns an emulator of a number of fronts, which place requests in turn.
+func newFleetEmulator(kind engineType, taught *engineType, fronts int, enginesStart mn.Millis) *emulator {
 	clock := mn.NewManualClock(1_000_000)
 	config := Config{DataCentre: "dc-0"}
 	if taught != nil {
 		config.Disabled = []Feature{LearnedSpeeds}
 	}
-	e := &emulator{kind: kind, clock: clock, b: New(config, clock), engines: map[mn.EndpointID]*emulatedEngine{}, results: map[string]int{}}
-	e.b.SetPools(map[mn.PoolID]mn.PoolSpec{pool: kind.spec()})
+	e := &emulator{kind: kind, clock: clock, engines: map[mn.EndpointID]*emulatedEngine{}, results: map[string]int{}}
 	list := engines()
 	for i := range list {
-		list[i].Capacity = kind.slots
+		list[i].Capacity, list[i].StartedAt = kind.slots, clock.Wall()+enginesStart
 		e.engines[list[i].ID] = &emulatedEngine{Endpoint: list[i], cache: newSegmentCache()}
 	}
-	e.b.SetEndpoints(list)
-	if taught != nil {
-		taught.teach(e.b.engines[pool].model, clock.Now())
+	for range fronts {
+		b := New(config, clock)
+		b.SetPools(map[mn.PoolID]mn.PoolSpec{pool: kind.spec()})
+		b.SetEndpoints(list)
+		if taught != nil {
+			taught.teach(b.engines[pool].model, clock.Now())
+		}
+		e.fronts, e.cursors = append(e.fronts, b), append(e.cursors, make([]Cursor, fronts))
 	}
+	e.b = e.fronts[0]
 	return e
 }
 
+// emulatedExchange is the time between two exchanges of each two fronts.
+const emulatedExchange = 200 * mn.Millisecond
+
+// exchange has each front send what has changed to all others.
+func (e *emulator) exchange() {
+	for i, from := range e.fronts {
+		for j, to := range e.fronts {
+			if i != j {
+				state := mn.FrontState{VM: mn.VMID(fmt.Sprint("front-", i)), Incarnation: "1", Scope: mn.ScopeChanges}
+				from.AddState(&state, &e.cursors[i][j], false)
+				to.ReceiveState(state)
+			}
+		}
+	}
+}
+
 func (e *emulator) now() float64 { return float64(e.clock.Now()) }
 
 // arrive plays the arrival of a request. Only requests that arrive after the model has
 // had time to learn are measured.
 func (e *emulator) arrive(p *mn.PromptInfo, goal mn.Millis, measured bool) {
 	now := e.clock.Now()
-	r := &emulatedRequest{job: &Job{Pool: pool, Prompt: p, FirstEventDeadline: now + goal, Deadline: now + 8*mn.Second}, arrived: e.now(), prefill: -1, tokens: p.MaxOutput, measured: measured}
+	e.next = (e.next + 1) % len(e.fronts)
+	r := &emulatedRequest{b: e.fronts[e.next], job: &Job{Pool: pool, Prompt: p, FirstEventDeadline: now + goal, Deadline: now + 8*mn.Second}, arrived: e.now(), prefill: -1, tokens: p.MaxOutput, measured: measured}
 	e.place(r, false)
 }
 
 func (e *emulator) place(r *emulatedRequest, late bool) {
-	plan, choice := e.b.Choose(r.job, late)
+	plan, choice := r.b.Choose(r.job, late)
 	if choice != Send && choice != SendLate {
 		if r.sent == 0 && !late {
 			e.waiting = append(e.waiting, r)
@@ -143,6 +179,9 @@
 	if e.clock.Now()%pumpInterval == 0 {
 		e.retry()
 	}
+	if len(e.fronts) > 1 && e.clock.Now()%emulatedExchange == 0 {
+		e.exchange()
+	}
 }
 
 func (e *emulator) beginStep(s *emulatedEngine) bool {
@@ -215,7 +254,7 @@
 	r.startAt = s.stepEnd + e.kind.firstDelay
 	target := s
 	if r.plan.Prefiller != nil {
-		e.b.PrefillDone(r.plan, mn.Millis(r.startAt-r.sent))
+		r.b.PrefillDone(r.plan, mn.Millis(r.startAt-r.sent))
 		target = e.engines[r.plan.Target.ID]
 		target.cache.add(r.job.Prompt.Segments, e.kind.kvTokens)
 		r.sent = r.startAt
@@ -231,20 +270,20 @@
 	if r.first == 0 {
 		r.first, r.lastAt, r.inEvent = at, at, 0
 		if r.plan.Prefiller == nil {
-			e.b.PrefillDone(r.plan, mn.Millis(at-r.sent))
+			r.b.PrefillDone(r.plan, mn.Millis(at-r.sent))
 		} else {
-			e.b.OutputStarted(r.plan, mn.Millis(at-r.sent))
+			r.b.OutputStarted(r.plan, mn.Millis(at-r.sent))
 		}
-		e.b.EventReceived(r.plan, -1)
+		r.b.EventReceived(r.plan, -1)
 	}
 	if r.inEvent == e.kind.tokensPerEvent {
-		e.b.EventReceived(r.plan, mn.Millis(at-r.lastAt))
+		r.b.EventReceived(r.plan, mn.Millis(at-r.lastAt))
 		r.longest, r.lastAt, r.inEvent = max(r.longest, at-r.lastAt), at, 0
 	}
 	if r.tokens > 0 {
 		return
 	}
-	e.b.Release(r.plan)
+	r.b.Release(r.plan)
 	switch {
 	case r.first > float64(r.job.FirstEventDeadline):
 		e.count(r, "late")
@@ -313,3 +352,33 @@
 		})
 	}
 }
+
+// Load pattern: all fronts were killed and start at full load, and engines have most shared
+// segments cached, of which no front knows. Guards against a model that takes each prefill for a
+// fixed time without work. An engine without work looks idle whatever is sent there, so that the
+// model doesn't recover.
+func TestFleetLearnsAfterAllFrontsWereKilled(t *testing.T) {
+	const load, fronts = 1.2, 12
+	for _, kind := range engineTypes[:3] {
+		t.Run(kind.name, func(t *testing.T) {
+			goal := mn.Millis(300 + 2.5*kind.prefillTime(perf.Prefill{Tokens: 12_000, Uncached: 12_000}))
+			play := func(taught *engineType) *emulator {
+				e := newFleetEmulator(kind, taught, fronts, beforeFronts)
+				for _, s := range e.engines {
+					for shared := range 41 {
+						s.cache.add([]mn.PromptSegment{{ID: "all", Tokens: 500}, {ID: fmt.Sprint("shared-", shared), Tokens: 6000}}, kind.kvTokens)
+					}
+				}
+				e.play(load, goal)
+				return e
+			}
+			learned, truth := play(nil), play(&kind)
+			prompt := perf.Prefill{Tokens: 12_000, Uncached: 12_000}
+			work := learned.b.engines[pool].model.PrefillWork(prompt)
+			t.Logf("served in time: %d of %d with the true figures, prefill work %.0f ms of %.0f", learned.results["served"], truth.results["served"], work, kind.prefillTime(prompt))
+			// A quarter is what the model takes for the noise of an observation.
+			require.InEpsilon(t, kind.prefillTime(prompt), work, 0.25)
+			require.GreaterOrEqual(t, float64(learned.results["served"]), 0.85*float64(truth.results["served"]))
+		})
+	}
+}
--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -86,6 +86,9 @@
 		prefill.Running = p.running
 	}
 	now := b.clock.Now()
+	if !b.knowsCache(s, now) {
+		return
+	}
 	told := s.toldSlowdown(now)
 	overhead, work := e.model.PrefillOverhead(local), told*s.slowdown*e.model.PrefillWork(prefill)
 	if e.model.Trained(local) && work >= max(overhead, p.knownWait) {
@@ -100,6 +103,20 @@
 	}
 }
 
+// cacheLearnTime is the time after its start in which a front comes to know which prompts engines
+// have cached: they are sent to the same engines again within seconds.
+const cacheLearnTime = 5 * mn.Second
+
+// knowsCache reports whether the front knows which prompts s has cached.
+//
+// Load pattern: all fronts were killed and start at full load. Prompts that engines have cached
+// take next to no time, whatever their length, while others meet queues that no front knows of.
+// A model of both takes each prefill for a fixed time without work, and an engine that has no work
+// looks idle whatever is sent there.
+func (b *Balancer) knowsCache(s *endpointState, now mn.Millis) bool {
+	return s.cacheListed || s.StartedAt > b.startedWall || now-b.startedAt >= cacheLearnTime
+}
+
 // OutputStarted learns from how long Target took, after it was sent a prompt that
 // Prefiller had prefilled, until the first event.
 func (b *Balancer) OutputStarted(p *Plan, took mn.Millis) {
--- a/core/place/segments.go
+++ b/core/place/segments.go
@@ -122,11 +122,16 @@
 	return out
 }
 
-// AddCachedPrompts adds prompts that engines have cached.
+// AddCachedPrompts adds prompts that engines have cached, as far as a peer front knows.
 func (b *Balancer) AddCachedPrompts(prompts []mn.PrefilledPrompt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.addCachedPrompts(prompts)
+	for _, p := range prompts {
+		if s := b.endpoints[p.Endpoint]; s != nil {
+			s.cacheListed = true
+		}
+	}
 }
 
 // AddListedSegments adds the segments that an engine lists as cached, and reports
@@ -139,6 +144,7 @@
 	if e == nil {
 		return
 	}
+	e.cacheListed = true
 	listed = slices.DeleteFunc(listed, func(s mn.PromptSegment) bool { return !b.worthFetching(e, s.Tokens) })
 	if len(listed) == 0 {
 		return
