--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -67,6 +67,8 @@
 	evacuated         map[mn.DataCentre]bool
 	prefillReports    []prefillReport
 	lastPrefillReport int64
+	// updateAge is how old what is known of the peers' requests is in the mean.
+	updateAge mn.Millis
 	// urgentUpdates counts changes that should be sent to peer fronts at once;
 	// changed is closed at the next one.
 	urgentUpdates int64
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -125,6 +125,40 @@
 	return s.slowdown * s.speed.factor() * s.pace.usual()
 }
 
+// SpeedRange tells how far the speeds of a pool's engines differ.
+type SpeedRange struct {
+	// Fastest and Slowest are the lowest and the highest slowdown in terms of a typical engine.
+	Fastest, Slowest float64
+	// Told and Shared are the numbers of engines that have told their pace, and whose speed
+	// follows from what all fronts observed.
+	Told, Shared int64
+}
+
+// SpeedRanges returns the range of the speeds of each pool of engines.
+func (b *Balancer) SpeedRanges() map[mn.PoolID]SpeedRange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[mn.PoolID]SpeedRange{}
+	for id := range b.engines {
+		var r SpeedRange
+		for i, s := range b.byPool[id] {
+			usual := s.usualSlowdown()
+			if i == 0 {
+				r.Fastest, r.Slowest = usual, usual
+			}
+			r.Fastest, r.Slowest = min(r.Fastest, usual), max(r.Slowest, usual)
+			if lower(s.pace.said.value(), s.pace.heard.value()) > 0 {
+				r.Told++
+			}
+			if s.speed.factor() != 1 {
+				r.Shared++
+			}
+		}
+		out[id] = r
+	}
+	return out
+}
+
 // SlowPhases returns the share of the time in which the endpoints of each pool of engines say
 // that their VMs are slowed down, for those that say so.
 func (b *Balancer) SlowPhases() map[mn.PoolID]float64 {
--- a/core/place/speed_test.go
+++ b/core/place/speed_test.go
@@ -85,6 +85,10 @@
 	for engine := range engineCount {
 		require.InEpsilon(t, speeds[engine%3], f.factor(0, engine), 0.25, "engine %d", engine)
 	}
+	r := f.balancers[0].SpeedRanges()[pool]
+	require.InEpsilon(t, speeds[0], r.Fastest, 0.25)
+	require.InEpsilon(t, speeds[2], r.Slowest, 0.25)
+	require.EqualValues(t, engineCount-engineCount/3, r.Shared, "those that are not typical")
 }
 
 // Load pattern: engines are alike, and a third of the prefills waits behind requests of other
--- a/node/front_engines.go
+++ b/node/front_engines.go
@@ -24,6 +24,14 @@
 		for pool, share := range f.balancer.SlowPhases() {
 			f.stats.Set(fmt.Sprintf("slow_phase_percent{pool=%q}", pool), int64(math.Round(100*share)))
 		}
+		for pool, r := range f.balancer.SpeedRanges() {
+			f.log.WithFields(logrus.Fields{"event": "engine_speeds", "pool": pool, "fastest_percent": math.Round(100 * r.Fastest),
+				"slowest_percent": math.Round(100 * r.Slowest), "told": r.Told, "shared": r.Shared}).Info()
+			f.stats.Set(fmt.Sprintf("engine_fastest_percent{pool=%q}", pool), int64(math.Round(100*r.Fastest)))
+			f.stats.Set(fmt.Sprintf("engine_slowest_percent{pool=%q}", pool), int64(math.Round(100*r.Slowest)))
+			f.stats.Set(fmt.Sprintf("engine_speeds_told{pool=%q}", pool), r.Told)
+			f.stats.Set(fmt.Sprintf("engine_speeds_shared{pool=%q}", pool), r.Shared)
+		}
 		for pool, values := range f.balancer.EngineValues() {
 			for _, v := range values {
 				f.log.WithFields(logrus.Fields{"event": "engine_model", "pool": pool, "duration": v.Name,
