Ignore slowdowns of engines that are estimated to have no work

Cause: with an estimate of no work and no fixed time, an observed slowdown is no number, and its class would be outside of the counts. Found by reading; no play showed it.

Change: such a prefill is not counted, and what is no number has a class.

Evidence: TestSpeedCountsOfAnyLength with what is no number.

--- a/core/place/reserve.go
+++ b/core/place/reserve.go
@@ -93,7 +93,7 @@
 	overhead, work := e.model.PrefillOverhead(local), told*s.slowdown*e.model.PrefillWork(prefill)
 	if e.model.Trained(local) && work >= max(overhead, p.knownWait) {
 		s.learn(took, overhead+work+p.knownWait, 1)
-		if !local {
+		if !local && work > 0 {
 			// Without what was learned of the engine before.
 			s.speed.observe((took-overhead-p.knownWait)*s.slowdown*s.speed.factor()/work, now)
 		}
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -29,8 +29,11 @@
 // speedCounts counts observed slowdowns by their size.
 type speedCounts [speedBuckets]uint32
 
-// bucketOf returns the class of a slowdown.
+// bucketOf returns the class of a slowdown, the first one for what is none.
 func bucketOf(slowdown float64) int {
+	if math.IsNaN(slowdown) {
+		return 0
+	}
 	n := math.Round(bucketsPerOctave * (firstOctave + math.Log2(max(slowdown, 1e-3))))
 	return int(min(speedBuckets-1, max(0, n)))
 }
--- a/core/place/speed_test.go
+++ b/core/place/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -143,7 +144,7 @@
 	c.add(nil)
 	c.add([]uint32{1})
 	require.EqualValues(t, 1, c.median())
-	for _, slowdown := range []float64{-1, 0, 1e-9, 1, 1e9} {
+	for _, slowdown := range []float64{math.NaN(), math.Inf(-1), -1, 0, 1e-9, 1, 1e9, math.Inf(1)} {
 		require.GreaterOrEqual(t, bucketOf(slowdown), 0)
 		require.Less(t, bucketOf(slowdown), speedBuckets)
 	}
