Tell speeds of engines at a cost that doesn't grow with engines times fronts

For each peer a front went through the counts of all engines, and for each engine through all peers.

Change: what is told of engines is gathered once a second and has a sequence number, as prefilled prompts have; what peers tell is added up as it arrives.

--- a/core/place/balancer.go
+++ b/core/place/balancer.go
@@ -67,8 +67,11 @@
 	evacuated         map[mn.DataCentre]bool
 	prefillReports    []prefillReport
 	lastPrefillReport int64
-	// updateAge is how old what is known of the peers' requests is in the mean.
-	updateAge mn.Millis
+	// speedReports is what the front tells of engines' speeds, as of speedReportsAt, and
+	// lastSpeedReport the sequence number of the last one that has changed.
+	speedReports    map[mn.EndpointID]speedReport
+	speedReportsAt  mn.Millis
+	lastSpeedReport int64
 	// urgentUpdates counts changes that should be sent to peer fronts at once;
 	// changed is closed at the next one.
 	urgentUpdates int64
@@ -151,6 +154,7 @@
 		peers:            map[mn.VMID]peerState{},
 		notices:          map[runKey]*notice{},
 		changed:          make(chan struct{}),
+		speedReports:     map[mn.EndpointID]speedReport{},
 	}
 }
 
@@ -213,6 +217,7 @@
 		s := b.endpoints[e.ID]
 		if s == nil || s.StartedAt != e.StartedAt || s.Addr != e.Addr {
 			s = &endpointState{slowdown: 1, presentSlowdown: 1, responseTime: initialResponseTime, cache: newSegmentCache()}
+			b.forgetSpeeds(e.ID)
 		}
 		s.Endpoint = e
 		s.evacuated = b.evacuated[e.DataCentre]
@@ -299,6 +304,7 @@
 		}
 		timings, speeds := p.timings, p.speeds
 		if timings == nil || p.incarnation != f.Incarnation {
+			b.dropSpeeds(p)
 			timings, speeds = map[mn.PoolID]perf.Timings{}, map[mn.EndpointID][]uint32{}
 		}
 		p = peerState{incarnation: f.Incarnation, loads: make(map[mn.EndpointID]mn.EndpointLoad, len(f.Loads)), timings: timings, speeds: speeds}
@@ -359,7 +365,7 @@
 	for id, e := range b.engines {
 		out = append(out, mn.EngineTimings{Pool: id, Sums: e.model.Timings()})
 	}
-	return out, b.speedsSince(c)
+	return out, b.speedsSince(c, now)
 }
 
 // EngineValues returns the fitted durations of each pool of engines, for logs and
@@ -380,7 +386,7 @@
 	loads         map[mn.EndpointID]mn.EndpointLoad
 	prefillReport int64
 	timingsAt     mn.Millis
-	speeds        map[mn.EndpointID]mn.EngineSpeed
+	speedReport   int64
 }
 
 // AddState adds to a state this front's loads that have changed since c and the prompts
--- a/core/place/choose_bench_test.go
+++ b/core/place/choose_bench_test.go
@@ -47,3 +47,27 @@
 		})
 	}
 }
+
+// BenchmarkAddState adds what has changed to the states for 300 peer fronts, with 3,000 engines.
+func BenchmarkAddState(b *testing.B) {
+	clock := mn.NewManualClock(1_000_000)
+	balancer := newBalancer(clock, "dc-0")
+	var list []mn.Endpoint
+	for i := range 3000 {
+		e := engines()[i%9]
+		e.ID = mn.EndpointID(fmt.Sprint("engine-", i))
+		list = append(list, e)
+	}
+	balancer.SetEndpoints(list)
+	for _, e := range list {
+		balancer.ObserveReply(e, mn.ReplyInfo{Pace: 100})
+	}
+	cursors := make([]Cursor, 300)
+	for b.Loop() {
+		clock.Advance(timingsInterval)
+		for i := range cursors {
+			var state mn.FrontState
+			balancer.AddState(&state, &cursors[i], false)
+		}
+	}
+}
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -104,7 +104,7 @@
 	sources := b.cacheSources(j, e, now)
 	consider := func(prefiller, target *endpointState) {
 		p, cost, work := b.plan(j, prefiller, target, sources, e, now)
-		if cost += b.blur(); cost < low {
+		if cost < low {
 			best, low, backlog = p, cost, work
 		}
 	}
--- a/core/place/feature.go
+++ b/core/place/feature.go
@@ -38,12 +38,10 @@
 	Paces Feature = "paces"
 	// SharedSpeeds estimates the speeds of prefill engines from what all fronts observe.
 	SharedSpeeds Feature = "shared_speeds"
-	// Blur spreads the choices of fronts that hear of each other rarely.
-	Blur Feature = "blur"
 )
 
 // Features lists all features.
-var Features = []Feature{CacheAffinity, SeparatePrefill, CacheFetch, Queueing, LateSends, EngineRanks, UrgentUpdates, PeerLoad, LearnedSpeeds, Paces, SharedSpeeds, Blur}
+var Features = []Feature{CacheAffinity, SeparatePrefill, CacheFetch, Queueing, LateSends, EngineRanks, UrgentUpdates, PeerLoad, LearnedSpeeds, Paces, SharedSpeeds}
 
 // ParseFeatures parses a comma-separated list of features.
 func ParseFeatures(text string) ([]Feature, error) {
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// subtract undoes add.
+func (c *speedCounts) subtract(other []uint32) {
+	for i, n := range other[:min(len(other), speedBuckets)] {
+		c[i] -= n
+	}
+}
+
 // median returns the median of the slowdowns, with those that are assumed in advance.
 func (c *speedCounts) median() float64 {
 	all := *c
@@ -72,6 +79,8 @@
 	// one began at since.
 	own   [2]speedCounts
 	since mn.Millis
+	// peers is the sum of the observations of all other fronts.
+	peers speedCounts
 	// shared is by how much longer than at a typical engine prefills take, by the observations
 	// of all fronts. It is 0 before the first estimate.
 	shared float64
@@ -120,6 +129,11 @@
 		return
 	}
 	e.speedsAt = now
+	for _, p := range b.peers {
+		if now-p.receivedAt > 2*speedSpan {
+			b.dropSpeeds(p)
+		}
+	}
 	var medians []float64
 	for _, s := range b.byPool[pool] {
 		if s.Role != mn.EnginePrefill {
@@ -127,13 +141,8 @@
 			continue
 		}
 		s.speed.expire(now)
-		var all speedCounts
+		all := s.speed.peers
 		all.add(s.speed.counts())
-		for _, p := range b.peers {
-			if now-p.receivedAt <= 2*speedSpan {
-				all.add(p.speeds[s.ID])
-			}
-		}
 		s.speed.shared = all.median()
 		medians = append(medians, s.speed.shared)
 	}
@@ -152,33 +161,83 @@
 	}
 }
 
-// speedsSince returns this front's observations of prefill engines that have changed since c, and
-// advances c.
-func (b *Balancer) speedsSince(c *Cursor) []mn.EngineSpeed {
+// speedReport is what the front tells its peers of an engine. Its sequence is that of the last
+// change.
+type speedReport struct {
+	mn.EngineSpeed
+	sequence int64
+}
+
+// updateSpeedReports notes which reports have changed, at most once in a second, so that the cost
+// doesn't grow with engines times fronts.
+func (b *Balancer) updateSpeedReports(now mn.Millis) {
+	if now-b.speedReportsAt < speedUpdateInterval {
+		return
+	}
+	b.speedReportsAt = now
+	for id := range b.speedReports {
+		if b.endpoints[id] == nil {
+			delete(b.speedReports, id)
+		}
+	}
+	for id, s := range b.endpoints {
+		report := mn.EngineSpeed{Endpoint: id, Counts: s.speed.counts(), Pace: s.pace.said.value()}
+		was := b.speedReports[id]
+		if report.Pace != was.Pace || !slices.Equal(report.Counts, was.Counts) {
+			b.lastSpeedReport++
+			b.speedReports[id] = speedReport{report, b.lastSpeedReport}
+		}
+	}
+}
+
+// speedsSince returns the reports that have changed since c, and advances c.
+func (b *Balancer) speedsSince(c *Cursor, now mn.Millis) []mn.EngineSpeed {
 	if b.disabled(SharedSpeeds) {
 		return nil
 	}
-	if c.speeds == nil {
-		c.speeds = map[mn.EndpointID]mn.EngineSpeed{}
+	b.updateSpeedReports(now)
+	if c.speedReport == b.lastSpeedReport {
+		return nil
 	}
 	var out []mn.EngineSpeed
-	for id, s := range b.endpoints {
-		now := mn.EngineSpeed{Endpoint: id, Counts: s.speed.counts(), Pace: s.pace.said.value()}
-		was := c.speeds[id]
-		if now.Pace != was.Pace || !slices.Equal(now.Counts, was.Counts) {
-			out = append(out, now)
-			c.speeds[id] = now
+	for _, r := range b.speedReports {
+		if r.sequence > c.speedReport {
+			out = append(out, r.EngineSpeed)
 		}
 	}
+	c.speedReport = b.lastSpeedReport
 	return out
 }
 
 // receiveSpeeds takes what a peer front has observed of engines, and what they said to it.
 func (b *Balancer) receiveSpeeds(p peerState, f mn.FrontState, now mn.Millis) {
 	for _, o := range f.Speeds {
+		s := b.endpoints[o.Endpoint]
+		if s == nil || b.disabled(SharedSpeeds) {
+			continue
+		}
+		s.speed.peers.subtract(p.speeds[o.Endpoint])
+		s.speed.peers.add(o.Counts)
 		p.speeds[o.Endpoint] = o.Counts
-		if s := b.endpoints[o.Endpoint]; s != nil && o.Pace > 0 && !b.disabled(SharedSpeeds) {
+		if o.Pace > 0 {
 			s.pace.heard.add(o.Pace, now)
 		}
 	}
 }
+
+// dropSpeeds drops what a peer front has observed of engines.
+func (b *Balancer) dropSpeeds(p peerState) {
+	for id, counts := range p.speeds {
+		if s := b.endpoints[id]; s != nil {
+			s.speed.peers.subtract(counts)
+		}
+	}
+	clear(p.speeds)
+}
+
+// forgetSpeeds drops what peer fronts have observed of an earlier run of an engine.
+func (b *Balancer) forgetSpeeds(id mn.EndpointID) {
+	for _, p := range b.peers {
+		delete(p.speeds, id)
+	}
+}
--- a/node/front_gossip.go
+++ b/node/front_gossip.go
@@ -295,9 +295,6 @@
 			}
 		}
 		f.wantsRuns.Store(f.needsRuns())
-		age := f.meanUpdateAge()
-		f.balancer.SetUpdateAge(age)
-		f.stats.Set("update_age_ms", int64(age))
 		_ = f.clock.Sleep(ctx, minExchangeInterval)
 	}
 	for _, stop := range exchanging {
@@ -356,17 +353,6 @@
 	return min(regular, relay.UrgentInterval(f.peers.count(), p.DataCentre == f.self.DataCentre))
 }
 
-// meanUpdateAge returns the mean time after which peers hear of long prompts that this front
-// places, and this front of theirs.
-func (f *Front) meanUpdateAge() mn.Millis {
-	var sum mn.Millis
-	peers := f.peers.list()
-	for _, p := range peers {
-		sum += f.urgentInterval(p, f.exchangeInterval(p.VM))
-	}
-	return sum / mn.Millis(max(1, len(peers)))
-}
-
 // exchangeInterval returns the maximum time between two exchanges with a peer. It
 // is short for the peers that write the run counts of all fronts to the store.
 func (f *Front) exchangeInterval(peer mn.VMID) mn.Millis {
