Review case 7: a stream of a leaving runner ends as complete too early

Runners are taken away 2 s after their notice while they answer with streams that end with their connection. The front tells a crash from an end only at runners that are listed as ready.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,7 +21,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(s *site) error{
-	"refused-run": refusedRun,
+	"leaving-stream": leavingStream,
+	"refused-run":    refusedRun,
 }
 
 // Processes that a thread has started end with it.
