Review case 8: a request that crashes runners comes through again after a minute

Crashes count for 60 s, also those of a content in quarantine. A minute after the third crash all fronts send the request to runners again, and sound bookings beside it are lost.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 // cases are the cases by name.
 var cases = map[string]func(s *site) error{
 	"leaving-stream": leavingStream,
+	"deadly-again":   deadlyAgain,
 	"refused-run":    refusedRun,
 }
 
--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -32,6 +32,8 @@
 	failTime   time.Duration
 	failOnce   sync.Once
 	failUntil  time.Time
+	// deadly is the body of the request that crashes the runner, empty for none.
+	deadly string
 
 	out   sync.Mutex
 	busy  sync.WaitGroup
@@ -49,6 +51,7 @@
 	f.DurationVar(&r.gap, "gap", 100*time.Millisecond, "time between two events")
 	f.DurationVar(&r.work, "work", 30*time.Millisecond, "time that a request runs")
 	f.IntVar(&r.failStatus, "fail-status", 0, "status of failures")
+	f.StringVar(&r.deadly, "deadly", "", "body of the request that crashes the runner")
 	f.DurationVar(&r.failTime, "fail-time", 0, "time from the first request for which requests fail")
 	f.Float64Var(&r.failShare, "fail-share", 0, "share of requests that fail after they have run")
 	if err := f.Parse(args); err != nil {
@@ -93,17 +96,18 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
-		if !r.answer(c, req) {
+		if !r.answer(c, req, string(body)) {
 			return
 		}
 	}
 }
 
 // answer answers a request and reports whether the connection stays open.
-func (r *runner) answer(c net.Conn, req *http.Request) bool {
+func (r *runner) answer(c net.Conn, req *http.Request, body string) bool {
 	id := req.Header.Get("X-Request-Id")
 	head := "X-Request-Id: " + id + "\r\nKeep-Alive: timeout=5\r\n"
 	short := func(status int, more, body string) bool {
@@ -135,6 +139,9 @@
 		return r.stream(c, req, head)
 	}
 	time.Sleep(r.work)
+	if r.deadly != "" && body == r.deadly {
+		os.Exit(exitBroken) // The system closes all connections.
+	}
 	r.failOnce.Do(func() { r.failUntil = time.Now().Add(r.failTime) })
 	if time.Now().Before(r.failUntil) && rand.Float64() < r.failShare {
 		r.print("fail %s with status %d", id, r.failStatus)
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -45,8 +45,12 @@
 	mu      sync.Mutex
 	fronts  []*exec.Cmd
 	runners map[string]*runnerProc
+	// starts holds the starts of runners that are due.
+	starts chan func() error
 	// runs counts how often each request ran, by its id.
 	runs map[string]int
+	// restartAfter is how long after a crash a runner is back, 0 if it stays away.
+	restartAfter time.Duration
 	// broken holds what broke the rule.
 	broken []string
 }
@@ -79,7 +83,7 @@
 	pid := os.Getpid()
 	s := &site{
 		trouble: trouble, program: program, dir: dir, began: time.Now(), store: stand.NewStore(), duties: &stand.Duties{},
-		record: bufio.NewWriter(f), file: f, runners: map[string]*runnerProc{}, runs: map[string]int{},
+		record: bufio.NewWriter(f), file: f, runners: map[string]*runnerProc{}, runs: map[string]int{}, starts: make(chan func() error, 64),
 		subnet: fmt.Sprintf("127.%d.%d", 20+pid%200, 1+pid/200%250),
 	}
 	s.note("disruption: %t", trouble)
@@ -263,6 +267,7 @@
 		}
 		_ = cmd.Wait() // Runners are killed.
 		close(r.ended)
+		s.restart(r, func() error { return s.startRunner(n, id, service, role, capacity, args...) })
 	}()
 	s.mu.Lock()
 	s.runners[id] = r
@@ -275,6 +280,41 @@
 	return nil
 }
 
+// restart starts a runner again that has crashed, unless its end was intended.
+func (s *site) restart(r *runnerProc, start func() error) {
+	s.mu.Lock()
+	crashed := s.restartAfter > 0 && s.runners[string(r.entry.ID)] == r
+	after := s.restartAfter
+	r.listed = false // A runner that has crashed sends nothing.
+	s.mu.Unlock()
+	if !crashed {
+		return
+	}
+	s.note("runner %s has crashed", r.entry.ID)
+	s.requestStart(after, start)
+}
+
+// requestStart has the main thread start something after a time, since what another thread has
+// started ends with that.
+func (s *site) requestStart(after time.Duration, start func() error) {
+	time.AfterFunc(after, func() { s.starts <- start })
+}
+
+// wait waits, and starts what was requested meanwhile.
+func (s *site) wait(d time.Duration) error {
+	end := time.After(d)
+	for {
+		select {
+		case start := <-s.starts:
+			if err := start(); err != nil {
+				return err
+			}
+		case <-end:
+			return nil
+		}
+	}
+}
+
 // beat writes the runner's entry at regular intervals while it is listed.
 func (s *site) beat(r *runnerProc) {
 	for {
