Review case 9: a stream of a crashed runner ends as complete at a front that was frozen

Found by reading endedByCrash: it asks whether the runner's address refuses connections when the front reads the end. A front that was stopped reads it after the runner has started again.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -24,6 +24,7 @@
 	"leaving-stream": leavingStream,
 	"deadly-again":   deadlyAgain,
 	"refused-run":    refusedRun,
+	"frozen-front":   frozenFront,
 }
 
 // Processes that a thread has started end with it.
