Review case 9: the same with one disruption, a runner that starts again behind a cut

ONLY=cut plays node_cut 'servers reborn': the runner is cut off for 1.2 s, killed and back meanwhile, and what was held back arrives at the end of the cut.

--- a/review/stand-2/frozen.go
+++ b/review/stand-2/frozen.go
@@ -12,6 +12,7 @@
 	"time"
 
 	mn "mustardnotch"
+	"mustardnotch/procs"
 )
 
 const (
@@ -20,6 +21,9 @@
 	crashedFor = 2000 * time.Millisecond
 	frozenFor  = 2600 * time.Millisecond
 	crashDelay = 200 * time.Millisecond
+	// cutFor is how long a runner is cut off, and crashedBehindCut how long it is down meanwhile.
+	cutFor           = 1200 * time.Millisecond
+	crashedBehindCut = 600 * time.Millisecond
 	// frozenDeadline is the time that clients wait, in milliseconds, and longestGap the pause after
 	// which they abandon a stream: eight times 400 ms.
 	frozenDeadline = 5000
@@ -30,10 +34,15 @@
 
 // frozenFront stops a front for some seconds while a runner crashes and starts again. All answers
 // are streams that end with their connection. The environment variable ONLY leaves out one of the
-// disruptions: with "freeze" no runner crashes, with "crash" no front is stopped.
+// disruptions: with "freeze" no runner crashes, with "crash" no front is stopped. With "cut" no
+// front is stopped either, and the runner crashes and starts again while it is cut off.
 func frozenFront(s *site) error {
-	freeze := s.trouble && os.Getenv("ONLY") != "crash"
-	crash := s.trouble && os.Getenv("ONLY") != "freeze"
+	only := os.Getenv("ONLY")
+	freeze := s.trouble && only != "crash" && only != "cut"
+	crash := s.trouble && only != "freeze"
+	if s.trouble && only == "cut" {
+		s.links = map[int]*procs.Link{}
+	}
 	one := []mn.PoolShare{{Pool: "assist", Weight: 1}}
 	routes := []mn.Route{
 		{Name: "whole", Host: host, Prefix: "/whole/", Kind: mn.RouteStream, Shares: one, Timeout: frozenDeadline, LatencyGoal: 500, Attempts: 1},
@@ -44,6 +53,9 @@
 		return err
 	}
 	s.restartAfter = crashedFor
+	if s.links != nil {
+		s.restartAfter = crashedBehindCut
+	}
 	for n := 1; n <= leavingRunners; n++ {
 		err := s.startRunner(n, fmt.Sprintf("i-%d", n), "assist", mn.EngineDecode, 64, "--unframed", "--events", fmt.Sprint(streamEvents), "--gap", streamGap.String())
 		if err != nil {
@@ -89,6 +101,14 @@
 			return err
 		}
 	}
+	if link := s.links[n]; link != nil {
+		s.note("runner i-%d is cut off", n)
+		link.Partition()
+		time.AfterFunc(cutFor, func() {
+			s.note("runner i-%d is reached again", n)
+			link.Restore()
+		})
+	}
 	if err := s.wait(crashDelay); err != nil {
 		return err
 	}
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -15,6 +15,7 @@
 
 	mn "mustardnotch"
 	"mustardnotch/platform/stand"
+	"mustardnotch/procs"
 )
 
 const (
@@ -51,6 +52,8 @@
 	runs map[string]int
 	// restartAfter is how long after a crash a runner is back, 0 if it stays away.
 	restartAfter time.Duration
+	// links holds the links to the runners by their number, if they are reached over links.
+	links map[int]*procs.Link
 	// broken holds what broke the rule.
 	broken []string
 }
@@ -243,7 +246,11 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(self, append([]string{"runner", "--id", id, "--addr", addr}, args...)...)
+	own, err := s.ownAddr(n, addr)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(self, append([]string{"runner", "--id", id, "--addr", own}, args...)...)
 	cmd.Stderr = os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StdoutPipe()
@@ -280,6 +287,21 @@
 	return nil
 }
 
+// ownAddr returns the address at which runner n listens, whose address in the store is addr. They
+// differ if runners are reached over links.
+func (s *site) ownAddr(n int, addr string) (string, error) {
+	if s.links == nil {
+		return addr, nil
+	}
+	own := fmt.Sprintf("%s:%d", s.ip(200+n), servePort)
+	if s.links[n] != nil {
+		return own, nil
+	}
+	link, err := procs.NewLink(addr, own)
+	s.links[n] = link
+	return own, err
+}
+
 // restart starts a runner again that has crashed, unless its end was intended.
 func (s *site) restart(r *runnerProc, start func() error) {
 	s.mu.Lock()
