Withhold endpoints' answers that promise that a request has not run

Cause: forwardComplete passed on each signed answer with a status from 300 to 499. 429 and 408 promise what only an endpoint that says so itself can know. 503 was an exception of its own.

Change: core/reply decides for every answer of every attempt whether it reaches the caller, before its status or body is used; complete answers, streams, answers passed on as they arrive and failures that are kept all follow its verdict. A status that promises (408, 421, 429, 503) is withheld unless the endpoint has said that the request has not run. The front's own errors ask the same package which statuses promise.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -14,6 +14,7 @@
 	mn "mustardnotch"
 	"mustardnotch/core/alloc"
 	"mustardnotch/core/place"
+	"mustardnotch/core/reply"
 	"mustardnotch/io/back"
 )
 
@@ -128,7 +129,8 @@
 		return q.noAnswer(plan, err, q.Clock.Now()-sentToTarget)
 	}
 	defer a.Close()
-	if a.NotRun {
+	verdict := reply.Judge(a.Status, a.ReplyInfo, a.Header.Get("Content-Encoding"))
+	if verdict.Action == reply.Refuse {
 		return q.notRun(plan, a, d)
 	}
 	q.mayHaveRun = true
@@ -139,10 +141,27 @@
 			return result{endpoint: plan.Target.ID, err: err}
 		}
 	}
+	if verdict.Action == reply.Withhold {
+		q.logWithheld(plan.Target.ID, a, verdict)
+	}
 	if q.route.Kind == mn.RouteStream && a.Status < 300 {
-		return q.forwardStream(plan, a, sentToTarget)
+		return q.forwardStream(plan, a, verdict, sentToTarget)
 	}
-	return q.forwardComplete(plan, a, sent)
+	return q.forwardComplete(plan, a, verdict, sent)
+}
+
+// logWithheld logs an answer that must not reach the caller.
+func (q *request) logWithheld(id mn.EndpointID, a *back.Answer, v reply.Verdict) {
+	q.Stats.Add("answers_withheld", 1)
+	q.Log.WithFields(logrus.Fields{
+		"event": "answer_withheld", "request": q.info.ID, "endpoint": id, "try": q.attempts,
+		"status": a.Status, "signed": a.Signed, "reason": v.Reason,
+	}).Warn()
+}
+
+// endpointFailed returns the result of an attempt whose answer is not the caller's.
+func endpointFailed(id mn.EndpointID, a *back.Answer, v reply.Verdict) result {
+	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d: %s", id, a.Status, v.Reason)}
 }
 
 // checkEndpoint returns a result if the request must not be sent to the endpoint: the caller
@@ -306,9 +325,10 @@
 	q.w.WriteHeader(status)
 }
 
-// forwardComplete reads a complete answer that is not a stream, and then forwards
-// it. One that may be forwarded but finds no memory is forwarded as it arrives.
-func (q *request) forwardComplete(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
+// forwardComplete reads a complete answer that is not a stream, and then forwards or keeps it
+// according to the verdict. One that may be forwarded but finds no memory is forwarded as it
+// arrives.
+func (q *request) forwardComplete(plan *place.Plan, a *back.Answer, v reply.Verdict, sent mn.Millis) result {
 	body, whole, err := a.ReadUpTo(maxAnswer)
 	id := plan.Target.ID
 	if whole && q.endedByCrash(plan.Target, a) {
@@ -318,9 +338,7 @@
 		q.Balancer.ReportResult(id, true)
 		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s: %w", id, err)}
 	}
-	success := a.Status < 300 && a.Signed && a.Header.Get("Content-Encoding") == ""
-	mayPass := success || a.Status < 500 && a.Status >= 300 && a.Signed
-	if !whole && mayPass && size(body) <= maxAnswer {
+	if !whole && v.Action == reply.Forward && size(body) <= maxAnswer {
 		return q.forwardAsItArrives(plan, a, body)
 	}
 	if !whole {
@@ -328,21 +346,21 @@
 		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s answered %d without an end in %d bytes", id, a.Status, size(body))}
 	}
 	q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
-	q.Balancer.ReportResult(id, !success)
+	q.Balancer.ReportResult(id, v.Action != reply.Forward || a.Status >= 300)
 	q.clearCrashes()
-	if mayPass {
+	switch v.Action {
+	case reply.Forward:
 		q.firstEventAt = q.Clock.Now()
 		q.sendHead(a.Status, a.Header)
 		if err := q.write(body); err != nil {
 			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
 		}
 		return result{}
-	}
-	if a.Signed && a.Status >= 500 && a.Status != http.StatusServiceUnavailable {
+	case reply.Keep:
 		q.dropFallback()
 		q.fallback = &failure{a.Status, a.Header, body, a.TakeMemory()}
 	}
-	return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
+	return endpointFailed(id, a, v)
 }
 
 // write sends the pieces of a body to the caller.
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -11,6 +11,7 @@
 	"mustardnotch/core/paths"
 	"mustardnotch/core/place"
 	"mustardnotch/core/poison"
+	"mustardnotch/core/reply"
 	"mustardnotch/core/resume"
 )
 
@@ -343,7 +344,7 @@
 	}
 	e := *err
 	e.Outcome, e.RetryAfter = mn.OutcomeUnknown, 0
-	if statuses[e.Code] == http.StatusServiceUnavailable {
+	if reply.Promises(statuses[e.Code]) {
 		e.Code = mn.OutcomeNotKnown
 	}
 	return &e
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -22,6 +22,7 @@
 	"mustardnotch/core/place"
 	"mustardnotch/core/poison"
 	"mustardnotch/core/quota"
+	"mustardnotch/core/reply"
 	"mustardnotch/core/retry"
 	"mustardnotch/core/shed"
 	"mustardnotch/core/stats"
@@ -39,8 +40,8 @@
 		Text: "No declared route has the request's host and a prefix of its path."})
 }
 
-// statuses maps result codes to HTTP statuses. 429 and 503 promise that the request
-// has not run. A code whose outcome is unknown has 502 or 504.
+// statuses maps result codes to HTTP statuses. A code whose outcome is unknown has 502 or
+// 504, which promise nothing.
 var statuses = map[mn.Code]int{
 	mn.BadRequest:           http.StatusBadRequest,
 	mn.TooLarge:             http.StatusRequestEntityTooLarge,
@@ -208,11 +209,10 @@
 	if status == 0 {
 		status = http.StatusBadGateway
 	}
-	promisesNotRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-	if promisesNotRun && e.Outcome != mn.OutcomeNotRun {
+	if reply.Promises(status) && e.Outcome != mn.OutcomeNotRun {
 		status = http.StatusBadGateway
 	}
-	if e.RetryAfter > 0 && promisesNotRun {
+	if e.RetryAfter > 0 && reply.Promises(status) {
 		h.Set("Retry-After", strconv.FormatFloat(float64(e.RetryAfter)/1000, 'f', 3, 64))
 	}
 	if q.info.ID != "" {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -10,6 +10,7 @@
 	mn "mustardnotch"
 	"mustardnotch/core/event"
 	"mustardnotch/core/place"
+	"mustardnotch/core/reply"
 	"mustardnotch/io/back"
 )
 
@@ -26,11 +27,11 @@
 // so a stream that ends inside an event has been broken off, and so has one that ends with
 // its connection before the first. After a run that ended inside an event, one without
 // events is not the rest of the stream.
-func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
+func (q *request) forwardStream(plan *place.Plan, a *back.Answer, v reply.Verdict, sent mn.Millis) result {
 	id := plan.Target.ID
-	if !a.Signed || a.Header.Get("Content-Encoding") != "" {
+	if v.Action != reply.Forward {
 		q.Balancer.ReportResult(id, true)
-		return result{endpoint: id, err: mn.Errorf(mn.EndpointFailed, "endpoint %s answered %d, signed %t, content encoding %q", id, a.Status, a.Signed, a.Header.Get("Content-Encoding"))}
+		return endpointFailed(id, a, v)
 	}
 	q.streamBegun(id, a)
 	var buf []byte
