Take no status of a plain service for "not run"

What callers saw: nothing reported.

Cause: wire.WrapEndpointError takes 503 and 409 for a statement. That holds for model engines, whose interface says so; a plain service is any application.

Change: io/plain reports an unknown outcome for each answer that is no success, unless the service states X-Outcome: not-run. Calls whose connection was never made have not run, as before.

Evidence: io/plain TestStatusIsNoProofThatCallHasNotRun; on the code before, statuses 409 and 503 without a header were reported as not run, the other seven as unknown.

--- a/io/plain/plain.go
+++ b/io/plain/plain.go
@@ -19,6 +19,10 @@
 	// readingBytes is the memory of all answers that are being read. Few services send large
 	// answers, and one in trouble may send answers without end.
 	readingBytes = 64 << 20
+	// outcomeHeader is the header in which a service states that it has not run a call and never
+	// will, by the value notRun.
+	outcomeHeader = "X-Outcome"
+	notRun        = "not-run"
 )
 
 // Client calls a plain service over HTTP. It implements [mn.PlainService].
@@ -55,11 +59,21 @@
 	}
 	defer resp.Body.Close()
 	if err := wire.CheckStatus(resp); err != nil {
-		return nil, wire.WrapEndpointError(err)
+		return nil, callFailed(resp, err)
 	}
 	return c.readAnswer(resp.Body)
 }
 
+// callFailed returns the error for an answer that is no success. No status proves that the
+// service has not run the call: one in trouble may answer with any after it has.
+func callFailed(resp *http.Response, err error) error {
+	e := mn.Errorf(mn.EndpointFailed, "%w", err)
+	if resp.Header.Get(outcomeHeader) == notRun {
+		return e.WithOutcome(mn.OutcomeNotRun)
+	}
+	return e
+}
+
 // readAnswer reads a complete answer. The service has run the call.
 func (c *Client) readAnswer(body io.Reader) ([]byte, error) {
 	memory := c.memory.Lease("")
--- a/io/plain/plain_test.go
+++ b/io/plain/plain_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// Guards against a booking that runs twice because its service answered with a status that was
+// taken for a statement that it has not run.
+func TestStatusIsNoProofThatCallHasNotRun(t *testing.T) {
+	for _, status := range []int{0, 99, 400, 408, 409, 421, 429, 500, 503} {
+		for header, want := range map[string]mn.Outcome{
+			"": mn.OutcomeUnknown, "X-Outcome: unknown\r\n": mn.OutcomeUnknown, "X-Outcome: not-run\r\n": mn.OutcomeNotRun,
+		} {
+			url := serve(t, func(c net.Conn) { fmt.Fprintf(c, "HTTP/1.1 %03d X\r\n%sContent-Length: 0\r\n\r\n", status, header) })
+			_, err := New(url).Call(t.Context(), mn.PlainCall{ID: "1"})
+			require.Error(t, err)
+			require.Equal(t, mn.EndpointFailed, mn.CodeOf(err))
+			require.Equal(t, want, mn.AsError(err).Outcome, "status %d %q", status, header)
+		}
+	}
+}
+
 // Guards against a success whose head was cut: it must not look like an empty or short answer.
 func TestHeadThatStopsIsNoAnswer(t *testing.T) {
 	for _, framing := range []string{"Content-Length: 6\r\n", "Transfer-Encoding: chunked\r\n", ""} {
--- a/io/wire/endpoint.go
+++ b/io/wire/endpoint.go
@@ -8,9 +8,8 @@
 )
 
 // WrapEndpointError wraps the error of a call to an endpoint, nil for nil. Its outcome
-// is "not run" if no connection was made, or if the endpoint answered with status
-// 503 or 409, which it does only before it starts the call. Otherwise its outcome
-// is unknown.
+// is "not run" if no connection was made, or if a model engine answered with status 503
+// or 409, which it does only before it starts the call. Otherwise its outcome is unknown.
 func WrapEndpointError(err error) error {
 	if err == nil {
 		return nil
