Take an answer without a status of HTTP as broken at once

What callers saw: a request whose endpoint answered with a status from 000 to 099 waited for its whole deadline (504), or for its attempt timeout on an idempotent route; one whose prefill was answered so was not decoded in time. 101 did the same; a signed 600 or 999 was passed on.

Cause: readFinal skipped each answer with a status below 200 like an interim one, and took all others for final.

Change: in readFinal, through which every answer of an endpoint passes at fronts, a status outside 100 to 599, or 101, is an error. The request may have run; it is sent again where its route allows that, and ends with 502 otherwise.

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -173,7 +173,11 @@
 	return info.ID == "" || info.ID == call.ID, nil
 }
 
-// readFinal reads an answer and skips interim ones.
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// readFinal reads an answer and skips interim ones. An answer whose status is none of HTTP, or
+// that switches to a protocol which no request asks for, is no answer, and none follows it.
 func readFinal(conn *conn, req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(conn.reader, req)
@@ -183,7 +187,10 @@
 		if resp.ProtoMajor != 1 {
 			return nil, fmt.Errorf("answer has unsupported protocol version %q", resp.Proto)
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch status := resp.StatusCode; {
+		case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("answer has status %03d, which ends no request", status)
+		case status >= http.StatusOK:
 			return resp, nil
 		}
 	}
--- a/io/wire/http_test.go
+++ b/io/wire/http_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// Guards against an answer without a valid status that is taken for a success, or waited for.
+func TestAnswerWithoutValidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+99", "-00", "101", "600", "999"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() }) // The connection stays open during the call.
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 1\r\n\r\n7") // Likewise.
+			}
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var out int
+		err = DoJSON(ctx, NewHTTPClient(), http.MethodPost, "http://"+l.Addr().String(), 1, &out)
+		require.Error(t, err, status)
+		require.NoError(t, ctx.Err(), "status %s", status)
+		require.Zero(t, out)
+	}
+}
+
 // Guards against an answer whose head was cut and that looks empty or short: answers of the
 // platform and of engines.
 func TestHeadThatStopsIsNoAnswer(t *testing.T) {
