--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -143,6 +143,8 @@
 	endpoints map[string]mn.Endpoint
 	// listeners are those of the endpoints by name.
 	listeners map[string]net.Listener
+	// onConn holds what takes the connections to an endpoint instead of its script.
+	onConn map[string]func(c net.Conn)
 }
 
 // observer tells a balancer what endpoints say of themselves.
@@ -226,6 +228,10 @@
 
 func (b *fixture) serve(name string, s script, c net.Conn) {
 	defer c.Close()
+	if take := b.onConn[name]; take != nil {
+		take(c)
+		return
+	}
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
--- a/io/wire/http_test.go
+++ b/io/wire/http_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -98,6 +100,44 @@
 	}
 }
 
+// Guards against a part of an answer of the platform or of an engine that looks complete: the
+// error of a reset goes to the writing of a long request, and the reading of the answer then sees
+// the end of the connection.
+func TestAnswerResetDuringUploadIsNotComplete(t *testing.T) {
+	const (
+		tries  = 20
+		upload = 12 << 20 // More than the buffers of both sockets.
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n12345") // A failure shows as no answer.
+				time.Sleep(time.Duration(rand.IntN(int(8 * time.Millisecond))))
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}
+	}()
+	for name, c := range map[string]*http.Client{"peer": NewHTTPClient(), "platform": NewPlatformClient()} {
+		for n := range tries {
+			req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), bytes.NewReader(make([]byte, upload)))
+			require.NoError(t, err)
+			req.GetBody = nil
+			body, err := Fetch(c, req, 1000)
+			require.Error(t, err, "%s, try %d: %q", name, n, body)
+			var number int
+			require.Error(t, DoJSON(t.Context(), c, http.MethodPost, "http://"+l.Addr().String(), strings.Repeat("x", upload), &number), "%s, try %d", name, n)
+		}
+	}
+}
+
 // Guards against an answer without a valid status that is taken for a success, or waited for.
 func TestAnswerWithoutValidStatusIsAnError(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "+99", "-00", "101", "600", "999"} {
