--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -135,15 +135,15 @@
 	}
 	q.mayHaveRun = true
 	q.countRun()
+	if verdict.Action == reply.Withhold {
+		q.logWithheld(plan.Target.ID, a, verdict)
+	}
 	if q.headSent {
 		if err := q.checkContinues(a); err != nil {
 			q.Balancer.ReportResult(plan.Target.ID, true)
 			return result{endpoint: plan.Target.ID, err: err}
 		}
 	}
-	if verdict.Action == reply.Withhold {
-		q.logWithheld(plan.Target.ID, a, verdict)
-	}
 	if q.route.Kind == mn.RouteStream && a.Status < 300 {
 		return q.forwardStream(plan, a, verdict, sentToTarget)
 	}
