Don't wait for the end of a body that nobody needs

What callers saw: nothing reported; found on the paths related to answers without a status. A request that an endpoint has refused waited for its whole deadline if the body of the refusal stalled, although another endpoint was free; so did one whose answer is withheld, and one whose prefill was refused.

Cause: these bodies were read to their end, so that the connection can be used again, before the result of the attempt was looked at.

Change: back.Answer.Discard gives up after 50 ms, and the connection is closed; withheld answers and answers to prefills that are no success go through it too.

--- a/io/back/call.go
+++ b/io/back/call.go
@@ -285,18 +285,24 @@
 // ReadResult is like [Answer.ReadAll], and returns an error unless the status is
 // 200.
 func (a *Answer) ReadResult(limit int) ([]byte, error) {
-	body, err := a.ReadAll(limit)
-	if err == nil && a.Status != http.StatusOK {
-		err = fmt.Errorf("status %d", a.Status)
+	if a.Status != http.StatusOK {
+		return nil, errors.Join(fmt.Errorf("status %d", a.Status), a.Discard())
 	}
-	return body, err
+	return a.ReadAll(limit)
 }
 
-// maxDiscarded bounds a body that is read only so that the connection can be used again.
-const maxDiscarded = 64 << 10
+const (
+	// maxDiscarded bounds a body that is read only so that the connection can be used again, and
+	// discardTimeout how long its end is waited for. It usually comes with the head.
+	maxDiscarded   = 64 << 10
+	discardTimeout = 50 * mn.Millisecond
+)
 
-// Discard reads the body without keeping it. A long one is left.
+// Discard reads the body without keeping it. One that is long, or doesn't end soon, is left.
 func (a *Answer) Discard() error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(discardTimeout.Duration())); err != nil {
+		return err
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(a, maxDiscarded+1))
 	if err == nil && n > maxDiscarded {
 		err = fmt.Errorf("answer is longer than %d bytes", maxDiscarded)
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -136,7 +136,7 @@
 	q.mayHaveRun = true
 	q.countRun()
 	if verdict.Action == reply.Withhold {
-		q.logWithheld(plan.Target.ID, a, verdict)
+		return q.withhold(plan, a, verdict, sent)
 	}
 	if q.headSent {
 		if err := q.checkContinues(a); err != nil {
@@ -145,18 +145,25 @@
 		}
 	}
 	if q.route.Kind == mn.RouteStream && a.Status < 300 {
-		return q.forwardStream(plan, a, verdict, sentToTarget)
+		return q.forwardStream(plan, a, sentToTarget)
 	}
 	return q.forwardComplete(plan, a, verdict, sent)
 }
 
-// logWithheld logs an answer that must not reach the caller.
-func (q *request) logWithheld(id mn.EndpointID, a *back.Answer, v reply.Verdict) {
+// withhold returns the result of an attempt whose answer must not reach the caller.
+func (q *request) withhold(plan *place.Plan, a *back.Answer, v reply.Verdict, sent mn.Millis) result {
+	id := plan.Target.ID
 	q.Stats.Add("answers_withheld", 1)
 	q.Log.WithFields(logrus.Fields{
 		"event": "answer_withheld", "request": q.info.ID, "endpoint": id, "try": q.attempts,
 		"status": a.Status, "signed": a.Signed, "reason": v.Reason,
 	}).Warn()
+	if a.Discard() == nil && !q.endedByCrash(plan.Target, a) {
+		q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
+		q.clearCrashes()
+	}
+	q.Balancer.ReportResult(id, true)
+	return endpointFailed(id, a, v)
 }
 
 // endpointFailed returns the result of an attempt whose answer is not the caller's.
@@ -346,21 +353,19 @@
 		return result{endpoint: id, err: mn.Errorf(mn.Truncated, "endpoint %s answered %d without an end in %d bytes", id, a.Status, size(body))}
 	}
 	q.Balancer.ObserveResponseTime(id, q.Clock.Now()-sent)
-	q.Balancer.ReportResult(id, v.Action != reply.Forward || a.Status >= 300)
+	q.Balancer.ReportResult(id, a.Status >= 300)
 	q.clearCrashes()
-	switch v.Action {
-	case reply.Forward:
-		q.firstEventAt = q.Clock.Now()
-		q.sendHead(a.Status, a.Header)
-		if err := q.write(body); err != nil {
-			return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
-		}
-		return result{}
-	case reply.Keep:
+	if v.Action == reply.Keep {
 		q.dropFallback()
 		q.fallback = &failure{a.Status, a.Header, body, a.TakeMemory()}
+		return endpointFailed(id, a, v)
 	}
-	return endpointFailed(id, a, v)
+	q.firstEventAt = q.Clock.Now()
+	q.sendHead(a.Status, a.Header)
+	if err := q.write(body); err != nil {
+		return result{endpoint: id, final: true, err: mn.Errorf(mn.Cancelled, "write to caller: %w", err)}
+	}
+	return result{}
 }
 
 // write sends the pieces of a body to the caller.
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -10,7 +10,6 @@
 	mn "mustardnotch"
 	"mustardnotch/core/event"
 	"mustardnotch/core/place"
-	"mustardnotch/core/reply"
 	"mustardnotch/io/back"
 )
 
@@ -27,12 +26,8 @@
 // so a stream that ends inside an event has been broken off, and so has one that ends with
 // its connection before the first. After a run that ended inside an event, one without
 // events is not the rest of the stream.
-func (q *request) forwardStream(plan *place.Plan, a *back.Answer, v reply.Verdict, sent mn.Millis) result {
+func (q *request) forwardStream(plan *place.Plan, a *back.Answer, sent mn.Millis) result {
 	id := plan.Target.ID
-	if v.Action != reply.Forward {
-		q.Balancer.ReportResult(id, true)
-		return endpointFailed(id, a, v)
-	}
 	q.streamBegun(id, a)
 	var buf []byte
 	for {
