Front tests: guard what takes an endpoint's connections by the fixture's lock

go test -race reported the map that newResetFixture sets after the endpoints listen (6 reports in TestAnswerResetDuringUploadIsNotComplete and TestPrefillResetDuringUploadGivesNoHandle). Only tests are concerned. The package was run once more with -race after the change: neither test is named.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -143,7 +143,8 @@
 	endpoints map[string]mn.Endpoint
 	// listeners are those of the endpoints by name.
 	listeners map[string]net.Listener
-	// onConn holds what takes the connections to an endpoint instead of its script.
+	// onConn holds what takes the connections to an endpoint instead of its script. It is
+	// guarded by mu.
 	onConn map[string]func(c net.Conn)
 }
 
@@ -228,7 +229,10 @@
 
 func (b *fixture) serve(name string, s script, c net.Conn) {
 	defer c.Close()
-	if take := b.onConn[name]; take != nil {
+	b.mu.Lock()
+	take := b.onConn[name]
+	b.mu.Unlock()
+	if take != nil {
 		take(c)
 		return
 	}
--- a/io/front/reset_test.go
+++ b/io/front/reset_test.go
@@ -35,6 +35,8 @@
 func newResetFixture(t *testing.T, scripts map[string]script, head, part string) (*fixture, *atomic.Int64) {
 	b := newFixture(t, scripts)
 	resets := new(atomic.Int64)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.onConn = map[string]func(net.Conn){}
 	for name, run := range scripts {
 		if run == nil {
