Front tests: read the number of crashed engines under its lock

A run of the package with -race reported a race of TestRequestsWithDeadlySegmentAreRejected with a goroutine of crashingEngine; the two accesses of that report were not kept.

--- a/io/front/poison_test.go
+++ b/io/front/poison_test.go
@@ -83,6 +83,8 @@
 		}
 		time.Sleep(60 * time.Millisecond) // The front checks whether the engine still listens.
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	require.LessOrEqual(t, arrived, 5)
 }
 
