--- a/crowd/queue_test.go
+++ b/crowd/queue_test.go
@@ -23,7 +23,7 @@
 	// firstState and lastState are the first and the last state of TCP. A socket that is only
 	// bound has a higher one, and is not connected yet either.
 	firstState, lastState = 1, 12
-	// countedStates is the set of all states of TCP but these two.
+	// countedStates is the set of all states of TCP but connecting and listening.
 	countedStates = uint32(1<<(lastState+1)-1<<firstState) &^ (1<<stateConnecting | 1<<stateListening)
 )
 
@@ -39,10 +39,9 @@
 	diagReject = diagCondSize + 4
 )
 
-// queuedAt returns the bytes in the kernel's queues of the sockets at an IP address. It asks for
-// these sockets only: the table of all sockets in /proc takes tens of milliseconds to read beside
-// other load, in which the front replaces more connections than it can have at once, and each of them
-// counts.
+// queuedAt returns the bytes in the kernel's queues of the sockets at an IP address. It asks the
+// kernel for these sockets only. Beside other load, the table of all sockets in /proc takes tens
+// of milliseconds to read, and lists connections that were replaced meanwhile beside the new ones.
 func queuedAt(ip string) (int64, error) {
 	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
@@ -167,7 +166,7 @@
 	requireQueued(leftUnsent, unsent)
 }
 
-// Guards against a state other than these two that is left out.
+// Guards against a state that is left out, other than connecting and listening.
 func TestAllOtherStatesAreCounted(t *testing.T) {
 	for state := range 32 {
 		counted := countedStates&(1<<state) != 0
