--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (string, error){
 	"plain":  playPlain,
 	"parts":  playParts,
+	"shift":  playShift,
 	"split":  playSplit,
 	"burst":  playBurst,
 	"chunks": playChunks,
@@ -165,7 +166,7 @@
 		t.recent.broken++
 	}
 	t.mu.Unlock()
-	t.c.note("client: %s request %s %s %s: %s, sealed %t", name, o.id, k.method, k.path, result, o.sealed)
+	t.c.noteRequest(o.id, "client: %s request %s %s %s: %s, sealed %t", name, o.id, k.method, k.path, result, o.sealed)
 }
 
 // end stops the sending and writes down the counts.
@@ -352,6 +353,63 @@
 	burstTime           = 14 * time.Second
 )
 
+// playShift: the traffic shifts to prompts of many parts.
+func playShift(c *cluster, trouble bool) (string, error) {
+	services := []service{{name: "models", runners: 8, engine: true, capacity: 64, flags: []string{"--work", "8ms"}}}
+	routes := []route{{prefix: "/ask/", kind: "streaming", services: []string{"models"}, attempts: 1}}
+	if err := c.begin(routes, services); err != nil {
+		return "", err
+	}
+	c.sampling = true
+	c.note("one request in %d is recorded", sampled)
+	t := newTraffic(c)
+	var parts atomic.Pointer[string]
+	setParts := func(n int) {
+		var list []string
+		for i := range n {
+			list = append(list, fmt.Sprintf("%08x:2", 0xa0000000+i))
+		}
+		text := strings.Join(list, ",")
+		parts.Store(&text)
+	}
+	setParts(usualParts)
+	t.every("usual", time.Second/shiftRate, func(n int) call {
+		return call{method: "POST", path: "/ask/ledger", body: "q", prompt: fmt.Sprintf("%s,c%07x:10", *parts.Load(), n), deadline: 5 * time.Second}
+	})
+	c.sleep(5 * time.Second)
+	before, err := c.peakMemory()
+	if err != nil {
+		return "", err
+	}
+	if trouble {
+		setParts(manyParts)
+	}
+	peak := before
+	for end := time.Now().Add(shiftTime); time.Now().Before(end) && peak <= memoryMB<<20 && c.ctx.Err() == nil; c.sleep(time.Second) {
+		if peak, err = c.peakMemory(); err != nil {
+			return "", err
+		}
+		c.note("memory of the front with most: %d MiB", peak>>20)
+	}
+	got := t.take()
+	t.end()
+	verdict := "held"
+	if peak > memoryMB<<20 {
+		verdict = "broken"
+	}
+	return fmt.Sprintf("%s: the front with most memory took %d MiB before and %d MiB at the end, of %d MiB that it may; %d of %d requests succeeded",
+		verdict, before>>20, peak>>20, memoryMB, got.good, got.sent), nil
+}
+
+const (
+	// usualParts is the number of shared parts of a prompt before the shift, and manyParts after
+	// it: their list is shorter than the 16,384 bytes that a head may have.
+	usualParts, manyParts = 2, 1300
+	// shiftRate is the number of requests a second, and shiftTime how long they are sent.
+	shiftRate = 800
+	shiftTime = 90 * time.Second
+)
+
 // crowdKey is the key of callers that nobody controls.
 const crowdKey = "key-review-2"
 
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,8 @@
 	heartbeat, silence = 1200 * time.Millisecond, 3600 * time.Millisecond
 	// restartAfter is how long a runner is away after a crash.
 	restartAfter = 2500 * time.Millisecond
+	// memoryMB is the memory that a front may take, in MiB.
+	memoryMB = 284
 	// stable is the bound stable_ms.
 	stable = 3000
 )
@@ -62,6 +65,9 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 
+	// sampling is set if only one request in sampled is recorded.
+	sampling bool
+
 	mu    sync.Mutex
 	seen  []occurrence
 	start time.Time
@@ -87,6 +93,17 @@
 	fmt.Fprintf(c.record, "%8d ms  %s\n", time.Since(c.start).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
+// sampled is the number of requests of which one is recorded where there are many.
+const sampled = 200
+
+// noteRequest writes a line about a request to the record.
+func (c *cluster) noteRequest(id, format string, args ...any) {
+	if n, err := strconv.ParseUint(id, 16, 64); c.sampling && (err != nil || n%sampled != 0) {
+		return
+	}
+	c.note(format, args...)
+}
+
 // sinceStart returns a time of day as milliseconds since the start.
 func (c *cluster) sinceStart(atMs int64) int64 { return atMs - c.start.UnixMilli() }
 
@@ -127,7 +144,7 @@
 func (c *cluster) startFronts(n int, storeAddr, dutiesAddr string) error {
 	bounds := stand.Bounds{RevokeWithin: 5000, DrainWithin: 2000, DutyLease: 3000, GracePeriod: 8000, QuotaWindow: 8000,
 		UsageWindow: 5000, UsageReportWithin: 10000, QuotaTolerance: 0.1, QuotaSlack: 190000, RetryRatio: 0.2, RetrySlack: 56,
-		RetryWindow: 10000, MemoryMB: 284}
+		RetryWindow: 10000, MemoryMB: memoryMB}
 	for i := range n {
 		ip, vm := fmt.Sprintf("%s.%d", c.subnet, 10+i), mn.VMID(fmt.Sprintf("front-%d", i+1))
 		file := filepath.Join(c.dir, string(vm)+".conf")
@@ -145,6 +162,19 @@
 	return nil
 }
 
+// peakMemory returns the most memory that a front has taken so far, in bytes.
+func (c *cluster) peakMemory() (int64, error) {
+	var most int64
+	for _, p := range c.fronts {
+		n, err := p.PeakMemory()
+		if err != nil {
+			return 0, err
+		}
+		most = max(most, n)
+	}
+	return most, nil
+}
+
 // waitReady waits until all fronts answer their readiness checks with 200.
 func (c *cluster) waitReady() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -265,7 +295,7 @@
 		c.mu.Lock()
 		c.seen = append(c.seen, o)
 		c.mu.Unlock()
-		c.note("runner %s: %s of request %s, deadly %t", o.Runner, o.Kind, o.Request, o.Deadly)
+		c.noteRequest(o.Request, "runner %s: %s of request %s, deadly %t", o.Runner, o.Kind, o.Request, o.Deadly)
 	}
 }
 
