Third review: stand-ins without parts that no case uses

Runners always start again under another id, as all cases had it; the verdict is asked for by a function.

--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,24 +15,17 @@
 	"time"
 )
 
-var errBroken = errors.New("broken")
-
-// verdictError returns errBroken if a verdict says that the rule was broken.
-func verdictError(verdict string) error {
-	if strings.HasPrefix(verdict, "broken") {
-		return errBroken
-	}
-	return nil
-}
+// isBroken reports whether a verdict says that the rule was broken.
+func isBroken(verdict string) bool { return strings.HasPrefix(verdict, "broken") }
 
 // cases are the cases by name. Each returns its verdict.
 var cases = map[string]func(c *cluster, trouble bool) (string, error){
-	"plain":  playPlain,
+	"burst":  playBurst,
+	"chunks": playChunks,
 	"parts":  playParts,
+	"plain":  playPlain,
 	"shift":  playShift,
 	"split":  playSplit,
-	"burst":  playBurst,
-	"chunks": playChunks,
 }
 
 // route describes a route in the configuration.
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -47,8 +47,6 @@
 	capacity int64
 	// flags are further flags of the runners' processes.
 	flags []string
-	// sameID is set if a runner that starts again has the id that it had.
-	sameID bool
 }
 
 // cluster is fronts, runners and the platform of a small deployment.
@@ -205,10 +203,7 @@
 			defer c.workers.Done()
 			addr := fmt.Sprintf("%s.%d:8080", c.subnet, firstIP+i)
 			for run := 1; c.ctx.Err() == nil; run++ {
-				id := fmt.Sprintf("%s-%d", s.name, i+1)
-				if !s.sameID {
-					id += fmt.Sprintf("-run%d", run)
-				}
+				id := fmt.Sprintf("%s-%d-run%d", s.name, i+1, run)
 				if err := c.runOnce(s, id, addr); err != nil && c.ctx.Err() == nil {
 					c.note("runner %s: %v", id, err)
 				}
@@ -256,7 +251,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	go c.beat(entry, s.sameID, ended)
+	go c.beat(entry, ended)
 	c.readOccurrences(out)
 	err = cmd.Wait()
 	close(ended)
@@ -264,8 +259,8 @@
 }
 
 // beat writes the runner's entries while it runs, and removes the last one when it has been
-// silent for long enough, unless the runner has started again under its id.
-func (c *cluster) beat(entry mn.Endpoint, sameID bool, ended chan struct{}) {
+// silent for long enough. A runner that starts again has another id.
+func (c *cluster) beat(entry mn.Endpoint, ended chan struct{}) {
 	for {
 		entry.Heartbeat++
 		if err := c.store.WriteEndpoint(entry); err != nil {
@@ -276,11 +271,9 @@
 			continue
 		case <-ended:
 		}
-		if !sameID {
-			c.sleep(silence)
-			if err := c.store.DropEndpoint(entry.ID); err != nil {
-				c.note("entry of %s: %v", entry.ID, err)
-			}
+		c.sleep(silence)
+		if err := c.store.DropEndpoint(entry.ID); err != nil {
+			c.note("entry of %s: %v", entry.ID, err)
 		}
 		return
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 )
@@ -55,7 +54,7 @@
 		verdict, code = "not run: ended by a signal", exitNotRun
 	case err != nil:
 		verdict, code = "not run: "+err.Error(), exitNotRun
-	case errors.Is(verdictError(verdict), errBroken):
+	case isBroken(verdict):
 		code = exitBroken
 	}
 	c.note("%s", verdict)
